--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# dogwoodflow: see README.md. All tools come through the Go module proxy.
+
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
+STATICCHECK = go tool -modfile=tools/lint/go.mod staticcheck
+
+.PHONY: build test lint generate demo prove bench bench-quick capacity fuzz
+
+build:
+	mkdir -p bin
+	go build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/...
+
+test:
+	go test -count=1 ./...
+
+lint:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:" $$unformatted; exit 1; fi
+	go vet ./...
+	$(STATICCHECK) ./...
+
+generate:
+	tools/generate.sh
+
+demo: build
+	scripts/demo.sh
--- /dev/null
+++ b/cmd/dogwoodflowd/main.go
@@ -0,0 +1,56 @@
+// Command dogwoodflowd is the daemon that runs on every entry VM.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/app"
+	"github.com/dogwoodflow/dogwoodflow/internal/settings"
+)
+
+// version is set by the linker; see the Makefile.
+var version = "dev"
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	d, err := settings.Parse(args)
+	if errors.Is(err, settings.ErrHelp) {
+		fmt.Println(err)
+		return app.ExitOK
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "dogwoodflowd:", err)
+		return app.ExitSettings
+	}
+	if d.PrintVersion {
+		fmt.Println("dogwoodflowd", version, goVersion())
+		return app.ExitOK
+	}
+	return app.Run(d, newLogger(d))
+}
+
+func newLogger(d *settings.Daemon) zerolog.Logger {
+	level, err := zerolog.ParseLevel(d.LogLevel)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	log := zerolog.New(os.Stderr)
+	if d.LogFormat == "console" {
+		log = log.Output(zerolog.ConsoleWriter{Out: os.Stderr})
+	}
+	return log.Level(level).With().Timestamp().Str("vm", string(d.VM)).Logger()
+}
+
+func goVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	return info.GoVersion
+}
--- /dev/null
+++ b/cmd/standin/tools.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/fault"
+)
+
+// freshClient never reuses a connection, so that a silenced one stays out of it.
+var freshClient = &http.Client{
+	Timeout:   10 * time.Second,
+	Transport: &http.Transport{DisableKeepAlives: true},
+}
+
+func faultCommand() *ff.Command {
+	fs := ff.NewFlagSet("fault")
+	off := fs.BoolLong("clear", "end all faults instead of setting one")
+	var s fault.Spec
+	match := fs.StringLong("match", "", `substring of "METHOD path?query" or of the body; empty matches all`)
+	count := fs.IntLong("count", 0, "how many requests it hits; 0: all")
+	duration := fs.DurationLong("duration", 0, "how long it stays in force; 0: until cleared")
+	value := fs.Float64Long("value", 0, "argument of some kinds, in ms or bytes")
+	return &ff.Command{
+		Name:      "fault",
+		Usage:     "standin fault [FLAGS] URL [KIND]",
+		ShortHelp: "sets a fault of a stand-in, or clears all",
+		LongHelp: "Kinds: crash refuse reset reset_body truncate end_early freeze silence slow late\n" +
+			"answer_lost crossed outage swap_fails report_before_serving",
+		Flags: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if *off && len(args) == 1 {
+				return send(ctx, http.MethodDelete, args[0]+fault.Path, nil, io.Discard)
+			}
+			if len(args) != 2 {
+				return errors.New("fault: want URL and KIND")
+			}
+			s = fault.Spec{
+				Kind: fault.Kind(args[1]), Match: *match, Count: *count,
+				DurationMillis: duration.Milliseconds(), Value: *value,
+			}
+			if err := s.Validate(); err != nil {
+				return err
+			}
+			raw, err := json.Marshal(s)
+			if err != nil {
+				return err
+			}
+			return send(ctx, http.MethodPost, args[0]+fault.Path, raw, io.Discard)
+		},
+	}
+}
+
+func getCommand() *ff.Command {
+	fs := ff.NewFlagSet("get")
+	method := fs.StringLong("method", "", "method (default GET, POST with a body)")
+	body := fs.StringLong("body", "", "body to send; @- reads it from standard input")
+	headers := fs.StringListLong("header", `header "Name: value", may be repeated`)
+	return &ff.Command{
+		Name:      "get",
+		Usage:     "standin get [FLAGS] URL",
+		ShortHelp: "sends one HTTP request and prints the answer's body",
+		Flags:     fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return errors.New("get: want one URL")
+			}
+			raw, err := bodyOf(*body)
+			if err != nil {
+				return err
+			}
+			return send(ctx, methodOf(*method, raw), args[0], raw, os.Stdout, *headers...)
+		},
+	}
+}
+
+func bodyOf(text string) ([]byte, error) {
+	if text == "@-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return []byte(text), nil
+}
+
+func methodOf(method string, body []byte) string {
+	switch {
+	case method != "":
+		return method
+	case len(body) > 0:
+		return http.MethodPost
+	default:
+		return http.MethodGet
+	}
+}
+
+func waitCommand() *ff.Command {
+	fs := ff.NewFlagSet("wait")
+	limit := fs.DurationLong("for", 30*time.Second, "when to give up")
+	return &ff.Command{
+		Name:      "wait",
+		Usage:     "standin wait [FLAGS] URL ...",
+		ShortHelp: "waits until every URL answers 200",
+		Flags:     fs,
+		Exec: func(ctx context.Context, args []string) error {
+			ctx, cancel := context.WithTimeout(ctx, *limit)
+			defer cancel()
+			for _, url := range args {
+				if err := waitFor(ctx, url); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func waitFor(ctx context.Context, url string) error {
+	const pause = 50 * time.Millisecond
+	for {
+		err := send(ctx, http.MethodGet, url, nil, io.Discard)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait: %s: %w", url, err)
+		case <-time.After(pause):
+		}
+	}
+}
+
+// send sends one request; a status other than 2xx is an error.
+func send(ctx context.Context, method, url string, body []byte, out io.Writer, headers ...string) error {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	for _, header := range headers {
+		name, value, _ := strings.Cut(header, ":")
+		request.Header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+	}
+	response, err := freshClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(out, response.Body); err != nil {
+		return err
+	}
+	if response.StatusCode/100 != 2 {
+		return fmt.Errorf("%s %s: %s", method, url, response.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/adminclient/config.go
@@ -0,0 +1,43 @@
+package adminclient
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/config"
+	"github.com/dogwoodflow/dogwoodflow/internal/httpapi"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+)
+
+// Config returns a branch in force, or the whole tree for the empty branch.
+func (c *Client) Config(ctx context.Context, branch config.Branch) (httpapi.ConfigView, error) {
+	var view httpapi.ConfigView
+	err := c.Call(ctx, http.MethodGet, "/v1/config?branch="+url.QueryEscape(string(branch)), nil, &view)
+	return view, err
+}
+
+// Watch returns the branch once the configuration's version is above after, or
+// as it is after a while.
+func (c *Client) Watch(ctx context.Context, branch config.Branch, after ident.Offset) (httpapi.ConfigView, error) {
+	q := url.Values{"branch": {string(branch)}, "after": {strconv.FormatInt(int64(after), 10)}}
+	var view httpapi.ConfigView
+	err := c.Call(ctx, http.MethodGet, "/v1/config/watch?"+q.Encode(), nil, &view)
+	return view, err
+}
+
+// Publish publishes a change and returns its verdict once it is in force.
+func (c *Client) Publish(ctx context.Context, change httpapi.ChangeRequest) (config.Verdict, error) {
+	var verdict config.Verdict
+	err := c.Call(ctx, http.MethodPost, "/v1/config/changes", change, &verdict)
+	return verdict, err
+}
+
+// History returns the newest accepted changes of a branch.
+func (c *Client) History(ctx context.Context, branch config.Branch, limit int) ([]config.HistoryEntry, error) {
+	q := url.Values{"branch": {string(branch)}, "limit": {strconv.Itoa(limit)}}
+	var entries []config.HistoryEntry
+	err := c.Call(ctx, http.MethodGet, "/v1/config/history?"+q.Encode(), nil, &entries)
+	return entries, err
+}
--- /dev/null
+++ b/internal/app/rollouts.go
@@ -0,0 +1,125 @@
+package app
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/confsync"
+	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
+	"github.com/dogwoodflow/dogwoodflow/internal/peer"
+	"github.com/dogwoodflow/dogwoodflow/internal/rollout"
+	"github.com/dogwoodflow/dogwoodflow/internal/rollouts"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
+	"github.com/dogwoodflow/dogwoodflow/internal/weightsync"
+)
+
+var rolloutsModule = fx.Module("rollouts", fx.Provide(newRollouts))
+
+func newRollouts(d *dispatch.Dispatcher, w *weightsync.Syncer, c *confsync.Store, p *peer.Service, log zerolog.Logger) *rollouts.Manager {
+	m := rollouts.New(rollouts.Options{
+		Generator: generator{d}, Scorer: scorer{d}, Versions: w, Jobs: jobs{c}, Peers: p, Log: log,
+	})
+	p.SetSteps(m)
+	return m
+}
+
+// generator runs a step's attempts through the dispatcher.
+type generator struct{ dispatcher *dispatch.Dispatcher }
+
+func (g generator) Generate(ctx context.Context, r rollouts.GenerateRequest, began func(ident.Version)) (rollouts.Generated, error) {
+	first := true
+	onChunk := func(c upstream.Chunk) error {
+		if first && began != nil && c.Version != 0 {
+			first = false
+			began(c.Version)
+		}
+		return nil
+	}
+	out, err := g.dispatcher.Generate(ctx, dispatch.Generate{
+		ID: r.ID, Team: r.Team, Model: r.Model, Class: dispatch.Rollout,
+		Prompt: r.Prompt, MaxTokens: r.MaxTokens, Seed: r.Seed, Deadline: r.Deadline,
+		ExpectedTokens: r.ExpectedTokens, MinVersion: r.MinVersion, Straggler: r.Straggler,
+	}, onChunk)
+	if err != nil {
+		return rollouts.Generated{}, workError(err)
+	}
+	return generatedOf(out), nil
+}
+
+func generatedOf(g dispatch.Generated) rollouts.Generated {
+	out := rollouts.Generated{Text: g.Text}
+	for _, s := range g.Segments {
+		from := out.Tokens
+		out.Tokens += s.Tokens
+		out.Segments = append(out.Segments, rollout.Segment{Version: s.Version, From: from, To: out.Tokens})
+	}
+	return out
+}
+
+// scorer asks the scorers through the dispatcher.
+type scorer struct{ dispatcher *dispatch.Dispatcher }
+
+func (s scorer) Score(ctx context.Context, r rollouts.ScoreRequest) (float64, error) {
+	reward, err := s.dispatcher.Score(ctx, r.Team, r.Group, r.ID, r.Prompt, r.Completion, r.Deadline)
+	return reward, workError(err)
+}
+
+// workError turns a dispatch error into what a step does about it.
+func workError(err error) error {
+	var e *dispatch.Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	failure := rollout.Failure{RetryAfter: e.RetryAfter, Reason: e.Reason.String()}
+	switch {
+	case e.Reason == dispatch.Poison:
+		failure.Kind = rollout.Poison
+	case e.Outcome == outcome.NotRun:
+		failure.Kind = rollout.NotRun
+	default:
+		failure.Kind = rollout.Transient
+	}
+	return &rollouts.WorkError{Failure: failure, Err: err}
+}
+
+// jobs looks jobs up in the configuration in force.
+type jobs struct{ config *confsync.Store }
+
+func (j jobs) Job(team ident.Team, name ident.Job) (rollouts.JobSettings, bool) {
+	branch, ok := j.config.Current().Tree().Teams[team]
+	if !ok {
+		return rollouts.JobSettings{}, false
+	}
+	job, ok := branch.Jobs[name]
+	if !ok {
+		return rollouts.JobSettings{}, false
+	}
+	model := branch.Models[job.Model]
+	out := rollouts.JobSettings{
+		Model: job.Model, Scorer: job.Scorer, GroupSize: job.GroupSize, Bound: model.StalenessBound,
+		MaxTokens: job.MaxTokens, StalenessWeight: branch.StalenessWeight, Cancelled: job.Cancelled,
+	}
+	if job.StalenessBound != nil {
+		out.Bound = *job.StalenessBound
+	}
+	if out.MaxTokens == 0 {
+		out.MaxTokens = model.MaxTokens
+	}
+	return out, true
+}
+
+// liveMembers counts the members that were heard from of late.
+func liveMembers(members []peer.MemberStatus) int {
+	n := 0
+	for _, m := range members {
+		if m.Live {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/claims/batcher_test.go
@@ -0,0 +1,94 @@
+package claims
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Batcher", func() {
+	start := time.Unix(1000, 0)
+	opts := BatcherOptions{Gather: 5 * time.Millisecond, Budget: 200, Burst: 2, MaxClaims: 10, MaxReports: 2}
+	claim := func(nonce string) Record { return Record{Kind: KindClaim, Key: "k", Nonce: nonce} }
+
+	It("gathers neighbours, then appends them together", func() {
+		b := NewBatcher(opts, start)
+		Expect(b.AddClaim(claim("a"), start)).To(Succeed())
+		_, wait := b.Next(start, 1)
+		Expect(wait).To(Equal(5 * time.Millisecond))
+		Expect(b.AddClaim(claim("b"), start.Add(time.Millisecond))).To(Succeed())
+		batch, _ := b.Next(start.Add(5*time.Millisecond), 1)
+		Expect(batch).To(HaveLen(2))
+	})
+
+	It("keeps all daemons together within the budget", func() {
+		const daemons = 40
+		b, now, appends := NewBatcher(opts, start), start, 0
+		for now.Before(start.Add(10 * time.Second)) {
+			if b.Pending() == 0 {
+				Expect(b.AddClaim(claim("n"), now)).To(Succeed())
+			}
+			if batch, _ := b.Next(now, daemons); batch != nil {
+				appends++
+				b.Finished(Appended, now)
+			}
+			now = now.Add(time.Millisecond)
+		}
+		Expect(appends * daemons).To(BeNumerically("<=", 200*10+opts.Burst*daemons))
+	})
+
+	// The log appends a batch and its answer is lost. Refusing the claims as "not run"
+	// would be true, but they would stand in the log; taking them as written would be a
+	// guess. They are sent again, and reading back decides.
+	It("sends claims again after a lost answer, and refuses them when nothing was written", func() {
+		b := NewBatcher(opts, start)
+		Expect(b.AddClaim(claim("a"), start)).To(Succeed())
+		now := start.Add(time.Second)
+		b.Next(now, 1)
+		Expect(b.Finished(Lost, now)).To(BeEmpty())
+		now = now.Add(time.Second)
+		batch, _ := b.Next(now, 1)
+		Expect(batch).To(HaveLen(1))
+		Expect(b.Finished(Unavailable, now)).To(Equal([]string{"a"}))
+		Expect(b.Pending()).To(BeZero())
+	})
+
+	It("never sends a claim again that was taken back in flight", func() {
+		b := NewBatcher(opts, start)
+		Expect(b.AddClaim(claim("a"), start)).To(Succeed())
+		b.Next(start.Add(time.Second), 1)
+		b.Remove("a")
+		Expect(b.Finished(Lost, start)).To(BeEmpty())
+		Expect(b.Pending()).To(BeZero())
+	})
+
+	It("keeps releases before done records when too many wait, and retries them with backoff", func() {
+		b := NewBatcher(opts, start)
+		for _, kind := range []Kind{KindRelease, KindDone, KindRelease} {
+			b.AddReport(Record{Kind: kind}, start)
+		}
+		now := start.Add(time.Second)
+		batch, _ := b.Next(now, 1)
+		Expect(batch).To(HaveLen(2))
+		Expect(batch).To(HaveEach(HaveField("Kind", KindRelease)))
+		b.Finished(Unavailable, now)
+		_, wait := b.Next(now, 1)
+		Expect(wait).To(Equal(backoffBase))
+	})
+})
+
+func FuzzDecodeBatch(f *testing.F) {
+	f.Add([]byte(`[{"kind":"claim","scope":"t/r","key":"k","nonce":"n","vm":"v"}]`))
+	f.Add([]byte(`[{"kind":"done","scope":"s","key":"k","nonce":"n","vm":"v","answer":{"status":200,"body":"b2s="}}] x`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, err := DecodeBatch(data)
+		if err != nil {
+			return
+		}
+		if _, err := EncodeBatch(records); err != nil {
+			t.Fatalf("decoded, but doesn't encode: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/branch.go
@@ -0,0 +1,46 @@
+package config
+
+import (
+	"regexp"
+	"strings"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+)
+
+const (
+	maxNameBytes = 63
+	nameAllowed  = "must match [a-z0-9][a-z0-9._-]{0,62}"
+	teamsPrefix  = "teams/"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Branch is the part of the tree that one change may touch: "fleet" or
+// "teams/<team>".
+type Branch string
+
+// FleetBranch is the branch of what all teams share.
+const FleetBranch Branch = "fleet"
+
+// TeamBranch returns the branch of a team.
+func TeamBranch(team ident.Team) Branch { return Branch(teamsPrefix + string(team)) }
+
+// Team returns the team that the branch belongs to; false for the fleet's.
+func (b Branch) Team() (ident.Team, bool) {
+	team, ok := strings.CutPrefix(string(b), teamsPrefix)
+	return ident.Team(team), ok
+}
+
+// Validate says whether a branch of that name may exist.
+func (b Branch) Validate() error { return asError(b.validate()) }
+
+func (b Branch) validate() *Error {
+	if b == FleetBranch {
+		return nil
+	}
+	team, ok := b.Team()
+	if !ok || !namePattern.MatchString(string(team)) {
+		return valueFault("branch", string(b), `must be "fleet" or "teams/<team>", and the team's name `+nameAllowed)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/decode.go
@@ -0,0 +1,172 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// maxDecodedValues bounds the values in one document. Two bytes of JSON can
+// stand for a struct of hundreds, so a bound on bytes alone doesn't bound memory.
+const maxDecodedValues = 300_000
+
+// decodeStrict decodes JSON and refuses what encoding/json lets pass: unknown
+// fields, names in another case, and null for a scalar. Errors carry the path.
+func decodeStrict(raw []byte, path string, into any) *Error {
+	if bytes.Count(raw, []byte{','}) > maxDecodedValues {
+		return fault(path, fmt.Sprintf("must hold at most %d values", maxDecodedValues))
+	}
+	if !json.Valid(raw) {
+		return fault(path, "must be valid JSON")
+	}
+	return decodeValue(raw, path, reflect.ValueOf(into).Elem())
+}
+
+func decodeValue(raw json.RawMessage, path string, v reflect.Value) *Error {
+	if _, ok := v.Addr().Interface().(json.Unmarshaler); ok {
+		return decodeLeaf(raw, path, v)
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		return decodePointer(raw, path, v)
+	case reflect.Struct:
+		return decodeStruct(raw, path, v)
+	case reflect.Map:
+		return decodeMap(raw, path, v)
+	case reflect.Slice:
+		return decodeSlice(raw, path, v)
+	default:
+		return decodeLeaf(raw, path, v)
+	}
+}
+
+func decodePointer(raw json.RawMessage, path string, v reflect.Value) *Error {
+	if isNull(raw) {
+		v.SetZero()
+		return nil
+	}
+	v.Set(reflect.New(v.Type().Elem()))
+	return decodeValue(raw, path, v.Elem())
+}
+
+func decodeStruct(raw json.RawMessage, path string, v reflect.Value) *Error {
+	members, err := objectMembers(raw, path)
+	if err != nil {
+		return err
+	}
+	if isNull(raw) {
+		return fault(path, "must be an object, not null")
+	}
+	presetValue(v)
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		field, ok := fieldByName(v.Type(), name)
+		if !ok {
+			return unknownField(path, name, v.Type())
+		}
+		if err := decodeValue(members[name], join(path, name), v.Field(field)); err != nil {
+			return err
+		}
+	}
+	fillValue(v)
+	return nil
+}
+
+func decodeMap(raw json.RawMessage, path string, v reflect.Value) *Error {
+	members, err := objectMembers(raw, path)
+	if err != nil {
+		return err
+	}
+	v.Set(reflect.MakeMapWithSize(v.Type(), len(members)))
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		value := reflect.New(v.Type().Elem()).Elem()
+		if err := decodeValue(members[name], join(path, truncate(name, maxNameBytes)), value); err != nil {
+			return err
+		}
+		v.SetMapIndex(reflect.ValueOf(name).Convert(v.Type().Key()), value)
+	}
+	return nil
+}
+
+func decodeSlice(raw json.RawMessage, path string, v reflect.Value) *Error {
+	var elements []json.RawMessage
+	if json.Unmarshal(raw, &elements) != nil {
+		return fault(path, "must be a list")
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(elements), len(elements)))
+	for i, element := range elements {
+		if err := decodeValue(element, fmt.Sprintf("%s/%d", path, i), v.Index(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func decodeLeaf(raw json.RawMessage, path string, v reflect.Value) *Error {
+	if !isNull(raw) && json.Unmarshal(raw, v.Addr().Interface()) == nil {
+		return nil
+	}
+	return fault(path, "must be "+leafName(v.Kind()))
+}
+
+func leafName(kind reflect.Kind) string {
+	switch kind {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Int, reflect.Int64:
+		return "an integer"
+	default:
+		return "of the stated type"
+	}
+}
+
+// objectMembers returns the members of an object; null has none.
+func objectMembers(raw json.RawMessage, path string) (map[string]json.RawMessage, *Error) {
+	var members map[string]json.RawMessage
+	if json.Unmarshal(raw, &members) != nil {
+		return nil, fault(path, "must be an object")
+	}
+	return members, nil
+}
+
+func isNull(raw json.RawMessage) bool { return string(bytes.TrimSpace(raw)) == "null" }
+
+// fieldByName finds a field by its name in JSON.
+func fieldByName(t reflect.Type, name string) (int, bool) {
+	for i := range t.NumField() {
+		if jsonName(t.Field(i)) == name && name != "" {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func jsonName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	return name
+}
+
+func unknownField(path, name string, t reflect.Type) *Error {
+	var allowed []string
+	for i := range t.NumField() {
+		if known := jsonName(t.Field(i)); known != "" {
+			allowed = append(allowed, known)
+		}
+	}
+	reason := "unknown field, must be one of " + strings.Join(allowed, ", ")
+	return fault(join(path, truncate(name, maxNameBytes)), reason)
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "/" + name
+}
--- /dev/null
+++ b/internal/config/differential_test.go
@@ -0,0 +1,234 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/config"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+)
+
+// naive is the configuration as flat settings, path to JSON value, judged one
+// change after the other. checksBase off is last-write-wins.
+type naive struct {
+	checksBase bool
+	settings   map[string]string
+	versions   map[config.Branch]ident.Offset
+	verdicts   map[string]bool
+}
+
+func newNaive(checksBase bool) *naive {
+	return &naive{checksBase, map[string]string{}, map[config.Branch]ident.Offset{}, map[string]bool{}}
+}
+
+func (n *naive) fold(off ident.Offset, c config.Change) bool {
+	if first, ok := n.verdicts[c.ID]; ok {
+		return first
+	}
+	next := map[string]string{}
+	for path, value := range n.settings {
+		next[path] = value
+	}
+	ok := !n.checksBase || c.Base == n.versions[c.Branch]
+	for _, op := range c.Ops {
+		path := string(c.Branch) + "/" + op.Path
+		_, exists := next[path]
+		ok = ok && !(op.Delete && !exists)
+		delete(next, path)
+		if !op.Delete {
+			next[path] = string(op.Value)
+		}
+	}
+	ok = ok && valid(next)
+	n.verdicts[c.ID] = ok
+	if ok {
+		n.settings, n.versions[c.Branch] = next, off
+	}
+	return ok
+}
+
+// valid knows the rules for what the sessions below set.
+func valid(settings map[string]string) bool {
+	for path, value := range settings {
+		parts := strings.Split(path, "/")
+		if parts[0] != "teams" {
+			continue
+		}
+		var entry struct {
+			Group, Model, Scorer string
+			Bound                int `json:"staleness_bound"`
+		}
+		if json.Unmarshal([]byte(value), &entry) != nil || entry.Bound < 0 {
+			return false
+		}
+		if parts[2] == "models" && !strings.Contains(settings["fleet/groups/"+entry.Group], "engine") {
+			return false
+		}
+		if parts[2] == "jobs" {
+			_, known := settings["teams/"+parts[1]+"/models/"+entry.Model]
+			if !known || !strings.Contains(settings["fleet/groups/"+entry.Scorer], "scorer") {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// randomChange is on the branch's version, or now and then on an older one.
+func randomChange(rng *rand.Rand, id int, version func(config.Branch) ident.Offset) config.Change {
+	group := func() string { return fmt.Sprintf("g%d", rng.IntN(4)) }
+	branch, path, value := config.FleetBranch, "groups/"+group(), `{"kind":"engine"}`
+	if rng.IntN(2) == 0 {
+		value = `{"kind":"scorer"}`
+	}
+	if rng.IntN(3) > 0 {
+		branch = config.Branch(fmt.Sprintf("teams/t%d", rng.IntN(3)))
+		path = fmt.Sprintf("models/m%d", rng.IntN(2))
+		value = fmt.Sprintf(`{"group":"%s","staleness_bound":%d}`, group(), rng.IntN(6)-1)
+		if rng.IntN(3) == 0 {
+			path = fmt.Sprintf("jobs/j%d", rng.IntN(2))
+			value = fmt.Sprintf(`{"model":"m%d","scorer":"%s","group_size":2,"max_tokens":8}`, rng.IntN(2), group())
+		}
+	}
+	if rng.IntN(6) == 0 {
+		value = ""
+	}
+	base := version(branch)
+	if rng.IntN(4) == 0 {
+		base = max(0, base-ident.Offset(rng.IntN(4)))
+	}
+	return change(fmt.Sprintf("c%d", id-rng.IntN(2)*rng.IntN(2)), branch, base, path, value)
+}
+
+// sameTree compares the entries of the typed tree with the flat settings.
+func sameTree(t *config.Tree, settings map[string]string) {
+	GinkgoHelper()
+	count := len(t.Fleet.Groups)
+	for name, group := range t.Fleet.Groups {
+		Expect(settings["fleet/groups/"+name]).To(ContainSubstring(string(group.Kind)))
+	}
+	for team, branch := range t.Teams {
+		count += len(branch.Models) + len(branch.Jobs)
+		for name, model := range branch.Models {
+			want := fmt.Sprintf(`{"group":"%s","staleness_bound":%d}`, model.Group, model.StalenessBound)
+			Expect(settings[fmt.Sprintf("teams/%s/models/%s", team, name)]).To(Equal(want))
+		}
+		for name, job := range branch.Jobs {
+			want := fmt.Sprintf(`{"model":"%s","scorer":"%s",`, job.Model, job.Scorer)
+			Expect(settings[fmt.Sprintf("teams/%s/jobs/%s", team, name)]).To(HavePrefix(want))
+		}
+	}
+	Expect(count).To(Equal(len(settings)))
+}
+
+var _ = Describe("random sessions", func() {
+	It("agree with the naive fold, through peers and snapshots too", func() {
+		accepted, rejected := 0, 0
+		for seed := range uint64(60) {
+			rng := rand.New(rand.NewPCG(seed, 3))
+			ours, plain := config.Empty(), newNaive(true)
+			viaPeer := ours
+			l := &stream{first: 1}
+			for id := range 150 {
+				c := randomChange(rng, id, ours.BranchVersion)
+				before, off := ours, ours.Through()+1
+				l.append(config.Record{Change: &c})
+				var verdict config.Verdict
+				checked := before.Check(c)
+				ours, verdict = ours.Fold(off, l.records[off-1])
+				viaPeer, _ = viaPeer.Fold(off, l.records[off-1])
+				Expect(verdict.Accepted).To(Equal(plain.fold(off, c)), "seed %d change %+v verdict %+v", seed, c, verdict)
+				Expect(checked == nil).To(Equal(verdict.Accepted))
+				Expect(ours.Tree().Validate()).To(Succeed())
+				sameTree(ours.Tree(), plain.settings)
+				applyDiff(before, ours, c.Branch)
+				if verdict.Accepted {
+					accepted++
+				} else {
+					rejected++
+				}
+				if rng.IntN(20) == 0 {
+					var err error
+					viaPeer, err = config.Unmarshal(marshal(viaPeer))
+					Expect(err).NotTo(HaveOccurred())
+					snap := ours.Snapshot()
+					l.append(config.Record{Snapshot: &snap})
+					l.first = max(l.first, snap.Covers-ident.Offset(rng.IntN(5)))
+					ours, _ = ours.Fold(ours.Through()+1, l.records[ours.Through()])
+					viaPeer, _ = viaPeer.Fold(ours.Through(), l.records[ours.Through()-1])
+				}
+			}
+			late := config.NewReader(config.Empty())
+			for !late.CaughtUp() && late.Next() <= ours.Through() {
+				late.Step(l.page(late.Next(), 1+rng.IntN(20)))
+			}
+			Expect(marshal(viaPeer)).To(Equal(marshal(ours)), "seed %d", seed)
+			Expect(marshal(late.State())).To(Equal(marshal(ours)), "seed %d", seed)
+		}
+		Expect(accepted).To(BeNumerically(">", 1000))
+		Expect(rejected).To(BeNumerically(">", 1000))
+	})
+})
+
+// applyDiff checks that Diff's operations lead from one tree to the next.
+func applyDiff(before, after *config.State, branch config.Branch) {
+	GinkgoHelper()
+	ops := config.Diff(before.Tree(), after.Tree(), branch)
+	if len(ops) == 0 {
+		return
+	}
+	c := config.Change{ID: "diff", Branch: branch, Base: before.BranchVersion(branch), Ops: ops}
+	got, verdicts := fold(before, c)
+	Expect(verdicts[0].Accepted).To(BeTrue(), "%+v", verdicts[0])
+	Expect(config.Diff(got.Tree(), after.Tree(), branch)).To(BeEmpty())
+}
+
+// lostUpdates counts accepted changes whose author hadn't seen the accepted
+// change before it on the branch: that one was overwritten unseen.
+func lostUpdates(changes []config.Change, accepted func(ident.Offset, config.Change) bool) int {
+	lost, versions := 0, map[config.Branch]ident.Offset{}
+	for i, c := range changes {
+		off := ident.Offset(i + 1)
+		if !accepted(off, c) {
+			continue
+		}
+		if c.Base != versions[c.Branch] {
+			lost++
+		}
+		versions[c.Branch] = off
+	}
+	return lost
+}
+
+var _ = Describe("racing operators", func() {
+	// Each of two operators reads the branch, then writes it; their reads and
+	// writes interleave at random. A lost update shows as a setting that goes back
+	// although its operator was told that it is in force.
+	It("never lose an update; last-write-wins does, found by the same check", func() {
+		rng := rand.New(rand.NewPCG(1, 4))
+		s, lww := config.Empty(), newNaive(false)
+		var changes []config.Change
+		versions := []ident.Offset{0, 0}
+		for id := range 300 {
+			operator := rng.IntN(2)
+			if rng.IntN(2) == 0 {
+				versions[operator] = s.BranchVersion("fleet")
+			}
+			c := change(fmt.Sprintf("c%d", id), "fleet", versions[operator], fmt.Sprintf("groups/g%d", operator), `{"kind":"engine"}`)
+			s, _ = fold(s, c)
+			changes = append(changes, c)
+		}
+		replay := config.Empty()
+		Expect(lostUpdates(changes, func(_ ident.Offset, c config.Change) bool {
+			var verdicts []config.Verdict
+			replay, verdicts = fold(replay, c)
+			return verdicts[0].Accepted
+		})).To(BeZero())
+		Expect(lostUpdates(changes, lww.fold)).To(BeNumerically(">", 50))
+	})
+})
--- /dev/null
+++ b/internal/config/fold_test.go
@@ -0,0 +1,225 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/config"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+)
+
+var _ = Describe("Fold", func() {
+	// Two operators set a model's bound at the same moment, both on version 2.
+	// Both appends succeed. Without the check on the base the second would undo
+	// the first, and the first operator would have been told that all is well.
+	It("lets the first of two changes on one version win and tells the second", func() {
+		s, verdicts := fold(base(),
+			change("ayu", "teams/coop", 2, "models/clerk/staleness_bound", "5"),
+			change("budi", "teams/coop", 2, "models/clerk/staleness_bound", "9"))
+		Expect(verdicts[0]).To(Equal(config.Verdict{ChangeID: "ayu", Accepted: true, Version: 3}))
+		Expect(verdicts[1].Accepted).To(BeFalse())
+		Expect(verdicts[1].Reason).To(ContainSubstring("version 3 is newer"))
+		Expect(s.Tree().Teams["coop"].Models["clerk"].StalenessBound).To(BeEquivalentTo(5))
+		Expect(s.Version()).To(BeEquivalentTo(3))
+		Expect(s.Through()).To(BeEquivalentTo(4))
+	})
+
+	// An append's answer is lost, and the operator's tool appends the change
+	// again. In between somebody else changed the branch.
+	It("ignores the second copy of a change and repeats the first verdict", func() {
+		first := change("ayu", "teams/coop", 2, "staleness_weight", "0.9")
+		s, verdicts := fold(base(), first,
+			change("budi", "teams/coop", 3, "staleness_weight", "0.1"), first)
+		Expect(verdicts[2]).To(Equal(verdicts[0]))
+		Expect(s.Tree().Teams["coop"].StalenessWeight).To(Equal(0.1))
+		Expect(s.Version()).To(BeEquivalentTo(4))
+	})
+
+	// An operator of the fleet deletes a group that a team's model runs on.
+	// Taken, every request of that team would be without an upstream.
+	It("refuses a change of the fleet that would break a team's branch", func() {
+		s := base()
+		next, verdicts := fold(s, change("oops", "fleet", 1, "groups/clerks", ""))
+		Expect(verdicts[0].Path).To(Equal("teams/coop/models/clerk/group"))
+		Expect(next.Tree()).To(BeIdenticalTo(s.Tree()))
+		_, verdicts = fold(s, change("oops", "fleet", 1, "groups/judge/kind", `"engine"`))
+		Expect(verdicts[0].Path).To(Equal("teams/coop/jobs/nightly/scorer"))
+	})
+
+	It("keeps an operation within its branch", func() {
+		for _, path := range []string{"../other", "models/../../fleet", "/models", "models//clerk", "models/clerk/..", "."} {
+			_, verdicts := fold(base(), change("escape", "teams/coop", 2, path, "{}"))
+			Expect(verdicts[0].Accepted).To(BeFalse(), path)
+			Expect(verdicts[0].Path).To(HavePrefix("teams/coop"), path)
+		}
+		for _, branch := range []config.Branch{"", "teams", "teams/", "teams/a/b", "teams/..", "other"} {
+			Expect(config.Empty().Check(change("escape", branch, 0, "", "{}"))).NotTo(Succeed(), "%q", branch)
+		}
+	})
+
+	It("leaves the state that it started from as it was", func() {
+		s := base()
+		before := marshal(s)
+		fold(s, change("a", "teams/coop", 2, "models/clerk/max_tokens", "64"))
+		fold(s, change("b", "fleet", 1, "groups/clerks/upstreams/e2", `{"address":"10.0.0.9:1","data_centre":"x"}`))
+		Expect(marshal(s)).To(Equal(before))
+	})
+
+	// A team is deleted and an operator publishes a file that he made before it
+	// existed: the team must not come back.
+	It("does not bring a deleted branch back by an old change", func() {
+		s, verdicts := fold(base(), change("bye", "teams/coop", 2, "", ""),
+			change("old", "teams/coop", 0, "", teamValue), change("new", "teams/coop", 3, "", teamValue))
+		Expect([]bool{verdicts[0].Accepted, verdicts[1].Accepted, verdicts[2].Accepted}).To(Equal([]bool{true, false, true}))
+		Expect(s.BranchVersion("teams/coop")).To(BeEquivalentTo(5))
+	})
+
+	It("skips what it can't decode and moves on", func() {
+		s, _ := base().Fold(3, []byte("{broken"))
+		s, _ = s.Fold(4, []byte(`{"change":{"ID":"case"}}`))
+		Expect(s.Through()).To(BeEquivalentTo(4))
+		Expect(s.Version()).To(BeEquivalentTo(2))
+		same, _ := s.Fold(4, nil)
+		Expect(same).To(BeIdenticalTo(s))
+	})
+
+	It("fills in defaults, and keeps an explicit zero that means something", func() {
+		t := base().Tree()
+		Expect(t.Fleet.ProductionReserve).To(Equal(0.3))
+		Expect(t.Teams["coop"].Limits).To(Equal(config.Limits{Weight: 1, MaxQueue: 1000, MaxBodyBytes: 1 << 20}))
+		s, _ := fold(base(), change("z", "fleet", 1, "production_reserve", "0"))
+		Expect(s.Tree().Fleet.ProductionReserve).To(BeZero())
+		s, _ = fold(s, change("d", "fleet", 3, "production_reserve", ""))
+		Expect(s.Tree().Fleet.ProductionReserve).To(Equal(0.3))
+	})
+})
+
+var _ = DescribeTable("a refused value names its path",
+	func(branch config.Branch, path, value, wantPath, wantReason string) {
+		s := base()
+		err := s.Check(change("x", branch, s.BranchVersion(branch), path, value))
+		var fault *config.Error
+		Expect(err).To(BeAssignableToTypeOf(fault))
+		Expect(err.(*config.Error).Path).To(Equal(wantPath))
+		Expect(err.Error()).To(ContainSubstring(wantReason))
+	},
+	entry("teams/coop", "models/clerk/staleness_bound", "-1", "teams/coop/models/clerk/staleness_bound", "-1: must be 0 to 1000000"),
+	entry("teams/coop", "models/clerk/bound", "1", "teams/coop/models/clerk/bound", "unknown field"),
+	entry("teams/coop", "models/new", `{"group":"clerks","Staleness_bound":1}`, "teams/coop/models/new/Staleness_bound", "unknown field"),
+	entry("teams/coop", "models/new/max_tokens", "1", "teams/coop/models/new", "no such entry"),
+	entry("teams/coop", "models/Big", `{"group":"clerks"}`, "teams/coop/models/Big", "must match"),
+	entry("teams/coop", "models/clerk/group", `"counter"`, "teams/coop/models/clerk/group", "kind engine"),
+	entry("teams/coop", "models/clerk/group", `null`, "teams/coop/models/clerk/group", "must be a string"),
+	entry("teams/coop", "models/clerk", "", "teams/coop/jobs/nightly/model", "one of the team's models"),
+	entry("teams/coop", "jobs/nightly/max_tokens", "5000", "teams/coop/jobs/nightly/max_tokens", "must be 1 to 4096"),
+	entry("teams/coop", "routes/b2", `{"path":"/bookings","methods":["GET","POST"],"group":"counter"}`, "teams/coop/routes/book", "ambiguous"),
+	entry("teams/coop", "routes/book/path", `"/v1/jobs/x"`, "teams/coop/routes/book/path", "the daemon's own path"),
+	entry("teams/coop", "routes/book/path", `"/a/../b"`, "teams/coop/routes/book/path", "segment"),
+	entry("teams/coop", "routes/book/methods", `["FETCH"]`, "teams/coop/routes/book/methods/0", "must be one of GET"),
+	entry("teams/coop", "limits/weight", "0", "teams/coop/limits/weight", "more than 0"),
+	entry("teams/coop", "staleness_weight", "1.5", "teams/coop/staleness_weight", "must be 0 to 1"),
+	entry("fleet", "groups/clerks/upstreams/e1/address", `"engine.local:80"`, "fleet/groups/clerks/upstreams/e1/address", "must be ip:port"),
+	entry("fleet", "groups/judge/upstreams/e1", `{"address":"10.0.0.2:1","data_centre":"x"}`, "fleet/groups/judge/upstreams/e1", "another name"),
+	entry("fleet", "production_reserve", "0.95", "fleet/production_reserve", "must be 0 to 0.9"),
+)
+
+func entry(branch config.Branch, path, value, wantPath, wantReason string) TableEntry {
+	return Entry(string(branch)+"/"+path+" "+value, branch, path, value, wantPath, wantReason)
+}
+
+var _ = Describe("Authenticate", func() {
+	It("finds the team and role of a secret by its hash alone", func() {
+		s, _ := fold(base(), change("k", "teams/coop", 2, "keys/ops", `{"sha256":"`+hashOf("s3cret")+`","role":"operator"}`))
+		team, role, ok := s.Tree().Authenticate("s3cret")
+		Expect([]any{team, role, ok}).To(Equal([]any{ident.Team("coop"), config.RoleOperator, true}))
+		_, _, ok = s.Tree().Authenticate("other")
+		Expect(ok).To(BeFalse())
+		_, verdicts := fold(s, change("k2", "teams/a", 0, "keys/ops", `{"sha256":"`+hashOf("s3cret")+`","role":"caller"}`))
+		Expect(verdicts[0].Path).To(Equal("teams/a/keys/ops/sha256"))
+		Expect(config.RoleTrainer.Allows(config.RoleCaller)).To(BeTrue())
+		Expect(config.RoleTrainer.Allows(config.RoleOperator)).To(BeFalse())
+	})
+
+	// An operator pastes the secret where its hash belongs.
+	It("never repeats what stands in a key's place", func() {
+		err := base().Check(change("k", "teams/coop", 2, "keys/ops", `{"sha256":"my-plain-secret","role":"my-plain-secret"}`))
+		Expect(err).To(HaveOccurred())
+		Expect(err.Error()).NotTo(ContainSubstring("plain-secret"))
+	})
+})
+
+var _ = Describe("sizes", func() {
+	It("fits a snapshot of the planned fleet into one record", func() {
+		s := base()
+		for g := range 24 {
+			upstreams := map[string]config.Upstream{}
+			for i := range 500 {
+				name := fmt.Sprintf("engine-%02d-%03d", g, i)
+				upstreams[name] = config.Upstream{Address: fmt.Sprintf("10.%d.%d.%d:8000", g, i/250, i%250), DataCentre: "sapporo-a"}
+			}
+			value, _ := json.Marshal(map[string]any{"kind": "engine", "upstreams": upstreams})
+			var verdicts []config.Verdict
+			id := fmt.Sprintf("g-%d", g)
+			s, verdicts = fold(s, change(id, "fleet", s.BranchVersion("fleet"), "groups/"+id, string(value)))
+			Expect(verdicts[0].Accepted).To(BeTrue(), "%+v", verdicts[0])
+		}
+		GinkgoWriter.Println("snapshot of 12,000 upstreams:", len(marshal(s)), "bytes")
+		back, err := config.Unmarshal(marshal(s))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(marshal(back)).To(Equal(marshal(s)))
+	})
+
+	It("refuses what is too large before it takes the memory", func() {
+		bomb, err := config.EncodeRecord(config.Record{Change: &config.Change{Author: strings.Repeat("a", 7<<20)}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(bomb)).To(BeNumerically("<", 10_000))
+		s, v := config.Empty().Fold(1, bomb)
+		Expect(v.Accepted).To(BeFalse())
+		Expect(s.Through()).To(BeEquivalentTo(1))
+		_, err = config.DecodeRecord(make([]byte, config.MaxRecordBytes+1))
+		Expect(err).To(MatchError(config.ErrTooLarge))
+		_, err = config.DecodeRecord([]byte(`{"snapshot":{"verdicts":[` + strings.Repeat("{},", 300_001) + `{}]}}`))
+		Expect(err).To(MatchError(ContainSubstring("300000 values")))
+	})
+})
+
+var _ = Describe("golden session", func() {
+	It("gives the same verdicts and the same tree to the byte", func() {
+		at := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+		session := []config.Change{
+			change("fleet-1", "fleet", 0, "", fleetValue),
+			change("coop-1", "teams/coop", 0, "", teamValue),
+			change("ayu", "teams/coop", 2, "models/clerk/staleness_bound", "5"),
+			change("budi", "teams/coop", 2, "models/clerk/staleness_bound", "9"),
+			change("ayu", "teams/coop", 2, "models/clerk/staleness_bound", "5"),
+			change("clash", "fleet", 1, "groups/clerks", ""),
+			change("kita", "teams/kitakaze", 0, "limits/weight", "3"),
+			change("bye", "teams/kitakaze", 7, "", ""),
+		}
+		var out strings.Builder
+		s := config.Empty()
+		for _, c := range session {
+			c.At = at
+			var v config.Verdict
+			s, v = s.Fold(s.Through()+1, encode(config.Record{Change: &c}))
+			line, _ := json.Marshal(v)
+			fmt.Fprintf(&out, "%d %s\n", s.Through(), line)
+		}
+		snap, _ := json.MarshalIndent(s.Snapshot(), "", "  ")
+		out.Write(append(snap, '\n'))
+		const file = "testdata/session.golden"
+		if os.Getenv("UPDATE_GOLDEN") == "1" {
+			Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
+			Expect(os.WriteFile(file, []byte(out.String()), 0o644)).To(Succeed())
+		}
+		want, err := os.ReadFile(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out.String()).To(Equal(string(want)))
+	})
+})
--- /dev/null
+++ b/internal/config/fuzz_test.go
@@ -0,0 +1,86 @@
+package config_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/config"
+)
+
+// seedRecords are records as the log holds them, and near misses.
+func seedRecords(f *testing.F) {
+	RegisterTestingT(f)
+	s := base()
+	c := change("c", "fleet", 0, "", fleetValue)
+	f.Add(encode(config.Record{Change: &c}))
+	f.Add(marshal(s))
+	f.Add(marshal(config.Empty()))
+	for _, seed := range []string{"", "z", "z\x00", "{}", "null", `{"change":null}`, `{"change":{},"snapshot":{}}`,
+		`{"snapshot":{"covers":9223372036854775807,"tree":{"teams":{"a":{}}}}}`, `{"change":{"id":"a","branch":"teams/a","ops":[{"path":"limits","value":null}]}}`} {
+		f.Add([]byte(seed))
+	}
+}
+
+// FuzzDecodeRecord folds whatever stands in the log onto a state.
+func FuzzDecodeRecord(f *testing.F) {
+	seedRecords(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g := NewWithT(t)
+		RegisterTestingT(t)
+		s, _ := base().Fold(3, data)
+		g.Expect(s.Through()).To(BeEquivalentTo(3))
+		g.Expect(s.Tree().Validate()).To(Succeed())
+		again, _ := base().Fold(3, data)
+		g.Expect(marshal(again)).To(Equal(marshal(s)))
+	})
+}
+
+// FuzzUnmarshal takes whatever a peer sends.
+func FuzzUnmarshal(f *testing.F) {
+	seedRecords(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g := NewWithT(t)
+		s, err := config.Unmarshal(data)
+		if err != nil {
+			return
+		}
+		g.Expect(s.Tree().Validate()).To(Succeed())
+		g.Expect(s.Version()).To(BeNumerically("<=", s.Through()))
+		first, err := s.Marshal()
+		g.Expect(err).NotTo(HaveOccurred())
+		back, err := config.Unmarshal(first)
+		g.Expect(err).NotTo(HaveOccurred())
+		second, err := back.Marshal()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(second).To(Equal(first))
+	})
+}
+
+// FuzzParseBranchFile takes whatever an operator's file holds.
+func FuzzParseBranchFile(f *testing.F) {
+	for _, seed := range []string{fleetValue, teamValue, "groups:\n  g: {kind: engine}\n", "a: &x [1]\nb: *x", "a: 1\na: 2", "? [1]\n: 2", "x: .nan", "x: 0x1f", "- 1", "", "\x00"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g := NewWithT(t)
+		ops, err := config.ParseBranchFile(data)
+		if err != nil {
+			return
+		}
+		g.Expect(ops).To(HaveLen(1))
+		c := config.Change{ID: "c", Branch: "teams/coop", Ops: ops}
+		s := config.Empty()
+		if s.Check(c) == nil {
+			_, v := s.Fold(1, must(config.EncodeRecord(config.Record{Change: &c})))
+			g.Expect(v.Accepted).To(BeTrue())
+		}
+	})
+}
+
+func must(data []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/internal/confsync/backoff.go
@@ -0,0 +1,37 @@
+package confsync
+
+import (
+	"context"
+	"time"
+)
+
+// backoff is a jittered exponential pause between failed attempts.
+type backoff struct {
+	base, max time.Duration
+	random    func() float64
+	failures  int
+}
+
+// next returns the next pause: half of the step is fixed, half is random.
+func (b *backoff) next() time.Duration {
+	step := b.base
+	for range b.failures {
+		step = min(2*step, b.max)
+	}
+	b.failures++
+	return step/2 + time.Duration(b.random()*float64(step/2))
+}
+
+func (b *backoff) reset() { b.failures = 0 }
+
+// sleep waits; false when the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/confsync/snapshot.go
@@ -0,0 +1,65 @@
+package confsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/config"
+	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+)
+
+// snapshotWriter appends the fold again before the log drops the records that
+// made it. It is checked after each read that succeeded, so the first check
+// after an outage comes with the first read.
+type snapshotWriter struct {
+	store *Store
+	// writeAt is when to append, the zero time while nothing is due. The pause
+	// lets a second writer see the first one's snapshot and drop its own.
+	writeAt time.Time
+}
+
+func (w *snapshotWriter) check(ctx context.Context) {
+	now := w.store.options.Now()
+	if !w.store.options.IsSnapshotWriter() || !w.store.snapshotDue(now) {
+		w.writeAt = time.Time{}
+		return
+	}
+	if w.writeAt.IsZero() {
+		w.writeAt = now.Add(w.jitter())
+	}
+	if now.Before(w.writeAt) {
+		return
+	}
+	w.write(ctx)
+	// Also after an append whose answer was lost: if the snapshot is there, the
+	// next reads find it and nothing is due any more.
+	w.writeAt = now.Add(w.store.options.SnapshotJitter + w.jitter())
+}
+
+func (w *snapshotWriter) jitter() time.Duration {
+	return time.Duration(w.store.options.Random() * float64(w.store.options.SnapshotJitter))
+}
+
+func (w *snapshotWriter) write(ctx context.Context) {
+	snap := w.store.Current().Snapshot()
+	data, err := config.EncodeRecord(config.Record{Snapshot: &snap})
+	if err == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, w.store.options.AppendTimeout)
+		defer cancel()
+		_, err = w.store.log.Append(ctx, platform.StreamConfig, [][]byte{data})
+	}
+	if err != nil {
+		countSnapshotFailures.Add(1)
+		w.store.logger.Warn().Err(err).Msg("configuration snapshot not appended")
+		return
+	}
+	countSnapshots.Add(1)
+	w.store.logger.Info().Int64("covers", int64(snap.Covers)).Msg("configuration snapshot appended")
+}
+
+func (s *Store) snapshotDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reader.SnapshotDue(now, s.options.Retention)
+}
--- /dev/null
+++ b/internal/dispatch/call.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/poison"
+	"github.com/dogwoodflow/dogwoodflow/internal/routing"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
+)
+
+// Call asks a service of a group for one answer, whatever its status. A call that
+// isn't idempotent is dispatched again only if the upstream certainly didn't
+// begin it. Errors are *Error.
+func (d *Dispatcher) Call(ctx context.Context, c Call) (*upstream.ServiceResponse, error) {
+	fp := poison.FingerprintOf("call", string(c.Team), c.Group, c.Method, c.Path, string(c.Body))
+	request := upstream.ServiceRequest{
+		ID:         c.ID,
+		Method:     c.Method,
+		Path:       c.Path,
+		Header:     c.Header,
+		Body:       c.Body,
+		NeverRetry: !c.Idempotent,
+	}
+	var response *upstream.ServiceResponse
+	err := d.unary(ctx, unary{
+		id:         c.ID,
+		team:       c.Team,
+		group:      c.Group,
+		fp:         fp,
+		idempotent: c.Idempotent,
+		deadline:   c.Deadline,
+		do: func(ctx context.Context, t upstream.Target) (leaving bool, err error) {
+			response, err = d.o.Client.Call(ctx, t, request)
+			return err == nil && response.Leaving, err
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// Score asks a scorer for a completion's reward. Scoring is idempotent. Errors
+// are *Error.
+func (d *Dispatcher) Score(ctx context.Context, team ident.Team, group string, id ident.RequestID, prompt, completion string, deadline time.Time) (float64, error) {
+	var reward float64
+	err := d.unary(ctx, unary{
+		id:         id,
+		team:       team,
+		group:      group,
+		class:      Rollout,
+		fp:         poison.FingerprintOf("score", string(team), group, prompt, completion),
+		idempotent: true,
+		deadline:   deadline,
+		do: func(ctx context.Context, t upstream.Target) (leaving bool, err error) {
+			reward, err = d.o.Client.Score(ctx, t, id, prompt, completion)
+			return false, err
+		},
+	})
+	if err != nil {
+		return 0, err
+	}
+	return reward, nil
+}
+
+// unary is a request with one answer.
+type unary struct {
+	id         ident.RequestID
+	team       ident.Team
+	group      string
+	class      Class
+	fp         poison.Fingerprint
+	idempotent bool
+	deadline   time.Time
+	do         func(context.Context, upstream.Target) (leaving bool, err error)
+}
+
+func (d *Dispatcher) unary(ctx context.Context, u unary) error {
+	s := d.shardOf(u.group)
+	if err := d.entry(s); err != nil {
+		return err
+	}
+	ctx, cancel := withDeadline(ctx, u.deadline)
+	defer cancel()
+	r := &run{
+		d:          d,
+		s:          s,
+		id:         u.id,
+		fp:         u.fp,
+		deadline:   u.deadline,
+		idempotent: u.idempotent,
+		want: want{
+			team:         u.team,
+			deadline:     d.latestStart(u.deadline, 0, u.class),
+			stepDeadline: u.deadline,
+			cost:         1,
+			route:        routing.Request{Class: classOf(u.class)},
+		},
+	}
+	attempt := func(ctx context.Context, sl *slot) error { return s.ask(ctx, sl, u) }
+	if err := r.loop(ctx, attempt, func() bool { return false }); err != nil {
+		return err
+	}
+	return nil
+}
+
+// ask makes one attempt and learns from its time.
+func (s *shard) ask(ctx context.Context, sl *slot, u unary) error {
+	leaving, err := u.do(ctx, s.targetOf(sl.m))
+	if leaving {
+		s.left(sl.m, health.FromAnswer)
+	}
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.d.o.Now()
+	sl.m.controller.Observe(now.Sub(sl.started), sl.beside, now)
+	s.refresh(sl.m)
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/engines.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"maps"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+)
+
+// EngineStatus is an engine as whoever gives it orders needs to know it.
+type EngineStatus struct {
+	Name    ident.Upstream
+	Address string
+	Serving map[ident.Model]ident.Version
+	Loaded  map[ident.Model][]ident.Version
+	Up      bool // a report came and nothing speaks against it since
+	Leaving bool
+}
+
+// Engines returns the engines of a group by name.
+func (d *Dispatcher) Engines(group string) []EngineStatus {
+	s := d.shardOf(group)
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]EngineStatus, 0, len(s.order))
+	for _, m := range s.order {
+		view, _ := s.health.View(m.target.Name)
+		list = append(list, EngineStatus{
+			Name: m.target.Name, Address: m.target.Address,
+			Serving: maps.Clone(m.serving), Loaded: maps.Clone(m.loaded),
+			Up:      view.State != health.Down && !m.reported.IsZero(),
+			Leaving: view.Leaving,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/dispatch/gate.go
@@ -0,0 +1,300 @@
+package dispatch
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/config"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/limits"
+	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
+	"github.com/dogwoodflow/dogwoodflow/internal/poison"
+	"github.com/dogwoodflow/dogwoodflow/internal/routing"
+)
+
+// When callers should come back, where nothing better is known.
+const (
+	retryNoUpstream = time.Second
+	retryElsewhere  = 100 * time.Millisecond // another daemon takes it at once
+)
+
+// want is one attempt that asks for a place on an upstream.
+type want struct {
+	team         ident.Team
+	model        ident.Model // "" for calls
+	deadline     time.Time   // latest start; zero: none
+	stepDeadline time.Time
+	urgent       bool // before its team's others: straggler, or begun already
+	cost         float64
+	route        routing.Request
+}
+
+// waiter is a want in the queue. slot and err are set before ready is closed.
+type waiter struct {
+	want  want
+	fp    poison.Fingerprint
+	ready chan struct{}
+	slot  *slot
+	err   *Error
+}
+
+// slot is a place on an upstream, held from the start of an attempt to its end.
+type slot struct {
+	m       *member
+	fp      poison.Fingerprint // 0: not watched
+	ticket  limits.Ticket
+	bootID  string // of the process, as known at the start
+	started time.Time
+	lane    bool // alone, off the queue's books
+	beside  int  // requests in flight there, with this one, over all daemons
+}
+
+// gate is the admission of a shard, under its lock. Its queue is nil under the
+// naive policy, which starts everything at once.
+type gate struct {
+	queue   *limits.Queue
+	last    limits.Ticket
+	waiting map[limits.Ticket]*waiter
+	stale   bool // capacity has to be counted anew
+}
+
+func newGate(p Policy) gate {
+	g := gate{waiting: map[limits.Ticket]*waiter{}, stale: true}
+	if p != Naive {
+		g.queue = limits.NewQueue(limits.Options{ProductionReserve: -1})
+	}
+	return g
+}
+
+// configure takes limits of teams over. A reserve can't be changed on a live
+// queue, so a new queue takes over when the old one is idle. Only engines are
+// shared between production and rollouts and need a reserve.
+func (g *gate) configure(kind config.Kind, t *config.Tree) {
+	if g.queue == nil {
+		return
+	}
+	if len(g.waiting) == 0 && g.queue.Running(routing.ClassProduction)+g.queue.Running(routing.ClassRollout) == 0 {
+		reserve := t.Fleet.ProductionReserve
+		if kind != config.KindEngine {
+			reserve = 0
+		}
+		g.queue = limits.NewQueue(limits.Options{ProductionReserve: reserve})
+	}
+	for name, team := range t.Teams {
+		g.queue.SetTeam(name, team.Limits.Weight, team.Limits.MaxQueue)
+	}
+	g.stale = true
+}
+
+func (g *gate) queued() int { return len(g.waiting) }
+
+// acquire waits for a place. Its errors are always NotRun: nothing was sent.
+func (s *shard) acquire(ctx context.Context, w want, fp poison.Fingerprint) (*slot, *Error) {
+	waiting := &waiter{want: w, fp: fp, ready: make(chan struct{})}
+	ticket := s.enqueue(waiting)
+	select {
+	case <-waiting.ready:
+	case <-ctx.Done():
+		s.abandon(ticket, waiting)
+		return nil, contextError(ctx, outcome.NotRun)
+	}
+	if waiting.err != nil {
+		return nil, waiting.err
+	}
+	return waiting.slot, nil
+}
+
+// enqueue starts the waiter, refuses it or lets it wait.
+func (s *shard) enqueue(w *waiter) limits.Ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.d.o.Now()
+	if s.closed || !s.anyEligible() {
+		w.refuse(&Error{Outcome: outcome.NotRun, Reason: NoUpstream, RetryAfter: retryNoUpstream})
+		return 0
+	}
+	s.gate.last++
+	ticket := s.gate.last
+	if s.gate.queue == nil {
+		s.start(ticket, w, now)
+		return ticket
+	}
+	s.countCapacity()
+	decision := s.gate.queue.Enqueue(s.entry(ticket, w), now)
+	switch {
+	case decision.Admit:
+		s.start(ticket, w, now)
+	case decision.Queued:
+		s.gate.waiting[ticket] = w
+	default:
+		refusals.Add(1)
+		w.refuse(refusal(decision))
+	}
+	return ticket
+}
+
+func (s *shard) entry(ticket limits.Ticket, w *waiter) limits.Entry {
+	return limits.Entry{
+		Ticket:       ticket,
+		Team:         w.want.team,
+		Class:        w.want.route.Class,
+		Deadline:     w.want.deadline,
+		StepDeadline: w.want.stepDeadline,
+		Cost:         w.want.cost,
+		Straggler:    w.want.urgent,
+	}
+}
+
+func refusal(d limits.Decision) *Error {
+	reason := Overloaded
+	if d.Refused == limits.RefuseDeadline {
+		reason = QueueTimeout
+	}
+	return &Error{Outcome: outcome.NotRun, Reason: reason, RetryAfter: d.RetryAfter}
+}
+
+func (w *waiter) refuse(err *Error) {
+	w.err = err
+	close(w.ready)
+}
+
+// abandon takes a waiter back whose caller is gone, also if it just started.
+func (s *shard) abandon(ticket limits.Ticket, w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-w.ready:
+		if w.slot != nil {
+			s.giveBack(w.slot, false)
+		}
+	default:
+		delete(s.gate.waiting, ticket)
+		s.gate.queue.Cancel(ticket, s.d.o.Now())
+	}
+	s.pump(s.d.o.Now())
+}
+
+// pump starts what may start and refuses what waited too long.
+func (s *shard) pump(now time.Time) {
+	q := s.gate.queue
+	if q == nil {
+		return
+	}
+	if s.closed {
+		s.refuseWaiting(now)
+		return
+	}
+	s.countCapacity()
+	starts, expired := q.Next(now)
+	for _, e := range expired {
+		w := s.gate.waiting[e.Ticket]
+		delete(s.gate.waiting, e.Ticket)
+		refusals.Add(1)
+		w.refuse(&Error{Outcome: outcome.NotRun, Reason: QueueTimeout, RetryAfter: e.RetryAfter})
+	}
+	for _, ticket := range starts {
+		w := s.gate.waiting[ticket]
+		delete(s.gate.waiting, ticket)
+		s.start(ticket, w, now)
+	}
+}
+
+func (s *shard) refuseWaiting(now time.Time) {
+	for ticket, w := range s.gate.waiting {
+		delete(s.gate.waiting, ticket)
+		s.gate.queue.Cancel(ticket, now)
+		w.refuse(&Error{Outcome: outcome.NotRun, Reason: NoUpstream, RetryAfter: retryNoUpstream})
+	}
+}
+
+// start places a waiter that the queue let through.
+func (s *shard) start(ticket limits.Ticket, w *waiter, now time.Time) {
+	m := s.place(&w.want, now)
+	if m == nil {
+		if s.gate.queue != nil {
+			s.gate.queue.Cancel(ticket, now)
+		}
+		w.refuse(&Error{Outcome: outcome.NotRun, Reason: NoUpstream, RetryAfter: retryNoUpstream})
+		return
+	}
+	w.slot = s.take(m, w.fp, now)
+	w.slot.ticket = ticket
+	close(w.ready)
+}
+
+// take books a request on a member.
+func (s *shard) take(m *member, fp poison.Fingerprint, now time.Time) *slot {
+	m.inFlight++
+	m.share.Note(m.inFlight, now)
+	s.lanes.runs(fp, 1)
+	s.table.AddOwn(m.target.Name, 1)
+	u, _ := s.table.Member(m.target.Name)
+	return &slot{m: m, fp: fp, bootID: m.bootID, started: now, beside: u.Own + u.Peers}
+}
+
+// giveBack ends a slot; ran says whether its time is worth learning from.
+func (s *shard) giveBack(sl *slot, ran bool) {
+	now := s.d.o.Now()
+	sl.m.inFlight--
+	sl.m.share.Note(sl.m.inFlight, now)
+	s.lanes.runs(sl.fp, -1)
+	if s.members[sl.m.target.Name] == sl.m { // else: left, or another of the name
+		s.table.AddOwn(sl.m.target.Name, -1)
+	}
+	if s.gate.queue != nil && !sl.lane {
+		if ran {
+			s.gate.queue.Done(sl.ticket, now)
+		} else {
+			s.gate.queue.Cancel(sl.ticket, now)
+		}
+	}
+	s.lanes.changed()
+}
+
+// giveBackLocked is giveBack for those who don't hold the lock.
+func (s *shard) giveBackLocked(sl *slot, ran bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.giveBack(sl, ran)
+	s.pump(s.d.o.Now())
+}
+
+// countCapacity tells the queue how many requests this daemon may run at once.
+func (s *shard) countCapacity() {
+	if !s.gate.stale {
+		return
+	}
+	s.gate.stale = false
+	total := 0
+	for _, m := range s.order {
+		if m.usable() {
+			total += m.capacity()
+		}
+	}
+	s.gate.queue.SetCapacity(total, 0)
+}
+
+// capacity is what this daemon may run on one member: its share of the limit,
+// scaled down while the member starts slowly. At least one, to learn from.
+func (m *member) capacity() int {
+	m.share.SetLimit(m.concurrency())
+	allowed := float64(m.share.Allowed()) * m.weight
+	return max(1, int(math.Ceil(allowed)))
+}
+
+// concurrency is the member's limit over all daemons.
+func (m *member) concurrency() int {
+	if m.configured > 0 {
+		return m.configured
+	}
+	return m.controller.Limit()
+}
+
+func contextError(ctx context.Context, o outcome.Outcome) *Error {
+	reason := Cancelled
+	if ctx.Err() == context.DeadlineExceeded {
+		reason = Deadline
+	}
+	return &Error{Outcome: o, Reason: reason, RetryAfter: retryNoUpstream, Err: ctx.Err()}
+}
--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,18 @@
+package dispatch
+
+import "github.com/dogwoodflow/dogwoodflow/internal/metrics"
+
+var (
+	attemptsMade = metrics.Counter("dispatch_attempts")
+	failures     = metrics.Counter("dispatch_attempts_failed")
+	retriesMade  = metrics.Counter("dispatch_retries")
+	resumesMade  = metrics.Counter("dispatch_resumes")
+	refusals     = metrics.Counter("dispatch_refused")
+	hedgesMade   = metrics.Counter("dispatch_hedges")
+	hedgesWon    = metrics.Counter("dispatch_hedges_won")
+	tokensWasted = metrics.Counter("dispatch_tokens_wasted")
+	cachedTokens = metrics.Counter("dispatch_prompt_tokens_cached")
+	deaths       = metrics.Counter("dispatch_upstream_deaths")
+	suspects     = metrics.Counter("dispatch_poison_suspects")
+	poisonFinal  = metrics.Counter("dispatch_poison_refused")
+)
--- /dev/null
+++ b/internal/dispatch/peers.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+)
+
+// peerTable holds the last digest of each peer.
+type peerTable struct {
+	mu    sync.Mutex
+	heard map[ident.VM]heard
+}
+
+type heard struct {
+	at     time.Time
+	digest Digest
+}
+
+func newPeerTable() peerTable {
+	return peerTable{heard: map[ident.VM]heard{}}
+}
+
+// Digest says what peers should know. Leaving and Down are first-hand only: news
+// that came from a peer isn't passed on, else daemons would keep each other in a
+// belief that none of them can check.
+func (d *Dispatcher) Digest() Digest {
+	now := d.o.Now()
+	digest := Digest{
+		InFlight: map[ident.Upstream]int{},
+		Serving:  map[ident.Upstream]map[ident.Model]ident.Version{},
+	}
+	for _, s := range d.allShards() {
+		s.digest(&digest)
+	}
+	d.poisonMu.Lock()
+	digest.Poison = d.keeper.Marks(now)
+	d.poisonMu.Unlock()
+	return digest
+}
+
+func (s *shard) digest(to *Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.order {
+		name := m.target.Name
+		view, _ := s.health.View(name)
+		if m.inFlight > 0 {
+			to.InFlight[name] += m.inFlight
+		}
+		if view.Leaving && view.FirstHand {
+			to.Leaving = append(to.Leaving, name)
+		}
+		if view.State == health.Down {
+			to.Down = append(to.Down, name)
+		}
+		if len(m.serving) > 0 {
+			to.Serving[name] = m.serving
+		}
+	}
+}
+
+// Merge takes a peer's digest in.
+func (d *Dispatcher) Merge(from ident.VM, digest Digest) {
+	now := d.o.Now()
+	d.peers.mu.Lock()
+	d.peers.heard[from] = heard{now, digest}
+	d.tellFlights()
+	d.peers.mu.Unlock()
+
+	d.poisonMu.Lock()
+	d.keeper.Merge(from, digest.Poison, now)
+	d.poisonMu.Unlock()
+	for _, s := range d.allShards() {
+		s.merge(digest, now)
+	}
+}
+
+func (s *shard) merge(digest Digest, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range digest.Leaving {
+		s.step(health.SaidLeaving{Upstream: name, Source: health.FromPeer}, now)
+	}
+	for _, name := range digest.Down {
+		if m := s.members[name]; m != nil && m.eligible {
+			s.step(health.Doubted{Upstream: name}, now)
+		}
+	}
+	for name, serving := range digest.Serving {
+		if m := s.members[name]; m != nil && m.reported.IsZero() {
+			m.serving = maps.Clone(serving)
+			s.refresh(m)
+		}
+	}
+	s.pump(now)
+}
+
+// Forget drops what a peer said that is gone.
+func (d *Dispatcher) Forget(vm ident.VM) {
+	d.peers.mu.Lock()
+	delete(d.peers.heard, vm)
+	d.tellFlights()
+	d.peers.mu.Unlock()
+	d.poisonMu.Lock()
+	d.keeper.Forget(vm)
+	d.poisonMu.Unlock()
+}
+
+// expirePeers drops digests that nothing renewed.
+func (d *Dispatcher) expirePeers(now time.Time) {
+	d.peers.mu.Lock()
+	defer d.peers.mu.Unlock()
+	expired := false
+	for vm, h := range d.peers.heard {
+		if now.Sub(h.at) > d.o.PeerLife {
+			delete(d.peers.heard, vm)
+			expired = true
+		}
+	}
+	if expired {
+		d.tellFlights()
+	}
+}
+
+// tellFlights brings the sums of the peers' requests in flight to the shards.
+// The peers' lock is held.
+func (d *Dispatcher) tellFlights() {
+	sums := map[ident.Upstream]int{}
+	made := d.o.Now() // of the oldest word
+	for _, h := range d.peers.heard {
+		if h.at.Before(made) {
+			made = h.at
+		}
+		for name, n := range h.digest.InFlight {
+			sums[name] += max(0, n)
+		}
+	}
+	daemons := len(d.peers.heard) + 1
+	for _, s := range d.allShards() {
+		s.heardFlights(sums, daemons, made)
+	}
+}
+
+// heardFlights starts a new round of sharing limits between daemons.
+func (s *shard) heardFlights(sums map[ident.Upstream]int, daemons int, made time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.order {
+		peers := sums[m.target.Name]
+		s.table.SetPeers(m.target.Name, peers)
+		m.share.HeardAt(m.concurrency(), peers, daemons, made)
+	}
+	s.gate.stale = true
+}
--- /dev/null
+++ b/internal/dispatch/quarantine.go
@@ -0,0 +1,274 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
+	"github.com/dogwoodflow/dogwoodflow/internal/poison"
+)
+
+// lanePart is the part of a group's live upstreams that may run suspects at
+// once, each alone on its own. A crash with many requests in flight makes as many
+// suspects; one lane would keep the innocent among them waiting for each other.
+// It costs no more upstreams: a request runs on one lane at a time.
+const lanePart = 3
+
+// laneTable holds which suspects run where, under the shard's lock.
+type laneTable struct {
+	held    map[ident.Upstream]poison.Fingerprint
+	running map[poison.Fingerprint]int // all attempts in flight, in lanes or not
+	wake    chan struct{}              // closed when a lane or an upstream gets free
+	waiters int
+}
+
+func newLaneTable() laneTable {
+	return laneTable{
+		held:    map[ident.Upstream]poison.Fingerprint{},
+		running: map[poison.Fingerprint]int{},
+		wake:    make(chan struct{}),
+	}
+}
+
+// changed wakes those who wait for a lane.
+func (t *laneTable) changed() {
+	if t.waiters == 0 {
+		return
+	}
+	close(t.wake)
+	t.wake = make(chan struct{})
+}
+
+// runs counts an attempt of a fingerprint; it is known only to poison, so 0
+// isn't counted.
+func (t *laneTable) runs(fp poison.Fingerprint, delta int) {
+	if fp == 0 {
+		return
+	}
+	t.running[fp] += delta
+	if t.running[fp] <= 0 {
+		delete(t.running, fp)
+	}
+}
+
+// placeAlone waits for a lane and for its upstream to be free of other work.
+func (r *run) placeAlone(ctx context.Context) (*slot, *Error) {
+	s := r.s
+	m, err := r.awaitLane(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s.awaitIdle(ctx, m)
+	now := r.d.o.Now()
+	if ctx.Err() != nil || !r.d.try(r.fp, m.target.Name, now) {
+		s.closeLane(m)
+		if ctx.Err() != nil {
+			return nil, contextError(ctx, r.outcome())
+		}
+		return nil, nil // judged anew
+	}
+	r.d.record("quarantine", r.id, r.want.team, m.target.Name, "")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sl := s.take(m, r.fp, now)
+	sl.lane = true
+	return sl, nil
+}
+
+// awaitLane waits until a lane opens, or fails if no upstream is live for long.
+func (r *run) awaitLane(ctx context.Context) (*member, *Error) {
+	s := r.s
+	since := r.d.o.Now()
+	for {
+		s.mu.Lock()
+		now := r.d.o.Now()
+		if s.anyEligible() {
+			since = now
+		}
+		m := s.openLane(r.fp, &r.want, now)
+		wake := s.lanes.wake
+		if m == nil {
+			s.lanes.waiters++
+		}
+		s.mu.Unlock()
+		if m != nil {
+			return m, nil
+		}
+		if now.Sub(since) >= r.d.o.NoUpstreamWait {
+			s.leaveLanes()
+			return nil, &Error{Outcome: r.outcome(), Reason: NoUpstream, RetryAfter: retryNoUpstream}
+		}
+		waitFor(ctx, wake, tick)
+		s.leaveLanes()
+		if ctx.Err() != nil {
+			return nil, contextError(ctx, r.outcome())
+		}
+	}
+}
+
+func (s *shard) leaveLanes() {
+	s.mu.Lock()
+	s.lanes.waiters--
+	s.mu.Unlock()
+}
+
+// openLane takes an upstream off other work, nil while none may be taken. The
+// lock is held. Suspects of one fingerprint run one by one.
+func (s *shard) openLane(fp poison.Fingerprint, w *want, now time.Time) *member {
+	live := 0
+	for _, m := range s.order {
+		if m.eligible {
+			live++
+		}
+	}
+	if len(s.lanes.held) >= max(1, live/lanePart) || s.lanes.running[fp] > 0 {
+		return nil
+	}
+	for _, taken := range s.lanes.held {
+		if taken == fp {
+			return nil
+		}
+	}
+	m := s.chooseLane(w, now)
+	if m == nil {
+		return nil
+	}
+	s.lanes.held[m.target.Name] = fp
+	m.held = live > 1 // the only one goes on with other work
+	s.refresh(m)
+	return m
+}
+
+// chooseLane prefers upstreams that weren't tried and that no other daemon uses
+// for a suspect; among equals, rendezvous hashing by this daemon's name gives
+// each daemon another one.
+func (s *shard) chooseLane(w *want, now time.Time) *member {
+	var best *member
+	var bestRank int
+	var bestHash uint64
+	for _, m := range s.order {
+		if _, taken := s.lanes.held[m.target.Name]; taken || !m.eligible || !m.fits(w) {
+			continue
+		}
+		rank := 0
+		if slices.Contains(w.route.Exclude, m.target.Name) {
+			rank += 2
+		}
+		if s.d.reserved(m.target.Name, now) {
+			rank++
+		}
+		hash := xxhash.Sum64String(string(s.d.o.Self) + "\x00" + string(m.target.Name))
+		if best == nil || rank < bestRank || rank == bestRank && hash > bestHash {
+			best, bestRank, bestHash = m, rank, hash
+		}
+	}
+	return best
+}
+
+// awaitIdle gives other work on the upstream some time to end.
+func (s *shard) awaitIdle(ctx context.Context, m *member) {
+	until := s.d.o.Now().Add(s.d.o.QuarantineWait)
+	for {
+		s.mu.Lock()
+		idle := m.inFlight == 0
+		wake := s.lanes.wake
+		s.lanes.waiters++
+		s.mu.Unlock()
+		left := until.Sub(s.d.o.Now())
+		if !idle && left > 0 {
+			waitFor(ctx, wake, left)
+		}
+		s.leaveLanes()
+		if idle || left <= 0 || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// closeLane gives the upstream back to other work.
+func (s *shard) closeLane(m *member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.lanes.held, m.target.Name)
+	m.held = false
+	s.refresh(m)
+	s.lanes.changed()
+	s.pump(s.d.o.Now())
+}
+
+// renewLanes holds on to the suspects that run, for peers.
+func (s *shard) renewLanes(now time.Time) {
+	for name, fp := range s.lanes.held {
+		if s.lanes.running[fp] > 0 {
+			s.d.renew(fp, name, now)
+		}
+	}
+}
+
+// waitFor waits for a wake, the end of ctx or of the time.
+func waitFor(ctx context.Context, wake <-chan struct{}, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-wake:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (d *Dispatcher) judge(fp poison.Fingerprint) poison.Decision {
+	d.poisonMu.Lock()
+	defer d.poisonMu.Unlock()
+	return d.keeper.Admit(fp, d.o.Now())
+}
+
+func (d *Dispatcher) try(fp poison.Fingerprint, on ident.Upstream, now time.Time) bool {
+	d.poisonMu.Lock()
+	ok := d.keeper.Try(fp, on, now)
+	d.poisonMu.Unlock()
+	if ok {
+		d.tellUrgent()
+	}
+	return ok
+}
+
+// renew holds on to a suspect; digests that flow anyway tell of it.
+func (d *Dispatcher) renew(fp poison.Fingerprint, on ident.Upstream, now time.Time) {
+	d.poisonMu.Lock()
+	defer d.poisonMu.Unlock()
+	d.keeper.Try(fp, on, now)
+}
+
+func (d *Dispatcher) tried(fp poison.Fingerprint, succeeded bool) {
+	d.poisonMu.Lock()
+	d.keeper.Tried(fp, succeeded, d.o.Now())
+	d.poisonMu.Unlock()
+	d.tellUrgent()
+}
+
+func (d *Dispatcher) reserved(up ident.Upstream, now time.Time) bool {
+	d.poisonMu.Lock()
+	defer d.poisonMu.Unlock()
+	return d.keeper.Reserved(up, now)
+}
+
+func (d *Dispatcher) died(fp poison.Fingerprint, death poison.Death) {
+	d.poisonMu.Lock()
+	news := d.keeper.Died(fp, death, d.o.Now())
+	d.poisonMu.Unlock()
+	if news {
+		suspects.Add(1)
+		d.tellUrgent()
+	}
+}
+
+// poisonError is the final answer to a convicted request, or the refusal while
+// another daemon tries it.
+func poisonError(o outcome.Outcome, dec poison.Decision) *Error {
+	poisonFinal.Add(1)
+	return &Error{Outcome: o, Reason: Poison, RetryAfter: dec.RetryAfter}
+}
--- /dev/null
+++ b/internal/dispatch/status.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"maps"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+)
+
+// Upstreams returns the state of every upstream, by group and name.
+func (d *Dispatcher) Upstreams() []Status {
+	var list []Status
+	for _, s := range d.allShards() {
+		list = append(list, s.status()...)
+	}
+	return list
+}
+
+func (s *shard) status() []Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Status, 0, len(s.order))
+	for _, m := range s.order {
+		view, _ := s.health.View(m.target.Name)
+		list = append(list, Status{
+			Name:       m.target.Name,
+			Group:      s.name,
+			DataCentre: m.dataCentre,
+			Address:    m.target.Address,
+			Health:     view.State.String(),
+			Leaving:    view.Leaving,
+			Weight:     m.weight,
+			InFlight:   m.inFlight,
+			Limit:      m.concurrency(),
+			Queued:     s.gate.queued(),
+			Serving:    maps.Clone(m.serving),
+			BootID:     m.bootID,
+		})
+	}
+	return list
+}
+
+// Newest returns the newest version of a model that any engine serves, as far as
+// this daemon and its peers know; 0 if none is known.
+func (d *Dispatcher) Newest(model ident.Model) ident.Version {
+	var newest ident.Version
+	for _, s := range d.allShards() {
+		s.mu.Lock()
+		for _, m := range s.order {
+			newest = max(newest, m.serving[model])
+		}
+		s.mu.Unlock()
+	}
+	d.peers.mu.Lock()
+	defer d.peers.mu.Unlock()
+	for _, h := range d.peers.heard {
+		for _, serving := range h.digest.Serving {
+			newest = max(newest, serving[model])
+		}
+	}
+	return newest
+}
+
+// SetLeaving takes the word of a source outside, as the VM list.
+func (d *Dispatcher) SetLeaving(name ident.Upstream, source string) {
+	for _, s := range d.allShards() {
+		s.mu.Lock()
+		if m := s.members[name]; m != nil {
+			s.step(health.SaidLeaving{Upstream: name, Source: health.Source(source)}, s.d.o.Now())
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/httpapi/admin.go
@@ -0,0 +1,164 @@
+package httpapi
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/config"
+	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/peer"
+	"github.com/dogwoodflow/dogwoodflow/internal/timeline"
+)
+
+// maxWatch bounds one wait for a newer configuration.
+const maxWatch = 30 * time.Second
+
+// ConfigView is the answer to GET /v1/config.
+type ConfigView struct {
+	Version       ident.Offset  `json:"version"`        // of the whole tree
+	BranchVersion ident.Offset  `json:"branch_version"` // of the branch asked for
+	Branch        config.Branch `json:"branch,omitempty"`
+	Tree          *config.Tree  `json:"tree,omitempty"`  // without a branch, administrators only
+	Team          *config.Team  `json:"team,omitempty"`  // branch teams/<team>
+	Fleet         *config.Fleet `json:"fleet,omitempty"` // branch fleet
+}
+
+// ChangeRequest is the body of POST /v1/config/changes.
+type ChangeRequest struct {
+	ID     string        `json:"id,omitempty"` // sent again under the same ID it applies once
+	Branch config.Branch `json:"branch"`
+	Base   ident.Offset  `json:"base"` // the branch's version it was made on
+	Ops    []config.Op   `json:"ops"`
+	Author string        `json:"author,omitempty"`
+}
+
+// FleetView is the answer to GET /v1/upstreams and /v1/daemons.
+type FleetView struct {
+	Upstreams []dispatch.Status   `json:"upstreams,omitempty"`
+	Daemons   []peer.MemberStatus `json:"daemons,omitempty"`
+}
+
+// TimelineView is the answer to GET /v1/timeline. Missing names daemons that
+// didn't answer, so that a reader knows what the picture lacks.
+type TimelineView struct {
+	Events  []timeline.Event `json:"events"`
+	Missing []ident.VM       `json:"missing,omitempty"`
+}
+
+func (a *API) getConfig(w http.ResponseWriter, r *http.Request) {
+	a.writeConfig(w, r, a.queries.State())
+}
+
+// watchConfig answers once the version is above "after", or after a while as it is.
+func (a *API) watchConfig(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		refuse(http.StatusBadRequest, "after must be a version").write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), maxWatch)
+	defer cancel()
+	a.writeConfig(w, r, a.queries.Await(ctx, ident.Offset(after)))
+}
+
+func (a *API) writeConfig(w http.ResponseWriter, r *http.Request, state *config.State) {
+	branch := config.Branch(r.URL.Query().Get("branch"))
+	if problem := mayOpen(r, branch); problem != nil {
+		problem.write(w)
+		return
+	}
+	view := ConfigView{Version: state.Version(), Branch: branch, BranchVersion: state.BranchVersion(branch)}
+	tree := state.Tree()
+	switch team, isTeam := branch.Team(); {
+	case branch == "":
+		view.Tree = tree
+	case isTeam:
+		if t, ok := tree.Teams[team]; ok {
+			view.Team = &t
+		}
+	default:
+		view.Fleet = &tree.Fleet
+	}
+	writeJSON(w, http.StatusOK, view)
+}
+
+// mayOpen lets a team's key touch only that team's branch.
+func mayOpen(r *http.Request, branch config.Branch) *Problem {
+	p := principalOf(r)
+	team, isTeam := branch.Team()
+	if p.admin || (isTeam && p.opens(team)) {
+		return nil
+	}
+	problem := refuse(http.StatusForbidden, "this key opens only teams/"+string(p.team))
+	return &problem
+}
+
+func (a *API) publish(w http.ResponseWriter, r *http.Request) {
+	body, problem := readBody(w, r, maxAdminBody)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	var req ChangeRequest
+	if problem := decodeStrict(body, &req); problem != nil {
+		problem.write(w)
+		return
+	}
+	if problem := mayOpen(r, req.Branch); problem != nil {
+		problem.write(w)
+		return
+	}
+	if req.ID == "" {
+		req.ID = uuid.NewString()
+	}
+	change := config.Change{ID: req.ID, Branch: req.Branch, Base: req.Base, Ops: req.Ops, Author: req.Author, At: time.Now().UTC()}
+	verdict, err := a.commands.Publish(r.Context(), change)
+	if err != nil {
+		problemOf(err).write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, verdict)
+}
+
+// defaultHistory is how many entries GET /v1/config/history returns unasked.
+const defaultHistory = 50
+
+func (a *API) history(w http.ResponseWriter, r *http.Request) {
+	branch := config.Branch(r.URL.Query().Get("branch"))
+	if problem := mayOpen(r, branch); problem != nil {
+		problem.write(w)
+		return
+	}
+	limit := defaultHistory
+	if n, err := strconv.Atoi(r.URL.Query().Get("limit")); err == nil && n > 0 {
+		limit = n
+	}
+	writeJSON(w, http.StatusOK, a.queries.State().History(branch, limit))
+}
+
+func (a *API) upstreams(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, FleetView{Upstreams: a.queries.Upstreams()})
+}
+
+func (a *API) daemons(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, FleetView{Daemons: a.queries.Daemons()})
+}
+
+func (a *API) timeline(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	filter := timeline.Filter{
+		Request: ident.RequestID(q.Get("request")), Team: ident.Team(q.Get("team")),
+		Job: ident.Job(q.Get("job")), Sample: q.Get("sample"),
+	}
+	if p := principalOf(r); !p.admin {
+		filter.Team = p.team
+	}
+	filter.Limit, _ = strconv.Atoi(q.Get("limit"))
+	events, missing := a.queries.Timeline(r.Context(), filter)
+	writeJSON(w, http.StatusOK, TimelineView{Events: events, Missing: missing})
+}
--- /dev/null
+++ b/internal/limits/controller.go
@@ -0,0 +1,122 @@
+package limits
+
+import (
+	"math"
+	"time"
+)
+
+// Defaults of a Controller.
+const (
+	DefaultInitial   = 16
+	DefaultMin       = 1
+	DefaultMax       = 1024
+	DefaultTolerance = 2.0
+	DefaultWindow    = 500 * time.Millisecond
+	DefaultBaseLife  = 60 * time.Second
+)
+
+const (
+	windowSamples = 8    // observations a window needs at least
+	shrinkFloor   = 0.7  // a window's gradient shrinks the limit to this at most
+	refusedShrink = 0.7  // what a refusal by the upstream leaves of the limit
+	baseGrowth    = 1.05 // most that the base grows in one BaseLife
+	unloaded      = 2    // up to so many in flight, a token time is the unloaded one
+)
+
+// Controller is the adaptive concurrency limit of one upstream.
+//
+// Once a window it compares the mean token time with the unloaded one (the base):
+// while that is within Tolerance the limit grows by its square root, beyond it
+// shrinks in proportion (a latency gradient). A refusal by the upstream shrinks
+// it at once (AIMD's decrease). It grows only if at least half of it was in use:
+// token times at low load say nothing on high load.
+//
+// Invariant: Min <= Limit() <= Max.
+type Controller struct {
+	options Options
+	limit   float64
+
+	base, candidate float64 // least window means: in use, and of this BaseLife
+	baseSince       time.Time
+
+	windowStart time.Time
+	sum         float64
+	count, most int
+	shrunkAt    time.Time
+	shrunk      bool
+}
+
+// NewController starts at Options.Initial.
+func NewController(o Options) *Controller {
+	o = o.forController()
+	return &Controller{options: o, limit: float64(o.Initial)}
+}
+
+// Limit returns how many requests may be in flight at the upstream, over all
+// daemons.
+func (c *Controller) Limit() int { return int(c.limit) }
+
+// Observe learns one request's mean token time, and what was in flight at the
+// upstream then, over all daemons. Times of 0 or less are ignored.
+func (c *Controller) Observe(tokenTime time.Duration, inFlight int, now time.Time) {
+	if tokenTime <= 0 {
+		return
+	}
+	if c.count == 0 {
+		c.windowStart = now
+	}
+	c.sum += float64(tokenTime)
+	c.count++
+	c.most = max(c.most, inFlight)
+	if c.count >= windowSamples && now.Sub(c.windowStart) >= c.options.Window {
+		c.closeWindow(now)
+	}
+}
+
+// Overloaded tells that the upstream refused a request for load. Refusals within
+// one window count once, since one overload refuses many.
+func (c *Controller) Overloaded(now time.Time) {
+	if c.shrunk && now.Sub(c.shrunkAt) < c.options.Window {
+		return
+	}
+	c.shrunk, c.shrunkAt = true, now
+	c.set(c.limit * refusedShrink)
+	c.sum, c.count, c.most = 0, 0, 0
+}
+
+func (c *Controller) closeWindow(now time.Time) {
+	mean, most := c.sum/float64(c.count), c.most
+	c.sum, c.count, c.most = 0, 0, 0
+	c.learnBase(mean, most, now)
+	gradient := c.options.Tolerance * c.base / mean
+	if gradient < 1 {
+		c.set(c.limit * max(shrinkFloor, gradient))
+		return
+	}
+	if 2*most >= c.Limit() {
+		c.set(c.limit + math.Sqrt(c.limit))
+	}
+}
+
+// learnBase keeps the least window mean, and believes at once a window that ran
+// all but empty. An upstream that got slower for good would else pass for
+// overloaded for hours, at the least limit: there its windows run empty, and show
+// it. Otherwise the base gives way slowly: under lasting load no window shows the
+// unloaded time, and a base that followed would let the limit run away.
+func (c *Controller) learnBase(mean float64, most int, now time.Time) {
+	if c.base == 0 || mean <= c.base || most <= max(unloaded, c.options.Min) {
+		c.base, c.candidate, c.baseSince = mean, 0, now
+		return
+	}
+	if c.candidate == 0 || mean < c.candidate {
+		c.candidate = mean
+	}
+	if now.Sub(c.baseSince) >= c.options.BaseLife {
+		c.base = min(c.candidate, c.base*baseGrowth)
+		c.candidate, c.baseSince = 0, now
+	}
+}
+
+func (c *Controller) set(limit float64) {
+	c.limit = min(float64(c.options.Max), max(float64(c.options.Min), limit))
+}
--- /dev/null
+++ b/internal/peer/marks.go
@@ -0,0 +1,59 @@
+package peer
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/peer/peerpb"
+	"github.com/dogwoodflow/dogwoodflow/internal/poison"
+)
+
+// encodeMark gives times in whole milliseconds; a mark lives for minutes.
+func encodeMark(m poison.Mark) *peerpb.PoisonMark {
+	out := &peerpb.PoisonMark{
+		Fingerprint: uint64(m.Fingerprint),
+		Expires:     toMillis(m.Expires),
+		Trying:      string(m.Trying),
+		TryingOn:    string(m.TryingOn),
+		TryingUntil: toMillis(m.TryingUntil),
+	}
+	for _, d := range m.Deaths {
+		out.Deaths = append(out.Deaths, &peerpb.Death{
+			Upstream: string(d.Upstream), BootId: d.BootID, Forgiven: d.Forgiven,
+		})
+	}
+	return out
+}
+
+func decodeMark(m *peerpb.PoisonMark) poison.Mark {
+	out := poison.Mark{
+		Fingerprint: poison.Fingerprint(m.GetFingerprint()),
+		Expires:     fromMillis(m.GetExpires()),
+		Trying:      ident.VM(m.GetTrying()),
+		TryingOn:    ident.Upstream(m.GetTryingOn()),
+		TryingUntil: fromMillis(m.GetTryingUntil()),
+	}
+	for _, d := range m.GetDeaths() {
+		out.Deaths = append(out.Deaths, poison.Death{
+			Upstream: ident.Upstream(d.GetUpstream()), BootID: d.GetBootId(), Forgiven: d.GetForgiven(),
+		})
+	}
+	return out
+}
+
+func sameMark(a, b poison.Mark) bool { return reflect.DeepEqual(a, b) }
+
+func toMillis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func fromMillis(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms).UTC()
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,129 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/peer/peerpb"
+)
+
+// maxConnections bounds how many connections peers may hold open here.
+const maxConnections = 1024
+
+// server answers the calls of peers.
+type server struct{ service *Service }
+
+// serve accepts connections until the context ends.
+func (s *Service) serve(ctx context.Context) {
+	var refusal sync.Once
+	refused := func() {
+		refusal.Do(func() { s.options.Log.Warn().Msg("a peer connection showed a wrong token; counted from here on") })
+	}
+	handler := newGuard(s.options.Token, s.mux, refused)
+	drpcServer := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: managerOptions()})
+	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	defer stop()
+	slots := make(chan struct{}, maxConnections)
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return
+		}
+		if err != nil { // out of file descriptors, or reset while queued
+			pause(ctx, jitter(leastBackoff))
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			_ = conn.Close() // the peer dials again later
+			continue
+		}
+		s.work.Go(func() {
+			defer func() { <-slots }()
+			watched := &watchedConn{Conn: conn, silence: s.options.SilentAfter}
+			_ = drpcServer.ServeOne(ctx, watched) // ends with the connection, always with an error
+		})
+	}
+}
+
+// Exchange implements the peer protocol.
+func (p *server) Exchange(stream peerpb.DRPCPeer_ExchangeStream) error {
+	closeConn := func() { closeTransport(stream) }
+	defer closeConn()
+	l := &link{service: p.service, stream: stream, close: closeConn}
+	return l.run()
+}
+
+// FetchConfig implements the peer protocol.
+func (p *server) FetchConfig(_ *peerpb.FetchConfigRequest, stream peerpb.DRPCPeer_FetchConfigStream) error {
+	return p.answer(stream, func(context.Context) ([]byte, error) {
+		return p.service.options.Config.Current().Marshal()
+	})
+}
+
+// partStream is the sending end of a streamed body.
+type partStream interface {
+	drpc.Stream
+	Send(*peerpb.Part) error
+}
+
+// answer sends what make returns in parts, and an empty part each heartbeat
+// until then, so that the caller can tell a slow answer from a dead VM.
+func (p *server) answer(stream partStream, make func(context.Context) ([]byte, error)) error {
+	setPatient(stream, true)
+	defer setPatient(stream, false)
+	body, err := p.wait(stream, make)
+	if err != nil {
+		return stream.Send(&peerpb.Part{Fault: encodeFault(err), Last: true})
+	}
+	return sendBody(stream, nil, body)
+}
+
+type made struct {
+	body []byte
+	err  error
+}
+
+func (p *server) wait(stream partStream, make func(context.Context) ([]byte, error)) ([]byte, error) {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	result := newResult(ctx, make)
+	beat := time.NewTicker(p.service.options.Heartbeat)
+	defer beat.Stop()
+	for {
+		select {
+		case r := <-result:
+			return r.body, r.err
+		case <-beat.C:
+			if err := stream.Send(&peerpb.Part{}); err != nil {
+				cancel() // nobody waits any more
+				r := <-result
+				return r.body, errors.Join(err, r.err)
+			}
+		}
+	}
+}
+
+func newResult(ctx context.Context, work func(context.Context) ([]byte, error)) <-chan made {
+	result := make(chan made, 1)
+	go func() {
+		body, err := work(ctx)
+		result <- made{body, err}
+	}()
+	return result
+}
+
+func setPatient(stream drpc.Stream, patient bool) {
+	transport, _ := drpcctx.Transport(stream.Context())
+	if watched, ok := transport.(*watchedConn); ok {
+		watched.setPatient(patient)
+	}
+}
--- /dev/null
+++ b/internal/peer/snapshot.go
@@ -0,0 +1,27 @@
+package peer
+
+import (
+	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/membership"
+	"github.com/dogwoodflow/dogwoodflow/internal/timeline"
+)
+
+// Snapshot is what a daemon has to say at one moment. Digests carry the
+// difference between two of them. Read only once made.
+type Snapshot struct {
+	Dispatch  dispatch.Digest
+	Published map[ident.Model]ident.Version // newest in the weight store
+	Config    ConfigPoint
+	Draining  bool
+	HLC       timeline.Stamp
+	// Known are the live daemons. Two that start at once through one seed learn
+	// of each other by it. Not in a decoded Snapshot.
+	Known []membership.Contact
+}
+
+// ConfigPoint says how far a daemon's configuration has come.
+type ConfigPoint struct {
+	Through ident.Offset `json:"through"`
+	Version ident.Offset `json:"version"`
+}
--- /dev/null
+++ b/internal/rollout/attempt.go
@@ -0,0 +1,202 @@
+package rollout
+
+import "time"
+
+func (s *Step) began(now time.Duration, e Began) {
+	i, ok := s.slotOf(e.ID)
+	if !ok || !s.slots[i].live(e.Attempt) || e.Version <= 0 {
+		return
+	}
+	if e.Version < s.oldestAllowed() {
+		s.emit(CancelAttempt{ID: e.ID, Attempt: e.Attempt})
+		s.staleAttempt(now, i, e.Attempt)
+		return
+	}
+	if e.Attempt == s.slots[i].running {
+		s.slots[i].began = e.Version
+	}
+}
+
+// endAttempt takes a live attempt off its slot. With no other one left the
+// slot waits again. It says whether the slot is left without an attempt.
+func (s *Step) endAttempt(i int, attempt uint32) bool {
+	sl := &s.slots[i]
+	if attempt == sl.running {
+		sl.running = sl.hedge
+		sl.began = 0
+	}
+	if sl.hedge != 0 {
+		sl.hedge = 0
+		s.hedgesRunning--
+		return false
+	}
+	s.setState(i, waiting)
+	return true
+}
+
+// stopAttempts gives up whatever runs for a slot and forgets what it made.
+func (s *Step) stopAttempts(i int) {
+	sl := &s.slots[i]
+	id := s.idOf(i)
+	for _, attempt := range [...]uint32{sl.running, sl.hedge} {
+		if attempt != 0 {
+			s.emit(CancelAttempt{ID: id, Attempt: attempt})
+		}
+	}
+	if sl.hedge != 0 {
+		s.hedgesRunning--
+	}
+	if sl.state == scoring {
+		s.emit(CancelAttempt{ID: id, Attempt: sl.made.attempt})
+	}
+	if sl.made != nil {
+		s.bytes -= len(sl.made.text)
+	}
+	sl.running = 0
+	sl.hedge = 0
+	sl.began = 0
+	sl.made = nil
+}
+
+func (s *Step) generated(now time.Duration, e Generated) {
+	i, ok := s.slotOf(e.ID)
+	if !ok || !s.slots[i].live(e.Attempt) {
+		return
+	}
+	// An engine may leave a token unlabelled. Its version can't be guessed, so
+	// the whole text is dropped.
+	if err := checkLabels(e.Segments, e.Tokens); err != nil {
+		s.tally.Unlabelled++
+		s.retryLater(now, i, e.Attempt, Failure{Reason: err.Error()})
+		return
+	}
+	sl := &s.slots[i]
+	if e.Attempt == sl.running {
+		s.pace.add(e.Tokens, now-sl.started)
+	}
+	if oldestVersion(e.Segments) < s.oldestAllowed() {
+		s.staleAttempt(now, i, e.Attempt)
+		return
+	}
+	s.endAttempt(i, e.Attempt)
+	s.stopAttempts(i)
+	s.keep(i, e)
+}
+
+func (s *Step) keep(i int, e Generated) {
+	sl := &s.slots[i]
+	sl.failures = 0
+	sl.made = &completion{
+		attempt:  e.Attempt,
+		text:     e.Text,
+		segments: mergeSegments(e.Segments),
+		oldest:   oldestVersion(e.Segments),
+	}
+	s.bytes += len(e.Text)
+	if s.spec.Scorer == "" {
+		s.setState(i, ready)
+		return
+	}
+	s.setState(i, scoreWaiting)
+}
+
+func (s *Step) generateFailed(now time.Duration, e GenerateFailed) {
+	i, ok := s.slotOf(e.ID)
+	if !ok || !s.slots[i].live(e.Attempt) {
+		return
+	}
+	if e.Failure.final() {
+		s.endAttempt(i, e.Attempt)
+		s.failGroup(i/s.spec.GroupSize, e.Failure)
+		return
+	}
+	s.retryLater(now, i, e.Attempt, e.Failure)
+}
+
+// retryLater ends the attempt; without another one the slot waits its backoff out.
+func (s *Step) retryLater(now time.Duration, i int, attempt uint32, f Failure) {
+	s.tally.Failures++
+	if s.endAttempt(i, attempt) {
+		s.delay(now, i, delayed, f)
+	}
+}
+
+// staleAttempt ends an attempt that an old version generated. The slot backs
+// off: an engine that reports a version before it serves it would be asked
+// again at once, and again.
+func (s *Step) staleAttempt(now time.Duration, i int, attempt uint32) {
+	s.tally.Stale++
+	if s.endAttempt(i, attempt) {
+		s.delay(now, i, delayed, Failure{})
+	}
+}
+
+func (s *Step) delay(now time.Duration, i int, to state, f Failure) {
+	sl := &s.slots[i]
+	sl.notBefore = now + max(s.backoff(sl.failures), f.RetryAfter)
+	if sl.failures < maxFailures {
+		sl.failures++
+	}
+	s.setState(i, to)
+}
+
+// maxFailures keeps the shift in backoff small.
+const maxFailures = 20
+
+func (s *Step) backoff(failures uint8) time.Duration {
+	return min(s.options.BackoffBase<<failures, s.options.BackoffMax)
+}
+
+// final says that no other attempt can end better.
+func (f Failure) final() bool { return f.Kind == Permanent || f.Kind == Poison }
+
+// failGroup gives a group up for good. A group without one of its samples is
+// of no use, and waiting for it would hold the step to the trainer's deadline.
+func (s *Step) failGroup(rank int, f Failure) {
+	s.stopGroup(rank)
+	s.failed.Add(uint32(rank))
+	s.reasons[rank] = f.Reason
+	s.tally.FailedGroups++
+}
+
+// stopGroup ends all work for a group and frees what was made.
+func (s *Step) stopGroup(rank int) {
+	first := rank * s.spec.GroupSize
+	for i := first; i < first+s.spec.GroupSize; i++ {
+		s.stopAttempts(i)
+		s.setState(i, idle)
+	}
+}
+
+// scoringSlot finds the slot of a scorer's answer; ok is false for a late one.
+func (s *Step) scoringSlot(id SampleID, attempt uint32) (i int, ok bool) {
+	i, ok = s.slotOf(id)
+	if !ok || s.slots[i].state != scoring || s.slots[i].made.attempt != attempt {
+		return 0, false
+	}
+	return i, true
+}
+
+func (s *Step) scored(e Scored) {
+	i, ok := s.scoringSlot(e.ID, e.Attempt)
+	if !ok {
+		return
+	}
+	s.slots[i].failures = 0
+	s.slots[i].made.reward = e.Reward
+	s.setState(i, ready)
+}
+
+func (s *Step) scoreFailed(now time.Duration, e ScoreFailed) {
+	i, ok := s.scoringSlot(e.ID, e.Attempt)
+	if !ok {
+		return
+	}
+	s.setState(i, scoreWaiting) // nothing runs that would have to be cancelled
+	if e.Failure.final() {
+		s.failGroup(i/s.spec.GroupSize, e.Failure)
+		return
+	}
+	s.tally.Failures++
+	s.delay(now, i, scoreDelayed, e.Failure)
+}
--- /dev/null
+++ b/internal/rollout/step_test.go
@@ -0,0 +1,239 @@
+package rollout
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+)
+
+var _ = Describe("labels", func() {
+	// A trainer sees a sample labelled with one version although a weight swap
+	// came in mid-stream, or a resume on another engine went on with another
+	// version. Cause: the label is taken from the first chunk or the last.
+	It("names every version with its tokens, and merges neighbours", func() {
+		s := newStep(testSpec(1, 1), Options{})
+		g := only[Generate](s.Step(at(0), Tick{}))[0]
+		segments := []Segment{{5, 0, 2}, {5, 2, 3}, {6, 3, 7}, {5, 7, 8}}
+		s.Step(at(1), Generated{ID: g.ID, Attempt: g.Attempt, Text: "x", Tokens: 8, Segments: segments})
+		s.Step(at(2), Scored{ID: g.ID, Attempt: g.Attempt})
+		d, _ := answer(s, at(3), pullOf(6))
+		Expect(d.Groups[0].Samples[0].Segments).To(Equal([]Segment{{5, 0, 3}, {6, 3, 7}, {5, 7, 8}}))
+	})
+
+	// A chunk names no version, or the segments leave a token out. The trainer
+	// would get tokens whose version nobody knows. The text must be made again.
+	DescribeTable("never delivers a token without a version", func(segments ...Segment) {
+		s := newStep(testSpec(1, 1), Options{})
+		g := only[Generate](s.Step(at(0), Tick{}))[0]
+		s.Step(at(1), Generated{ID: g.ID, Attempt: g.Attempt, Text: "x", Tokens: 4, Segments: segments})
+		Expect(s.Counts().Tally.Unlabelled).To(Equal(1))
+		Expect(s.Counts().Waiting).To(Equal(1))
+		Expect(only[Generate](s.Step(at(5000), Tick{}))).To(HaveLen(1))
+	},
+		Entry("no segments"),
+		Entry("version 0", Segment{5, 0, 2}, Segment{0, 2, 4}),
+		Entry("a gap", Segment{5, 0, 1}, Segment{6, 2, 4}),
+		Entry("an overlap", Segment{5, 0, 3}, Segment{6, 2, 4}),
+		Entry("too short", Segment{5, 0, 3}),
+		Entry("too long", Segment{5, 0, 5}),
+	)
+
+	// An engine reports version 9 before it serves it, so the attempt started as
+	// fresh and its first token names 4. Its sample would be thrown away at the
+	// end, and trying again at once would meet the same engine in a tight loop.
+	It("gives up an attempt whose first token is too old, and backs off", func() {
+		s := newStep(testSpec(1, 1), Options{})
+		s.Step(at(0), NewestVersion{9})
+		actions := s.Step(at(1), Began{ID: SampleID{0, 0}, Attempt: 1, Version: 4})
+		Expect(actions).To(Equal([]Action{CancelAttempt{SampleID{0, 0}, 1}}))
+		Expect(only[Generate](s.Step(at(50), Tick{}))).To(BeEmpty())
+		Expect(only[Generate](s.Step(at(150), Tick{}))).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("staleness", func() {
+	// A step waits long. New versions come while samples run, are scored, or are
+	// finished and wait for the pull; the trainer would get samples past its bound.
+	// Cause: freshness judged when the sample was made, not when it is handed over.
+	It("drops what aged in any state and fills the slots again", func() {
+		s := newStep(testSpec(1, 3), Options{})
+		starts := only[Generate](s.Step(at(0), Tick{}))
+		finish(s, at(1), starts[0], 5)                                                                               // buffered
+		s.Step(at(1), Generated{ID: starts[1].ID, Attempt: 1, Text: "t", Tokens: 1, Segments: []Segment{{5, 0, 1}}}) // scored
+		s.Step(at(1), Began{ID: starts[2].ID, Attempt: 1, Version: 5})                                               // running
+		Expect(s.Step(at(2), NewestVersion{7})).To(BeEmpty())
+		actions := s.Step(at(3), NewestVersion{8})
+		again := only[Generate](actions)
+		Expect(again).To(HaveLen(3))
+		for _, g := range again {
+			Expect(g.Attempt).To(BeEquivalentTo(2))
+			Expect(g.MinVersion).To(BeEquivalentTo(6))
+		}
+		Expect(only[CancelAttempt](actions)).To(HaveLen(2))
+	})
+
+	// A daemon is stopped with a whole group finished and wakes after the bound
+	// has passed. It has heard of no new version; the pull brings the trainer's.
+	It("judges by the trainer's version that comes with the pull", func() {
+		s := newStep(testSpec(1, 2), Options{})
+		for _, g := range only[Generate](s.Step(at(0), Tick{})) {
+			finish(s, at(1), g, 5)
+		}
+		Expect(s.Deliverable()).To(Equal(1))
+		d, again := answer(s, at(3_600_000), pullOf(8))
+		Expect(d).To(Equal(Deliver{JudgedBy: 8, Remaining: 1}))
+		Expect(again).To(HaveLen(2))
+	})
+
+	It("judges a mixed sample by its oldest version and follows a tighter bound", func() {
+		s := newStep(testSpec(1, 1), Options{})
+		g := only[Generate](s.Step(at(0), Tick{}))[0]
+		s.Step(at(1), Generated{ID: g.ID, Attempt: 1, Text: "x", Tokens: 4, Segments: []Segment{{6, 0, 3}, {5, 3, 4}}})
+		s.Step(at(1), Scored{ID: g.ID, Attempt: 1})
+		s.Step(at(2), NewestVersion{6})
+		Expect(s.Deliverable()).To(Equal(1))
+		s.Step(at(3), SetBound{0})
+		Expect(s.Deliverable()).To(Equal(0))
+	})
+
+	DescribeTable("starts nothing that would be stale on arrival", func(weight float64, bound, want int) {
+		spec := testSpec(1, 1)
+		spec.StalenessWeight = weight
+		spec.Bound = int64(bound)
+		g := only[Generate](newStep(spec, Options{}).Step(at(0), NewestVersion{20}))[0]
+		Expect(g.MinVersion).To(Equal(ident.Version(want)))
+	},
+		Entry("idle time alone", 0.0, 4, 16),
+		Entry("both", 0.5, 4, 18),
+		Entry("staleness alone leaves one version for the switch", 1.0, 4, 19),
+		Entry("no bound to spare", 1.0, 0, 20),
+	)
+})
+
+var _ = Describe("exactly once to the trainer", func() {
+	// The connection is cut after half an answer. The trainer drops it and pulls
+	// again; an owner that counts groups as delivered once they are sent never
+	// offers them again, and the step waits for ever.
+	It("offers a group until the cursor names it, and never after", func() {
+		s := newStep(testSpec(2, 1), Options{})
+		for _, g := range only[Generate](s.Step(at(0), Tick{})) {
+			finish(s, at(1), g, 5)
+		}
+		d, _ := answer(s, at(2), pullOf(5))
+		Expect(d.Groups).To(HaveLen(2))
+		d, _ = answer(s, at(3), pullOf(5, 1))
+		Expect(d.Groups).To(HaveLen(1))
+		Expect(d.Groups[0].Number).To(Equal(0))
+		Expect(d.Whole).To(BeTrue())
+		d, _ = answer(s, at(4), pullOf(5, 0, 1))
+		Expect(d).To(Equal(Deliver{JudgedBy: 5, Whole: true}))
+		Expect(s.Counts().Bytes).To(BeZero())
+	})
+
+	// Two daemons own the step. The other one delivered group 0 while ours still
+	// makes it; ours must neither deliver it nor work on it any longer.
+	It("stops work on a group that another owner delivered", func() {
+		s := newStep(testSpec(2, 2), Options{})
+		s.Step(at(0), Tick{})
+		actions := s.Step(at(1), pullOf(5, 0))
+		Expect(only[CancelAttempt](actions)).To(HaveLen(2))
+		s.Step(at(2), Generated{ID: SampleID{0, 0}, Attempt: 1, Text: "late", Tokens: 1, Segments: []Segment{{5, 0, 1}}})
+		Expect(s.Counts().Ready + s.Counts().Scoring).To(BeZero())
+	})
+
+	// The trainer is restarted and has lost what it held: its cursor is empty.
+	It("makes a freed group again when the cursor no longer names it", func() {
+		s := newStep(testSpec(1, 1), Options{})
+		finish(s, at(1), only[Generate](s.Step(at(0), Tick{}))[0], 5)
+		answer(s, at(2), pullOf(5, 0))
+		_, again := answer(s, at(3), pullOf(5))
+		Expect(again).To(HaveLen(1))
+	})
+
+	// An attempt times out, a second one runs, and then the first one's answer
+	// comes after all: two texts for one slot.
+	It("ignores the late result of an attempt given up", func() {
+		s := newStep(testSpec(1, 1), Options{})
+		s.Step(at(0), Tick{})
+		s.Step(at(1), GenerateFailed{ID: SampleID{0, 0}, Attempt: 1})
+		Expect(only[Generate](s.Step(at(200), Tick{}))).To(HaveLen(1))
+		Expect(s.Step(at(201), Generated{ID: SampleID{0, 0}, Attempt: 1, Text: "x", Tokens: 1, Segments: []Segment{{5, 0, 1}}})).To(BeEmpty())
+		Expect(s.Counts().Generating).To(Equal(1))
+	})
+
+	// One prompt crashes every engine that runs it. The trainer must learn at
+	// once that its group can't be made, and only once, not at its deadline.
+	It("delivers a group with a poison request once, as failed", func() {
+		s := newStep(testSpec(2, 2), Options{})
+		s.Step(at(0), Tick{})
+		poison := GenerateFailed{ID: SampleID{1, 1}, Attempt: 1, Failure: Failure{Kind: Poison, Reason: "poison"}}
+		Expect(s.Step(at(1), poison)).To(ConsistOf(CancelAttempt{SampleID{1, 0}, 1}))
+		d, _ := answer(s, at(2), pullOf(5))
+		Expect(d.Groups).To(Equal([]Group{{Number: 1, Failed: true, Reason: "poison"}}))
+		d, _ = answer(s, at(3), pullOf(5, 1))
+		Expect(d.Groups).To(BeEmpty())
+	})
+})
+
+var _ = Describe("scheduling", func() {
+	It("starts the longest groups first, each group together, within the window", func() {
+		s := newStep(testSpec(3, 2), Options{Window: 3})
+		var order []SampleID
+		for _, g := range only[Generate](s.Step(at(0), Tick{})) {
+			order = append(order, g.ID)
+		}
+		Expect(order).To(Equal([]SampleID{{2, 0}, {2, 1}, {1, 0}}))
+	})
+
+	It("grows the backoff and keeps to the upstream's Retry-After", func() {
+		s := newStep(testSpec(1, 1), Options{BackoffBase: 100 * time.Millisecond, BackoffMax: 300 * time.Millisecond})
+		s.Step(at(0), Tick{})
+		now := 0
+		for attempt, wait := range []int{100, 200, 300, 300} {
+			s.Step(at(now), GenerateFailed{ID: SampleID{0, 0}, Attempt: uint32(attempt + 1)})
+			Expect(only[Generate](s.Step(at(now+wait-1), Tick{}))).To(BeEmpty())
+			now += wait
+			Expect(only[Generate](s.Step(at(now), Tick{}))).To(HaveLen(1))
+		}
+		s.Step(at(now), GenerateFailed{ID: SampleID{0, 0}, Attempt: 5, Failure: Failure{Kind: NotRun, RetryAfter: time.Second}})
+		Expect(only[Generate](s.Step(at(now+999), Tick{}))).To(BeEmpty())
+	})
+
+	// One engine is slow and holds the last sample; the trainer waits for it alone.
+	It("hedges the last slow samples, takes the first result and cancels the other", func() {
+		s := newStep(testSpec(1, 8), Options{})
+		starts := only[Generate](s.Step(at(0), Tick{}))
+		for _, g := range starts[1:] {
+			finish(s, at(100), g, 5)
+		}
+		Expect(s.Step(at(150), Tick{})).To(BeEmpty())
+		hedges := only[Generate](s.Step(at(200), Tick{}))
+		Expect(hedges).To(HaveLen(1))
+		Expect(hedges[0].Straggler && hedges[0].Hedge).To(BeTrue())
+		Expect(only[Generate](s.Step(at(400), Tick{}))).To(BeEmpty())
+		actions := s.Step(at(410), Generated{ID: hedges[0].ID, Attempt: 2, Text: "t", Tokens: 4, Segments: []Segment{{5, 0, 4}}})
+		Expect(actions[0]).To(Equal(CancelAttempt{hedges[0].ID, 1}))
+		Expect(s.Counts().Hedges).To(BeZero())
+	})
+
+	It("holds new attempts back while memory is full and a pull could free some", func() {
+		s := newStep(testSpec(4, 1), Options{Window: 1, MaxBytes: 1})
+		finish(s, at(1), only[Generate](s.Step(at(0), Tick{}))[0], 5)
+		Expect(s.Deliverable()).To(Equal(1))
+		Expect(s.Counts().Generating).To(BeEquivalentTo(1)) // started while the first was scored
+		finish(s, at(2), Generate{ID: SampleID{1, 0}, Attempt: 1}, 5)
+		Expect(s.Counts().Generating + s.Counts().Scoring).To(BeZero())
+		_, started := answer(s, at(3), pullOf(5, 1, 2))
+		Expect(started).To(HaveLen(1))
+	})
+
+	It("ends everything when it is cancelled", func() {
+		s := newStep(testSpec(2, 2), Options{})
+		s.Step(at(0), Tick{})
+		Expect(only[CancelAttempt](s.Step(at(1), Cancel{}))).To(HaveLen(4))
+		Expect(s.Step(at(2), pullOf(5))).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/routing/bench_test.go
@@ -0,0 +1,76 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/routing"
+)
+
+// loaded is a table with learnt speeds and uneven load.
+func loaded(n int) *routing.Table {
+	t, r := newTable(n), rng(5)
+	t.See(start)
+	for i := range n {
+		t.AddOwn(name(i), r.IntN(24))
+		for range 5 {
+			t.ObserveTokenTime(name(i), routing.ClassRollout, time.Duration(20+i%30)*time.Millisecond, 8)
+		}
+	}
+	return t
+}
+
+func benchmarkPick(b *testing.B, n int) {
+	full, rare := loaded(n), loaded(n)
+	for i := range n {
+		full.Update(name(i), func(u *routing.Upstream) { u.Limit = 1; u.Own += 1 })
+	}
+	rare.Update(name(n/2), func(u *routing.Upstream) { u.Serving = 2 })
+	half := loaded(n)
+	for i := range n / 2 {
+		half.Update(name(2*i), func(u *routing.Upstream) { u.Serving, u.Limit, u.Own = 2, 8, 8+i%9 })
+	}
+	for _, c := range []struct {
+		what    string
+		table   *routing.Table
+		request routing.Request
+	}{
+		{"plain", loaded(n), routing.Request{}},
+		{"excluded", loaded(n), routing.Request{Exclude: []ident.Upstream{"u1", "u2"}}},
+		{"prefix", loaded(n), routing.Request{Prefix: 1}},
+		{"straggler", loaded(n), routing.Request{Class: routing.ClassRollout, Straggler: true}},
+		{"all-full", full, routing.Request{Class: routing.ClassRollout, Prefix: 1, Straggler: true}},
+		{"half-switched-full", half, routing.Request{Class: routing.ClassRollout, Prefix: 1, MinVersion: 2}},
+		{"one-serves", rare, routing.Request{Class: routing.ClassRollout, Prefix: 1, MinVersion: 2}},
+	} {
+		b.Run(c.what, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if c.request.Prefix != 0 {
+					c.request.Prefix++
+				}
+				if _, ok := c.table.Pick(c.request, start); !ok {
+					b.Fatal("no pick")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkPick13(b *testing.B)    { benchmarkPick(b, 13) }
+func BenchmarkPick522(b *testing.B)   { benchmarkPick(b, 522) }
+func BenchmarkPick12000(b *testing.B) { benchmarkPick(b, 12000) }
+
+var _ = It("allocates nothing", func() {
+	t := loaded(522)
+	p := uint64(1)
+	Expect(testing.AllocsPerRun(1000, func() {
+		p++
+		t.Pick(routing.Request{Prefix: p, Exclude: nil}, start)
+		t.Pick(routing.Request{Straggler: true}, start)
+	})).To(BeZero())
+})
--- /dev/null
+++ b/internal/routing/pick.go
@@ -0,0 +1,213 @@
+package routing
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+)
+
+const (
+	// fastest is how many of the fastest a straggler tries before it takes its
+	// chance like any other.
+	fastest = 32
+	// tries is how many random members are looked at, at most, for Choices
+	// suitable ones.
+	tries = 16
+	// leastBound keeps affinity in an idle group: one of median speed still takes
+	// a second request of its prefix, and one 2.5 times slower its first.
+	leastBound = 2.5
+	none       = -1
+)
+
+// Pick chooses an upstream for a request; false if none is eligible. Upstreams at
+// their limit are taken only if all are. It allocates nothing. The caller counts
+// the request by AddOwn once it is sent.
+func (t *Table) Pick(r Request, now time.Time) (ident.Upstream, bool) {
+	t.See(now)
+	t.expireNext()
+	if r.Class >= classes {
+		r.Class = ClassRollout
+	}
+	i := t.pick(&r)
+	if i == none {
+		return "", false
+	}
+	return t.members[i].Name, true
+}
+
+func (t *Table) pick(r *Request) int {
+	if r.Only != "" {
+		return t.pickOnly(r)
+	}
+	if r.Straggler || r.ExpectedTokens >= t.options.LongTokens {
+		if i := t.pickFastest(r); i != none {
+			return i
+		}
+	}
+	if r.Prefix != 0 {
+		if i := t.pickPrefix(r); i != none {
+			return i
+		}
+	}
+	if len(t.members) <= scanUpTo {
+		return t.scan(r, false)
+	}
+	return t.pickOfMany(r)
+}
+
+// pickOfMany samples, first those with room, then all. The scan behind each runs
+// when few members serve the version asked for, so it reads little but fit.
+// A surplus that expired since may hide a member from roomy for as many picks as
+// there are members; see expireNext.
+func (t *Table) pickOfMany(r *Request) int {
+	if i := t.sample(t.roomy.items, r); i != none {
+		return i
+	}
+	if len(t.roomy.items) > 0 {
+		if i := t.scan(r, true); i != none {
+			return i
+		}
+	}
+	if i := t.sample(t.live.items, r); i != none {
+		return i
+	}
+	return t.scan(r, false)
+}
+
+// pickOnly serves a quarantined request; its upstream's limit doesn't matter.
+func (t *Table) pickOnly(r *Request) int {
+	i, ok := t.index[r.Only]
+	if !ok || !t.suits(i, r) {
+		return none
+	}
+	return i
+}
+
+// pickFastest takes the first of the fastest that has room: below its limit and
+// below the bound that prefixes keep to as well, else the fastest few would slow
+// down by sheer load. Upstreams slower than the median are no gain.
+func (t *Table) pickFastest(r *Request) int {
+	if t.options.IgnoreSpeed {
+		return none
+	}
+	order := t.speeds.order[r.Class]
+	if len(order) == 0 {
+		order = t.speeds.order[1-r.Class]
+	}
+	bound := t.bound()
+	for _, i := range order[:min(fastest, (len(order)+1)/2)] {
+		h := &t.hot[i]
+		if t.loadOf(h)+1 <= bound*h.weight && t.room(h) && t.suits(int(i), r) {
+			return int(i)
+		}
+	}
+	return none
+}
+
+// pickPrefix walks a prefix's upstreams in rendezvous order until one is within
+// the bound; a slow one's load counts by its speed, else the equal spread of
+// prefixes would give it as much work as a fast one. One pass: a member is checked only if it outranks the best so far.
+func (t *Table) pickPrefix(r *Request) int {
+	bound := t.bound()
+	best, highest := none, uint64(0)
+	for _, m := range t.buckets.of(r.Prefix) {
+		rank := pair(r.Prefix, m.hash)
+		if best != none && rank <= highest {
+			continue
+		}
+		i := int(m.index)
+		h := &t.hot[i]
+		busy := (t.loadOf(h) + 1) * t.speedOf(h, r.Class)
+		if busy > bound*h.weight || !t.room(h) || !t.suits(i, r) {
+			continue
+		}
+		best, highest = i, rank
+	}
+	return best
+}
+
+// sample takes the cheapest of a few random members of a list.
+func (t *Table) sample(list []int32, r *Request) int {
+	best, lowest := none, math.Inf(1)
+	if len(list) == 0 {
+		return none
+	}
+	found := 0
+	for n := 0; n < tries && found < t.options.Choices; n++ {
+		i := int(list[t.random.below(len(list))])
+		if !t.suits(i, r) {
+			continue
+		}
+		found++
+		if cost := t.cost(&t.hot[i], r.Class); cost < lowest {
+			best, lowest = i, cost
+		}
+	}
+	return best
+}
+
+// scan takes the cheapest of all that suit, those with room before those without,
+// or only those with room. It starts anywhere, so that ties don't all fall on the
+// first.
+func (t *Table) scan(r *Request, onlyRoom bool) int {
+	if len(t.members) == 0 {
+		return none
+	}
+	b := cheapest{index: none, cost: math.Inf(1), room: onlyRoom}
+	from := t.random.below(len(t.members))
+	t.scanRange(r, from, len(t.members), &b)
+	t.scanRange(r, 0, from, &b)
+	return b.index
+}
+
+// cheapest is the best of a scan so far; once room is set, only members with room
+// count.
+type cheapest struct {
+	index int
+	cost  float64
+	room  bool
+}
+
+func (t *Table) scanRange(r *Request, from, to int, b *cheapest) {
+	oldest := max(0, r.MinVersion)
+	for at, version := range t.fit[from:to] {
+		if version < oldest {
+			continue
+		}
+		i := from + at
+		h := &t.hot[i]
+		room := t.room(h)
+		if b.room && !room || !t.suits(i, r) {
+			continue
+		}
+		cost := t.cost(h, r.Class)
+		if cost < b.cost || room && !b.room {
+			*b = cheapest{index: i, cost: cost, room: room}
+		}
+	}
+}
+
+// suits says whether a member may serve the request at all.
+func (t *Table) suits(i int, r *Request) bool {
+	if t.fit[i] < max(0, r.MinVersion) {
+		return false
+	}
+	return len(r.Exclude) == 0 || !slices.Contains(r.Exclude, t.members[i].Name)
+}
+
+func (t *Table) room(h *hot) bool { return h.limit == 0 || t.loadOf(h) < float64(h.limit) }
+
+func (t *Table) cost(h *hot, c Class) float64 {
+	return (t.loadOf(h) + 1) * t.speedOf(h, c) * h.scale
+}
+
+// bound is what a preferred upstream may be loaded to, the request to be placed
+// counted in: PrefixLoadFactor times the mean, and at least leastBound.
+func (t *Table) bound() float64 {
+	if t.sumWeight <= 0 {
+		return 0
+	}
+	return max(leastBound, t.options.PrefixLoadFactor*((t.sumLoad+1)/t.sumWeight+1))
+}
--- /dev/null
+++ b/internal/standin/callers/verify.go
@@ -0,0 +1,62 @@
+package callers
+
+import (
+	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/service"
+)
+
+// Verified compares what the callers saw with what the services executed.
+type Verified struct {
+	// Doubled calls may not be repeated, but were executed more than once.
+	Doubled int `json:"doubled"`
+	// FalseNotRun calls were refused with "not run" throughout, but were executed.
+	FalseNotRun int `json:"false_not_run"`
+	// Phantom calls were answered, but never executed.
+	Phantom int `json:"phantom"`
+	// Executed counts the service calls that were executed.
+	Executed int `json:"executed"`
+	// First names some of the calls that failed the comparison.
+	First []string `json:"first,omitempty"`
+}
+
+// OK says that every call was executed as often as its caller was told.
+func (v *Verified) OK() bool { return v.Doubled+v.FalseNotRun+v.Phantom == 0 }
+
+// Verify compares the records with the counts of all services. Counts of a
+// service whose process died are lost; phantoms can't be told then.
+func (r *Result) Verify(counts []service.Counts) *Verified {
+	v := &Verified{}
+	for _, done := range r.Records {
+		if done.Kind == Completion || done.Kind == Streamed {
+			continue
+		}
+		executed := 0
+		for _, c := range counts {
+			executed += c.ByCall[done.ID]
+		}
+		v.add(done, executed)
+	}
+	r.Verified = v
+	return v
+}
+
+func (v *Verified) add(done Record, executed int) {
+	if executed > 0 {
+		v.Executed++
+	}
+	fault := ""
+	switch {
+	case done.Kind != Lookup && executed > 1:
+		v.Doubled++
+		fault = "doubled"
+	case !done.Answered && !done.MayHaveRun && done.Outcome == outcome.NotRun && executed > 0:
+		v.FalseNotRun++
+		fault = "false not run"
+	case done.Answered && executed == 0:
+		v.Phantom++
+		fault = "phantom"
+	}
+	if fault != "" && len(v.First) < maxWrong {
+		v.First = append(v.First, done.ID+": "+fault)
+	}
+}
--- /dev/null
+++ b/internal/standin/fault/fault_test.go
@@ -0,0 +1,178 @@
+package fault_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/fault"
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/host"
+	"github.com/dogwoodflow/dogwoodflow/internal/wire"
+)
+
+func TestFault(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fault")
+}
+
+var _ = Describe("a stand-in with faults", func() {
+	var (
+		faults *fault.Injector
+		server *host.Server
+		runs   atomic.Int32
+		client *http.Client
+	)
+
+	BeforeEach(func() {
+		runs.Store(0)
+		faults = fault.New()
+		echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			body, _ := io.ReadAll(r.Body)
+			w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
+			_, _ = w.Write(body)
+		})
+		var err error
+		server, err = host.Start("127.0.0.1:0", echo, faults)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		client = &http.Client{Transport: &http.Transport{}}
+		DeferCleanup(client.CloseIdleConnections)
+	})
+
+	call := func(id, body string) (*http.Response, string, error) {
+		request, err := http.NewRequest(http.MethodPost, server.URL+"/x", strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set(wire.HeaderRequestID, id)
+		response, err := client.Do(request)
+		if err != nil {
+			return nil, "", err
+		}
+		defer response.Body.Close()
+		raw, err := io.ReadAll(response.Body)
+		return response, string(raw), err
+	}
+
+	set := func(s fault.Spec) {
+		raw, err := json.Marshal(s)
+		Expect(err).NotTo(HaveOccurred())
+		fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		response, err := fresh.Post(server.URL+fault.Path, "application/json", bytes.NewReader(raw))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		Expect(response.StatusCode).To(Equal(http.StatusNoContent))
+	}
+
+	It("hits only what matches, and only so often", func() {
+		set(fault.Spec{Kind: fault.Refuse, Match: "bad", Count: 1})
+		response, _, err := call("1", "good")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		response, _, err = call("2", "bad")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get(wire.HeaderNotRun)).To(Equal("true"))
+		Expect(runs.Load()).To(BeEquivalentTo(1))
+		_, body, err := call("3", "bad")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("bad"))
+	})
+
+	It("resets before anything ran", func() {
+		set(fault.Spec{Kind: fault.Reset, Count: 1})
+		_, _, err := call("1", "x")
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+		Expect(runs.Load()).To(BeZero())
+	})
+
+	It("loses the answer of what ran", func() {
+		set(fault.Spec{Kind: fault.AnswerLost, Count: 1})
+		_, _, err := call("1", "x")
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+		Expect(runs.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("cuts a body, with a reset or a close", func() {
+		for _, kind := range []fault.Kind{fault.ResetBody, fault.Truncate} {
+			set(fault.Spec{Kind: kind, Count: 1, Value: 3})
+			_, body, err := call("1", "abcdef")
+			Expect(err).To(HaveOccurred(), string(kind))
+			Expect("abc").To(HavePrefix(body))
+		}
+	})
+
+	It("ends a body early as if it were whole", func() {
+		set(fault.Spec{Kind: fault.EndEarly, Count: 1, Value: 3})
+		_, body, err := call("1", "abcdef")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("abc"))
+	})
+
+	// Two callers ask at the same time. Each gets a well-formed answer at once,
+	// but it is the other's, with the other's id.
+	It("crosses two answers", func() {
+		set(fault.Spec{Kind: fault.Crossed, Count: 2, Value: 60_000})
+		got := map[string]string{}
+		var mu sync.Mutex
+		var both sync.WaitGroup
+		for _, id := range []string{"a", "b"} {
+			both.Go(func() {
+				response, body, err := call(id, "body of "+id)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					got[id] = response.Header.Get(wire.HeaderRequestID) + ": " + body
+				}
+			})
+		}
+		both.Wait()
+		Expect(got).To(Equal(map[string]string{"a": "b: body of b", "b": "a: body of a"}))
+	})
+
+	// A connection that was fine goes silent: the next request on it gets no
+	// answer and no error, while a new connection works at once.
+	It("silences open connections only", func() {
+		_, _, err := call("1", "x")
+		Expect(err).NotTo(HaveOccurred())
+		set(fault.Spec{Kind: fault.Silence})
+		answered := make(chan error, 1)
+		go func() {
+			_, _, err := call("2", "x")
+			answered <- err
+		}()
+		fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		for range 20 {
+			response, err := fresh.Post(server.URL+"/x", "", strings.NewReader("y"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Body.Close()).To(Succeed())
+		}
+		Expect(answered).NotTo(Receive())
+		Expect(runs.Load()).To(BeEquivalentTo(21))
+		server.Close()
+		Eventually(answered).Should(Receive(HaveOccurred()))
+	})
+
+	It("closes everything on a crash", func() {
+		set(fault.Spec{Kind: fault.Crash, Match: "poison"})
+		_, _, err := call("1", "poison")
+		Expect(err).To(HaveOccurred())
+		_, _, err = call("2", "good")
+		Expect(err).To(HaveOccurred())
+		Expect(faults.Crashes()).To(Equal(1))
+		Expect(runs.Load()).To(BeZero())
+	})
+
+	It("refuses a fault that it doesn't know", func() {
+		Expect(faults.Set(fault.Spec{Kind: "gremlin"})).NotTo(Succeed())
+		Expect(faults.Set(fault.Spec{Kind: fault.Freeze})).NotTo(Succeed())
+	})
+})
--- /dev/null
+++ b/internal/weights/planner_test.go
@@ -0,0 +1,273 @@
+package weights
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+)
+
+var start = time.Unix(1000, 0)
+
+const tick = 100 * time.Millisecond
+
+// planner is what the simulation drives: ours or the naive one.
+type planner interface {
+	Step(Input, time.Time) []Order
+	Finished(Order, bool, time.Time)
+}
+
+// naivePlanner loads everywhere at once and switches whatever is loaded.
+type naivePlanner struct{ flight map[ident.Upstream]bool }
+
+func (n *naivePlanner) Step(in Input, _ time.Time) (orders []Order) {
+	for _, e := range in.Engines {
+		if n.flight[e.Name] || !e.Mine || !e.usable() || e.Serving >= in.Newest || in.Newest == 0 {
+			continue
+		}
+		n.flight[e.Name] = true
+		kind := Load
+		if slices.Contains(e.Loaded, in.Newest) {
+			kind = Switch
+		}
+		orders = append(orders, Order{kind, e.Name, in.Newest})
+	}
+	return orders
+}
+
+func (n *naivePlanner) Finished(o Order, _ bool, _ time.Time) { n.flight[o.Engine] = false }
+
+// running is an order that an engine works on.
+type running struct {
+	order Order
+	by    int
+	ends  time.Time
+	ok    bool
+}
+
+// group simulates engines, half of them ordered by each of two daemons, whose
+// reports are a second old.
+type group struct {
+	rng       *rand.Rand
+	engines   []Engine
+	past      [][]Engine
+	planners  []planner
+	running   []running
+	failing   float64 // share of orders that fail
+	loads     int     // most at a time
+	switching int     // most at a time
+	trace     strings.Builder
+}
+
+func newGroup(seed uint64, engines int, planners ...planner) *group {
+	g := &group{rng: rand.New(rand.NewPCG(seed, 5)), planners: planners}
+	for i := range engines {
+		g.engines = append(g.engines, Engine{Name: ident.Upstream(fmt.Sprintf("e%02d", i)), Serving: 1, Loaded: []ident.Version{1}, Up: true})
+	}
+	return g
+}
+
+func (g *group) run(newest func(time.Duration) ident.Version, d time.Duration, weight float64) {
+	GinkgoHelper()
+	for t := time.Duration(0); t < d; t += tick {
+		now := start.Add(t)
+		g.finish(now, t)
+		snapshot := make([]Engine, len(g.engines))
+		for i, e := range g.engines {
+			e.Loaded = slices.Clone(e.Loaded)
+			snapshot[i] = e
+		}
+		g.past = append(g.past, snapshot)
+		seen := g.past[max(0, len(g.past)-10)]
+		for by, p := range g.planners {
+			view := slices.Clone(seen)
+			for i := range view {
+				view[i].Mine = i%len(g.planners) == by
+			}
+			in := Input{Engines: view, Newest: newest(t), Interval: time.Minute, StalenessWeight: weight}
+			for _, o := range p.Step(in, now) {
+				g.start(o, by, now, t)
+			}
+		}
+		g.count()
+	}
+}
+
+func (g *group) engine(name ident.Upstream) *Engine {
+	i := slices.IndexFunc(g.engines, func(e Engine) bool { return e.Name == name })
+	return &g.engines[i]
+}
+
+func (g *group) start(o Order, by int, now time.Time, t time.Duration) {
+	GinkgoHelper()
+	e := g.engine(o.Engine)
+	Expect(o.Version).To(BeNumerically(">=", e.Serving), "an order below the serving version")
+	Expect(e.Leaving || !e.Up).To(BeFalse(), "an order to an engine that leaves or is down")
+	busy := slices.ContainsFunc(g.running, func(r running) bool { return r.order.Engine == o.Engine })
+	Expect(busy).To(BeFalse(), "two orders at a time")
+	took := 500 * time.Millisecond
+	if o.Kind == Load {
+		took = 3 * time.Second
+	}
+	g.running = append(g.running, running{o, by, now.Add(took), g.rng.Float64() >= g.failing})
+	fmt.Fprintf(&g.trace, "%5.1fs %s %s v%s\n", t.Seconds(), o.Kind, o.Engine, o.Version)
+}
+
+func (g *group) finish(now time.Time, t time.Duration) {
+	g.running = slices.DeleteFunc(g.running, func(r running) bool {
+		if now.Before(r.ends) {
+			return false
+		}
+		e := g.engine(r.order.Engine)
+		switch {
+		case !r.ok:
+			fmt.Fprintf(&g.trace, "%5.1fs failed %s\n", t.Seconds(), r.order.Engine)
+		case r.order.Kind == Load:
+			e.Loaded = append(e.Loaded, r.order.Version)
+		default:
+			e.Serving = r.order.Version
+		}
+		g.planners[r.by].Finished(r.order, r.ok, now)
+		return true
+	})
+}
+
+func (g *group) count() {
+	loads, switches := 0, 0
+	for _, r := range g.running {
+		if r.order.Kind == Load {
+			loads++
+		} else {
+			switches++
+		}
+	}
+	g.loads, g.switching = max(g.loads, loads), max(g.switching, switches)
+}
+
+func (g *group) serving(v ident.Version) int {
+	n := 0
+	for _, e := range g.engines {
+		if e.Serving == v {
+			n++
+		}
+	}
+	return n
+}
+
+func always(v ident.Version) func(time.Duration) ident.Version {
+	return func(time.Duration) ident.Version { return v }
+}
+
+var _ = Describe("Planner", func() {
+	ours := func() planner { return New(Options{}) }
+
+	// A step stalls at each publication, because all engines of its group switch at the
+	// same moment, and the weight store refuses because all load at once.
+	It("keeps loads and switches within their bounds where the naive planner doesn't", func() {
+		g := newGroup(1, 16, ours(), ours())
+		g.run(always(2), 2*time.Minute, 1)
+		Expect(g.serving(2)).To(Equal(16))
+		Expect(g.loads).To(BeNumerically("<=", 2*defaultMaxLoads))
+		Expect(g.switching).To(BeNumerically("<=", 16/4))
+
+		naive := newGroup(1, 16, &naivePlanner{map[ident.Upstream]bool{}}, &naivePlanner{map[ident.Upstream]bool{}})
+		naive.run(always(2), 2*time.Minute, 1)
+		Expect(naive.serving(2)).To(Equal(16))
+		Expect(naive.loads).To(BeNumerically(">", 2*defaultMaxLoads))
+		Expect(naive.switching).To(BeNumerically(">", 16/4))
+	})
+
+	It("ends where the naive planner ends, over random failures and versions", func() {
+		for seed := range uint64(40) {
+			newest := func(t time.Duration) ident.Version { return ident.Version(2 + min(t/(30*time.Second), 3)) }
+			g := newGroup(seed, 13, ours(), ours())
+			naive := newGroup(seed, 13, &naivePlanner{map[ident.Upstream]bool{}})
+			g.failing, naive.failing = 0.2, 0.2
+			g.run(newest, 6*time.Minute, 0.5)
+			naive.run(newest, 6*time.Minute, 0.5)
+			Expect(g.serving(5)).To(Equal(13), "seed %d\n%s", seed, g.trace.String())
+			Expect(naive.serving(5)).To(Equal(13))
+		}
+	})
+
+	It("switches a whole group that has loaded within ten seconds", func() {
+		g := newGroup(1, 40, ours(), ours())
+		for i := range g.engines {
+			g.engines[i].Loaded = append(g.engines[i].Loaded, 2)
+		}
+		g.run(always(2), defaultSwitchWithin+2*time.Second, 1)
+		Expect(g.serving(2)).To(Equal(40))
+	})
+
+	// A swap fails on one engine each time. Its old version goes on, and the others
+	// don't wait for it.
+	It("passes an engine whose orders fail, backs off and never goes below what it serves", func() {
+		p := New(Options{})
+		in := Input{Newest: 2, StalenessWeight: 1, Engines: []Engine{
+			{Name: "a", Serving: 1, Loaded: []ident.Version{1, 2}, Up: true, Mine: true},
+			{Name: "b", Serving: 1, Loaded: []ident.Version{1, 2}, Up: true, Mine: true},
+			{Name: "c", Serving: 3, Loaded: []ident.Version{3}, Up: true, Mine: true},
+			{Name: "d", Serving: 1, Up: true, Leaving: true, Mine: true},
+		}}
+		attempts, others := 0, 0
+		for t := time.Duration(0); t < time.Minute; t += tick {
+			for _, o := range p.Step(in, start.Add(t)) {
+				Expect(o).To(HaveField("Kind", Switch))
+				p.Finished(o, o.Engine == "b", start.Add(t))
+				switch o.Engine {
+				case "a":
+					attempts++
+				case "b":
+					others++
+				default:
+					Fail("order to " + string(o.Engine))
+				}
+			}
+		}
+		Expect(attempts).To(BeNumerically("~", 6, 2))
+		Expect(others).To(BeNumerically(">", 0))
+	})
+
+	It("gives running steps time when staleness weighs little, but only so much", func() {
+		first := func(weight float64) string {
+			g := newGroup(1, 1, ours())
+			g.engines[0].Loaded = []ident.Version{1, 2}
+			g.run(always(2), time.Minute, weight)
+			return strings.Fields(g.trace.String())[0]
+		}
+		Expect(first(1)).To(Equal("0.0s"))
+		Expect(first(0.5)).To(Equal("10.0s"))
+		Expect(first(0)).To(Equal("20.0s"))
+	})
+
+	It("estimates the interval between publications", func() {
+		var i Interval
+		i.Observe(5, start)
+		Expect(i.Estimate()).To(BeZero())
+		i.Observe(7, start.Add(4*time.Minute))
+		i.Observe(6, start.Add(5*time.Minute))
+		Expect(i.Estimate()).To(Equal(2 * time.Minute))
+	})
+
+	It("replays a recorded session to the byte", func() {
+		g := newGroup(11, 8, ours(), ours())
+		g.failing = 0.2
+		g.run(func(t time.Duration) ident.Version { return ident.Version(2 + t/(40*time.Second)) }, 2*time.Minute, 0.7)
+		path := filepath.Join("testdata", "session.golden")
+		if os.Getenv("UPDATE_GOLDEN") == "1" {
+			Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
+			Expect(os.WriteFile(path, []byte(g.trace.String()), 0o644)).To(Succeed())
+		}
+		want, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.trace.String()).To(Equal(string(want)))
+	})
+})
--- /dev/null
+++ b/internal/weightsync/fakes_test.go
@@ -0,0 +1,187 @@
+package weightsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
+	"github.com/dogwoodflow/dogwoodflow/internal/wire"
+)
+
+const model ident.Model = "chat"
+
+// world is the log, the weight store and the engines, as all daemons see them.
+type world struct {
+	mu        sync.Mutex
+	records   []platform.Record
+	logDown   bool
+	storeDown bool
+	published []ident.Version
+	engines   []EngineState
+	highest   map[ident.Upstream]int64
+	refused   int // orders refused for their fencing number
+	orders    []wire.Order
+	failing   map[ident.Upstream]bool // switches fail there
+	orderedBy map[ident.Upstream]ident.VM
+}
+
+// newWorld has two engines that check fencing (e0, e1) and two that don't.
+func newWorld() *world {
+	w := &world{published: []ident.Version{1}, highest: map[ident.Upstream]int64{},
+		failing: map[ident.Upstream]bool{}, orderedBy: map[ident.Upstream]ident.VM{}}
+	for i := range 4 {
+		w.engines = append(w.engines, EngineState{
+			Name: ident.Upstream(fmt.Sprint("e", i)), ChecksFencing: i < 2, Up: true,
+			Serving: map[ident.Model]ident.Version{model: 1}, Loaded: map[ident.Model][]ident.Version{model: {1}},
+		})
+	}
+	return w
+}
+
+func (w *world) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+func (w *world) serving() (versions []ident.Version) {
+	w.set(func() {
+		for _, e := range w.engines {
+			versions = append(versions, e.Serving[model])
+		}
+	})
+	return versions
+}
+
+func (w *world) Append(_ context.Context, _ string, data [][]byte) (ident.Offset, error) {
+	time.Sleep(2 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.logDown {
+		return 0, platform.ErrUnavailable
+	}
+	for _, d := range data {
+		w.records = append(w.records, platform.Record{Offset: ident.Offset(len(w.records) + 1), Data: d})
+	}
+	return ident.Offset(len(w.records)), nil
+}
+
+func (w *world) Read(_ context.Context, _ string, from ident.Offset, _ int, _ time.Duration) (platform.Page, error) {
+	time.Sleep(20 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.logDown {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	return platform.Page{First: 1, Records: slices.Clone(w.records[from-1:])}, nil
+}
+
+func (w *world) Versions(context.Context, ident.Model) ([]ident.Version, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.storeDown {
+		return nil, platform.ErrUnavailable
+	}
+	return slices.Clone(w.published), nil
+}
+
+func (w *world) Engines(string) []EngineState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	states := slices.Clone(w.engines)
+	for i := range states {
+		states[i].Serving = map[ident.Model]ident.Version{model: states[i].Serving[model]}
+		states[i].Loaded = map[ident.Model][]ident.Version{model: slices.Clone(states[i].Loaded[model])}
+	}
+	return states
+}
+
+// orderer carries out one daemon's orders.
+type orderer struct {
+	*world
+	vm ident.VM
+}
+
+func (o orderer) Order(_ context.Context, to upstream.Target, order wire.Order) (wire.OrderResult, error) {
+	time.Sleep(300 * time.Millisecond)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := &o.engines[slices.IndexFunc(o.engines, func(e EngineState) bool { return e.Name == to.Name })]
+	if e.ChecksFencing && order.Fence < o.highest[to.Name] {
+		o.refused++
+		return wire.OrderResult{HighestFence: o.highest[to.Name]}, errors.New("fence too old")
+	}
+	o.highest[to.Name] = order.Fence
+	o.orders = append(o.orders, order)
+	o.orderedBy[to.Name] = o.vm
+	if order.Kind == wire.OrderLoad {
+		e.Loaded[model] = append(e.Loaded[model], ident.Version(order.Version))
+		return wire.OrderResult{Applied: true}, nil
+	}
+	if o.failing[to.Name] {
+		return wire.OrderResult{Error: "swap failed"}, errors.New("swap failed")
+	}
+	e.Serving[model] = ident.Version(order.Version)
+	return wire.OrderResult{Applied: true}, nil
+}
+
+// owners makes one VM the owner of everything; it can change.
+type owners struct {
+	mu    sync.Mutex
+	owner ident.VM
+}
+
+func (o *owners) set(vm ident.VM) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.owner = vm
+}
+
+type view struct {
+	*owners
+	self ident.VM
+}
+
+func (v view) Owner(string) (ident.VM, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.owner, v.owner == v.self
+}
+
+type daemon struct {
+	*Syncer
+	stop func()
+}
+
+func inBubble(t *testing.T, scenario func(t *testing.T, w *world, o *owners, a, b daemon)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w, o := newWorld(), &owners{owner: "a"}
+		a, b := startDaemon(w, o, "a"), startDaemon(w, o, "b")
+		defer a.stop()
+		defer b.stop()
+		scenario(t, w, o, a, b)
+	})
+}
+
+func startDaemon(w *world, o *owners, vm ident.VM) daemon {
+	s := New(Options{
+		Self: vm, Log: w, Store: w, Engines: w, Orderer: orderer{w, vm}, Owners: view{o, vm},
+		Targets: func() []Target { return []Target{{Model: model, Group: "g", StalenessWeight: 1}} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Run(ctx)
+	}()
+	return daemon{s, func() { cancel(); <-ended }}
+}
--- /dev/null
+++ b/internal/weightsync/options.go
@@ -0,0 +1,124 @@
+package weightsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
+	"github.com/dogwoodflow/dogwoodflow/internal/weights"
+	"github.com/dogwoodflow/dogwoodflow/internal/wire"
+)
+
+// EngineState is what dispatch knows of an engine.
+type EngineState struct {
+	Name          ident.Upstream
+	Address       string // ip:port
+	ChecksFencing bool
+	Serving       map[ident.Model]ident.Version
+	Loaded        map[ident.Model][]ident.Version
+	Up            bool
+	Leaving       bool
+}
+
+// Engines lists the engines of a group.
+type Engines interface {
+	Engines(group string) []EngineState
+}
+
+// Orderer sends one order to an engine; *upstream.Client is one.
+type Orderer interface {
+	Order(ctx context.Context, to upstream.Target, order wire.Order) (wire.OrderResult, error)
+}
+
+// Owners says which VM looks after a key by rendezvous hashing, and whether it is
+// this one.
+type Owners interface {
+	Owner(key string) (vm ident.VM, self bool)
+}
+
+// Target is a model of the configuration and the group that serves it.
+type Target struct {
+	Model           ident.Model
+	Group           string
+	StalenessWeight float64
+}
+
+// Options configures a Syncer. The first block is required, zero values of the
+// rest take the defaults.
+type Options struct {
+	Self    ident.VM
+	Log     platform.Log
+	Store   platform.WeightStore
+	Engines Engines
+	Orderer Orderer
+	Owners  Owners
+	Targets func() []Target // from the newest configuration
+
+	Logger zerolog.Logger
+	// PollInterval between reads of one model's versions, default 1 s, jittered.
+	PollInterval time.Duration
+	// PollBudget is what all daemons together read from the weight store, default 20 a second.
+	// With many daemons each polls less often and hears from its peers.
+	PollBudget float64
+	// Daemons returns how many daemons poll, default 1.
+	Daemons func() int
+	// StepInterval between looks at the engines, default 200 ms.
+	StepInterval time.Duration
+	// LeaseDuration, default 15 s. OrderDeadline, default 2 s: an engine that hasn't begun
+	// an order by then drops it. Margin, default 1 s, see package lease.
+	LeaseDuration time.Duration
+	OrderDeadline time.Duration
+	Margin        time.Duration
+	// LoadTimeout and SwitchTimeout bound the wait for an order's answer,
+	// defaults 5 min and 30 s.
+	LoadTimeout   time.Duration
+	SwitchTimeout time.Duration
+	// CallTimeout bounds one call of the log or the store, default 2 s.
+	CallTimeout time.Duration
+	// PollWait is how long the log may hold a read open, default 5 s.
+	PollWait time.Duration
+	// Planner's options.
+	Planner weights.Options
+}
+
+// Defaults of Options.
+const (
+	defaultPollInterval  = time.Second
+	defaultPollBudget    = 20
+	defaultStepInterval  = 200 * time.Millisecond
+	defaultLeaseDuration = 15 * time.Second
+	defaultOrderDeadline = 2 * time.Second
+	defaultMargin        = time.Second
+	defaultLoadTimeout   = 5 * time.Minute
+	defaultSwitchTimeout = 30 * time.Second
+	defaultCallTimeout   = 2 * time.Second
+	defaultPollWait      = 5 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.PollInterval, defaultPollInterval)
+	setDefault(&o.PollBudget, defaultPollBudget)
+	setDefault(&o.StepInterval, defaultStepInterval)
+	setDefault(&o.LeaseDuration, defaultLeaseDuration)
+	setDefault(&o.OrderDeadline, defaultOrderDeadline)
+	setDefault(&o.Margin, defaultMargin)
+	setDefault(&o.LoadTimeout, defaultLoadTimeout)
+	setDefault(&o.SwitchTimeout, defaultSwitchTimeout)
+	setDefault(&o.CallTimeout, defaultCallTimeout)
+	setDefault(&o.PollWait, defaultPollWait)
+	if o.Daemons == nil {
+		o.Daemons = func() int { return 1 }
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/weightsync/orders.go
@@ -0,0 +1,172 @@
+package weightsync
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/lease"
+	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
+	"github.com/dogwoodflow/dogwoodflow/internal/weights"
+	"github.com/dogwoodflow/dogwoodflow/internal/wire"
+)
+
+// stepLoop looks at the engines at a steady pace; orders and appends run beside it.
+func (s *Syncer) stepLoop(ctx context.Context, g *errgroup.Group) error {
+	for ctx.Err() == nil {
+		targets := s.targets()
+		groups := s.groups(targets)
+		if records := s.planLeases(s.wants(groups)); len(records) > 0 {
+			g.Go(func() error { s.appendLeases(ctx, records); return nil })
+		}
+		s.trim(groups)
+		for _, t := range targets {
+			s.step(ctx, g, t, groups[t.Group])
+		}
+		sleep(ctx, s.opts.StepInterval)
+	}
+	return nil
+}
+
+// targets returns the configured targets, one for a model and group. When teams
+// weigh one model differently, the one that wants fresh weights most decides.
+func (s *Syncer) targets() []Target {
+	merged := map[planKey]Target{}
+	for _, t := range s.opts.Targets() {
+		k := planKey{t.Model, t.Group}
+		if have, ok := merged[k]; !ok || t.StalenessWeight > have.StalenessWeight {
+			merged[k] = t
+		}
+	}
+	return slices.Collect(maps.Values(merged))
+}
+
+func (s *Syncer) groups(targets []Target) map[string][]EngineState {
+	groups := map[string][]EngineState{}
+	for _, t := range targets {
+		if _, ok := groups[t.Group]; !ok {
+			groups[t.Group] = s.opts.Engines.Engines(t.Group)
+		}
+	}
+	return groups
+}
+
+// trim forgets engines that left the configuration.
+func (s *Syncer) trim(groups map[string][]EngineState) {
+	known := map[ident.Upstream]bool{}
+	for _, engines := range groups {
+		for _, e := range engines {
+			known[e.Name] = true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases.Trim(func(up ident.Upstream) bool { return known[up] }, time.Now())
+}
+
+func (s *Syncer) step(ctx context.Context, g *errgroup.Group, t Target, engines []EngineState) {
+	byName := map[ident.Upstream]EngineState{}
+	for _, e := range engines {
+		byName[e.Name] = e
+	}
+	for _, o := range s.plan(t, engines) {
+		g.Go(func() error { s.send(ctx, t, byName[o.Engine], o); return nil })
+	}
+}
+
+func (s *Syncer) plan(t Target, engines []EngineState) []weights.Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return nil
+	}
+	now := time.Now()
+	in := weights.Input{
+		Newest:          s.newest[t.Model],
+		Interval:        s.interval(t.Model).Estimate(),
+		StalenessWeight: t.StalenessWeight,
+	}
+	for _, e := range engines {
+		in.Engines = append(in.Engines, weights.Engine{
+			Name: e.Name, Serving: e.Serving[t.Model], Loaded: e.Loaded[t.Model],
+			Up: e.Up, Leaving: e.Leaving,
+			Mine: s.leases.Permit(e.Name, e.ChecksFencing, now).OK(),
+		})
+	}
+	return s.planner(t).Step(in, now)
+}
+
+// planner returns the target's planner. Callers hold s.mu.
+func (s *Syncer) planner(t Target) *weights.Planner {
+	k := planKey{t.Model, t.Group}
+	p, ok := s.planners[k]
+	if !ok {
+		p = weights.New(s.opts.Planner)
+		s.planners[k] = p
+	}
+	return p
+}
+
+func (s *Syncer) send(ctx context.Context, t Target, e EngineState, o weights.Order) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout(o.Kind))
+	defer cancel()
+	ok := s.sendPermitted(ctx, t, e, o)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.planner(t).Finished(o, ok, time.Now())
+}
+
+func (s *Syncer) timeout(kind weights.Kind) time.Duration {
+	if kind == weights.Load {
+		return s.opts.LoadTimeout
+	}
+	return s.opts.SwitchTimeout
+}
+
+// sendPermitted checks the lease last, just before the order: a daemon frozen
+// since the plan was made may have lost it. What can still go wrong is a freeze
+// between the check and the first byte for longer than Margin, see package lease.
+func (s *Syncer) sendPermitted(ctx context.Context, t Target, e EngineState, o weights.Order) bool {
+	order := wire.Order{
+		Kind:           orderKinds[o.Kind],
+		Model:          string(t.Model),
+		Version:        int64(o.Version),
+		DeadlineMillis: s.opts.OrderDeadline.Milliseconds(),
+	}
+	permit := s.permit(e)
+	if !permit.OK() {
+		metrics.Counter("orders_not_permitted").Add(1)
+		return false
+	}
+	order.Fence = int64(permit.Fence)
+	result, err := s.opts.Orderer.Order(ctx, upstream.Target{Name: e.Name, Address: e.Address}, order)
+	if err != nil || !result.Applied {
+		metrics.Counter("orders_failed").Add(1)
+		s.opts.Logger.Warn().Err(err).Str("upstream", string(e.Name)).Str("order", string(o.Kind)).
+			Int64("version", int64(o.Version)).Msg("order failed, the old version goes on")
+		return false
+	}
+	metrics.Counter("orders_applied").Add(1)
+	return true
+}
+
+var orderKinds = map[weights.Kind]wire.OrderKind{
+	weights.Load:   wire.OrderLoad,
+	weights.Switch: wire.OrderSwitch,
+}
+
+func (s *Syncer) permit(e EngineState) lease.Permit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return lease.Permit{Refusal: lease.NotHolder}
+	}
+	return s.leases.Permit(e.Name, e.ChecksFencing, time.Now())
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/wire/engine.go
+++ b/internal/wire/engine.go
@@ -95,7 +95,7 @@
 // CacheEvent says that a prompt prefix entered or left the engine's cache.
 type CacheEvent struct {
 	Seq     int64  `json:"seq"`
-	Prefix  uint64 `json:"prefix"`  // xxhash64 of the prompt's first PrefixBytes bytes
+	Prefix  uint64 `json:"prefix"` // xxhash64 of the prompt's first PrefixBytes bytes
 	Evicted bool   `json:"evicted"`
 }
 
