--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,6 @@
 
 demo: build
 	scripts/demo.sh
+
+prove: build
+	scripts/prove.sh
--- a/cmd/standin/drivers.go
+++ b/cmd/standin/drivers.go
@@ -47,6 +47,12 @@
 	fs.DurationVar(&o.TrainTime, 0, "train-time", 0, "time spent on training a whole step")
 	fs.BoolVar(&o.Unscored, 0, "unscored", "don't check rewards")
 	fs.DurationVar(&o.PullWait, 0, "pull-wait", time.Second, "how long a pull may wait")
+	fs.DurationVar(&o.PullPause, 0, "pull-pause", 0, "time between two pulls")
+	fs.IntVar(&o.MaxGroups, 0, "max-groups", 0, "groups in an answer at most; 0: the daemon's default")
+	fs.BoolVar(&o.FollowStore, 0, "follow-store", "learn of versions in --publish-to also in mid-step")
+	fs.IntVar(&o.CutAnswers, 0, "cut-answers", 0, "how many answers to cut the connection in the middle of")
+	fs.IntVar(&o.Restarts, 0, "restarts", 0, "how often to start anew in the middle of a step")
+	fs.BoolVar(&o.KeepCursor, 0, "keep-cursor", "a restart finds what was accepted before it")
 	fs.DurationVar(&o.StepTime, 0, "step-timeout", 2*time.Minute, "when a step is given up")
 	return &ff.Command{
 		Name:      "trainer",
--- /dev/null
+++ b/internal/adminclient/operate.go
@@ -0,0 +1,103 @@
+package adminclient
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/httpapi"
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/rollouts"
+	"github.com/dogwoodflow/dogwoodflow/internal/timeline"
+)
+
+// Whoami says what the token opens.
+func (c *Client) Whoami(ctx context.Context) (httpapi.Whoami, error) {
+	var who httpapi.Whoami
+	err := c.Call(ctx, http.MethodGet, "/v1/whoami", nil, &who)
+	return who, err
+}
+
+// Jobs lists a team's jobs.
+func (c *Client) Jobs(ctx context.Context, team ident.Team) (httpapi.JobsView, error) {
+	var view httpapi.JobsView
+	err := c.Call(ctx, http.MethodGet, teamPath(team)+"/jobs", nil, &view)
+	return view, err
+}
+
+// Job shows one of a team's jobs.
+func (c *Client) Job(ctx context.Context, team ident.Team, job ident.Job) (httpapi.JobView, error) {
+	var view httpapi.JobView
+	err := c.Call(ctx, http.MethodGet, teamPath(team)+"/jobs/"+url.PathEscape(string(job)), nil, &view)
+	return view, err
+}
+
+// Step names a step. Without a team it is the key's own, on the trainer port.
+type Step struct {
+	Team   ident.Team
+	Job    ident.Job
+	Number ident.Step
+}
+
+func (s Step) path() string {
+	prefix := "/v1"
+	if s.Team != "" {
+		prefix = teamPath(s.Team)
+	}
+	return fmt.Sprintf("%s/jobs/%s/steps/%d", prefix, url.PathEscape(string(s.Job)), s.Number)
+}
+
+// SubmitStep submits a step; a trainer port's call.
+func (c *Client) SubmitStep(ctx context.Context, s Step, r rollouts.SubmitRequest) (rollouts.SubmitResponse, error) {
+	var answer rollouts.SubmitResponse
+	err := c.Call(ctx, http.MethodPut, s.path(), r, &answer)
+	return answer, err
+}
+
+// StepStatus says where a step stands.
+func (c *Client) StepStatus(ctx context.Context, s Step) (rollouts.StatusResponse, error) {
+	var status rollouts.StatusResponse
+	err := c.Call(ctx, http.MethodGet, s.path(), nil, &status)
+	return status, err
+}
+
+// CancelStep gives a step up.
+func (c *Client) CancelStep(ctx context.Context, s Step) error {
+	return c.Call(ctx, http.MethodDelete, s.path(), nil, nil)
+}
+
+// Upstreams lists the upstreams as the daemon sees them.
+func (c *Client) Upstreams(ctx context.Context) (httpapi.FleetView, error) {
+	var view httpapi.FleetView
+	err := c.Call(ctx, http.MethodGet, "/v1/upstreams", nil, &view)
+	return view, err
+}
+
+// Daemons lists the daemons as this one sees them.
+func (c *Client) Daemons(ctx context.Context) (httpapi.FleetView, error) {
+	var view httpapi.FleetView
+	err := c.Call(ctx, http.MethodGet, "/v1/daemons", nil, &view)
+	return view, err
+}
+
+// Timeline returns the events of all daemons that a filter selects, in order.
+func (c *Client) Timeline(ctx context.Context, f timeline.Filter) (httpapi.TimelineView, error) {
+	q := url.Values{}
+	for name, value := range map[string]string{
+		"request": string(f.Request), "team": string(f.Team), "job": string(f.Job), "sample": f.Sample,
+	} {
+		if value != "" {
+			q.Set(name, value)
+		}
+	}
+	if f.Limit != 0 {
+		q.Set("limit", strconv.Itoa(f.Limit))
+	}
+	var view httpapi.TimelineView
+	err := c.Call(ctx, http.MethodGet, "/v1/timeline?"+q.Encode(), nil, &view)
+	return view, err
+}
+
+func teamPath(team ident.Team) string { return "/v1/teams/" + url.PathEscape(string(team)) }
--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -120,12 +120,26 @@
 	err := shutdownAll(ctx, d.Ports.list)
 	handover.Wait()
 	d.Dispatcher.Drain()
+	d.flushClaims(ctx)
 	d.cancel()
 	d.running.Wait()
 	d.Log.Info().Dur("took", time.Since(began)).Err(err).Msg("stopped")
 	return err
 }
 
+// flushTimeout bounds the wait for a log that is down at a graceful stop.
+const flushTimeout = 3 * time.Second
+
+// flushClaims gets the last releases and answers into the log, so that a resend
+// at another daemon finds them.
+func (d *daemon) flushClaims(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	if err := d.Keyed.Flush(ctx); err != nil {
+		d.Log.Warn().Err(err).Msg("claims not all in the log")
+	}
+}
+
 func wait(ctx context.Context, t time.Duration) {
 	timer := time.NewTimer(t)
 	defer timer.Stop()
--- a/internal/app/ownership.go
+++ b/internal/app/ownership.go
@@ -29,11 +29,11 @@
 	return p.Owner(key)
 }
 
-// Daemons counts the live daemons, this one included.
+// Daemons counts the live daemons, this one included; Members lists it too.
 func (o *ownership) Daemons() int {
 	p := o.peers.Load()
 	if p == nil {
 		return 1
 	}
-	return 1 + liveMembers(p.Members())
+	return liveMembers(p.Members())
 }
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -1,16 +1,21 @@
 package app
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/dogwoodflow/dogwoodflow/internal/httpapi"
+	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/settings"
 )
 
@@ -30,25 +35,47 @@
 	inFlight atomic.Int64
 }
 
-func newPort(name, address string, h http.Handler) *port {
+func newPort(name, address string, h http.Handler, d *settings.Daemon, logger zerolog.Logger) *port {
 	p := &port{name: name, address: address}
 	p.server = &http.Server{
 		Handler:           p.counted(h),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		TLSConfig:         d.TLS(),
+		ErrorLog:          log.New(serverErrors{logger, name}, "", 0),
 	}
 	return p
 }
 
-func newPorts(d *settings.Daemon, api *httpapi.API) *Ports {
+func newPorts(d *settings.Daemon, api *httpapi.API, logger zerolog.Logger) *Ports {
 	return &Ports{list: []*port{
-		newPort("caller", d.CallerAddress, api.CallerHandler()),
-		newPort("trainer", d.TrainerAddress, api.TrainerHandler()),
-		newPort("admin", d.AdminAddress, api.AdminHandler()),
+		newPort("caller", d.CallerAddress, api.CallerHandler(), d, logger),
+		newPort("trainer", d.TrainerAddress, api.TrainerHandler(), d, logger),
+		newPort("admin", d.AdminAddress, api.AdminHandler(), d, logger),
 	}}
 }
 
+// serverErrors takes the lines of net/http's server. All but a handler's panic
+// are a single client's fault (a failed handshake, a bad frame) and only counted.
+type serverErrors struct {
+	logger zerolog.Logger
+	port   string
+}
+
+var serverErrorCount = metrics.Counter("http_server_errors")
+
+// Write implements io.Writer.
+func (e serverErrors) Write(line []byte) (int, error) {
+	serverErrorCount.Add(1)
+	event := e.logger.Debug()
+	if bytes.HasPrefix(line, []byte("http: panic")) {
+		event = e.logger.Error()
+	}
+	event.Str("port", e.port).Bytes("line", bytes.TrimSpace(line)).Msg("HTTP server error")
+	return len(line), nil
+}
+
 func (p *port) counted(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.inFlight.Add(1)
@@ -67,7 +94,12 @@
 }
 
 func (p *port) serve() {
-	_ = p.server.Serve(p.listener) // ends with ErrServerClosed
+	// Both end with ErrServerClosed.
+	if p.server.TLSConfig != nil {
+		_ = p.server.ServeTLS(p.listener, "", "")
+		return
+	}
+	_ = p.server.Serve(p.listener)
 }
 
 // openAll opens every port or none.
--- a/internal/app/rollouts.go
+++ b/internal/app/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
@@ -20,9 +21,12 @@
 
 var rolloutsModule = fx.Module("rollouts", fx.Provide(newRollouts))
 
+// newRollouts leaves hedging to the dispatcher, which knows where the first copy
+// runs; a step's own hedge could land on the same engine.
 func newRollouts(d *dispatch.Dispatcher, w *weightsync.Syncer, c *confsync.Store, p *peer.Service, log zerolog.Logger) *rollouts.Manager {
 	m := rollouts.New(rollouts.Options{
 		Generator: generator{d}, Scorer: scorer{d}, Versions: w, Jobs: jobs{c}, Peers: p, Log: log,
+		Step: rollout.Options{HedgeShare: -1},
 	})
 	p.SetSteps(m)
 	return m
@@ -79,6 +83,8 @@
 	switch {
 	case e.Reason == dispatch.Poison:
 		failure.Kind = rollout.Poison
+	case refusedForGood(err):
+		failure.Kind = rollout.Permanent
 	case e.Outcome == outcome.NotRun:
 		failure.Kind = rollout.NotRun
 	default:
@@ -87,6 +93,20 @@
 	return &rollouts.WorkError{Failure: failure, Err: err}
 }
 
+// refusedForGood says that the engine finds fault with the request itself: a
+// prompt that no engine takes would be tried for ever, and its step never end.
+func refusedForGood(err error) bool {
+	var e *upstream.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e.Code {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	}
+	return false
+}
+
 // jobs looks jobs up in the configuration in force.
 type jobs struct{ config *confsync.Store }
 
--- a/internal/claims/batcher.go
+++ b/internal/claims/batcher.go
@@ -22,7 +22,7 @@
 type BatcherOptions struct {
 	Gather     time.Duration // wait for neighbours, from the first waiting record on
 	Budget     float64       // appends a second of all daemons together
-	Burst      int           // appends that a daemon may do in a row after a pause
+	Burst      time.Duration // a daemon that paused may use its share of that time at once
 	MaxClaims  int           // claims that may wait
 	MaxReports int           // releases and done records that may wait
 }
@@ -46,9 +46,10 @@
 	retryAt  time.Time // before it, reports alone aren't worth an append
 }
 
-// NewBatcher returns an empty batcher with a full burst.
+// NewBatcher returns an empty batcher with a full burst, which Next cuts to the
+// daemon's share.
 func NewBatcher(opts BatcherOptions, now time.Time) *Batcher {
-	return &Batcher{opts: opts, tokens: float64(opts.Burst), refilled: now, gone: map[string]bool{}}
+	return &Batcher{opts: opts, tokens: opts.Budget, refilled: now, gone: map[string]bool{}}
 }
 
 // AddClaim queues a claim. Error: ErrFull.
@@ -207,7 +208,7 @@
 
 func (b *Batcher) refill(now time.Time, daemons int) {
 	b.tokens += now.Sub(b.refilled).Seconds() * b.rate(daemons)
-	b.tokens = min(b.tokens, float64(max(b.opts.Burst, 1)))
+	b.tokens = min(b.tokens, max(b.rate(daemons)*b.opts.Burst.Seconds(), 1))
 	b.refilled = now
 }
 
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -110,7 +110,7 @@
 func editEntry(v reflect.Value, below []string, path string, op Op) (reflect.Value, *Error) {
 	name := below[0]
 	path = join(path, truncate(name, maxNameBytes))
-	if !namePattern.MatchString(name) {
+	if !validName(name) {
 		return v, fault(path, "name "+nameAllowed)
 	}
 	key := reflect.ValueOf(name).Convert(v.Type().Key())
--- a/internal/config/branch.go
+++ b/internal/config/branch.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"regexp"
 	"strings"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
@@ -13,7 +12,21 @@
 	teamsPrefix  = "teams/"
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+// validName is nameAllowed. It is no regular expression since each change of the
+// fleet checks the names of all upstreams.
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameBytes {
+		return false
+	}
+	for i := range len(name) {
+		c := name[i]
+		alphanumeric := 'a' <= c && c <= 'z' || '0' <= c && c <= '9'
+		if !alphanumeric && (i == 0 || !strings.ContainsRune("._-", rune(c))) {
+			return false
+		}
+	}
+	return true
+}
 
 // Branch is the part of the tree that one change may touch: "fleet" or
 // "teams/<team>".
@@ -39,7 +52,7 @@
 		return nil
 	}
 	team, ok := b.Team()
-	if !ok || !namePattern.MatchString(string(team)) {
+	if !ok || !validName(string(team)) {
 		return valueFault("branch", string(b), `must be "fleet" or "teams/<team>", and the team's name `+nameAllowed)
 	}
 	return nil
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -104,7 +104,7 @@
 	if err != nil || address.Port() == 0 || address.Addr().Zone() != "" {
 		return valueFault(path+"/address", u.Address, "must be ip:port")
 	}
-	if !namePattern.MatchString(string(u.DataCentre)) {
+	if !validName(string(u.DataCentre)) {
 		return valueFault(path+"/data_centre", string(u.DataCentre), nameAllowed)
 	}
 	return inRange(path+"/max_concurrency", u.MaxConcurrency, 0, MaxConcurrency)
@@ -136,7 +136,7 @@
 func eachEntry[K ~string, V any](path string, entries map[K]V, check func(path string, name K, value V) *Error) *Error {
 	for _, name := range slices.Sorted(maps.Keys(entries)) {
 		entryPath := join(path, truncate(string(name), maxNameBytes))
-		if !namePattern.MatchString(string(name)) {
+		if !validName(string(name)) {
 			return fault(entryPath, "name "+nameAllowed)
 		}
 		if err := check(entryPath, name, entries[name]); err != nil {
--- a/internal/config/validate_team.go
+++ b/internal/config/validate_team.go
@@ -18,7 +18,7 @@
 
 func validateTeam(t *Tree, name ident.Team) *Error {
 	team, path := t.Teams[name], string(TeamBranch(name))
-	if !namePattern.MatchString(string(name)) {
+	if !validName(string(name)) {
 		return fault(path, "name "+nameAllowed)
 	}
 	checks := []func() *Error{
--- a/internal/dispatch/failure_test.go
+++ b/internal/dispatch/failure_test.go
@@ -135,6 +135,28 @@
 	return innocent, killed
 }
 
+// gossip pushes a daemon's digest to the others, at once if it is urgent.
+func gossip(ctx context.Context, from *Dispatcher, to []*Dispatcher) {
+	for ctx.Err() == nil {
+		waitForUrgent(ctx, from)
+		waitFor(ctx, nil, 5*time.Millisecond) // on its way
+		digest := from.Digest()
+		for _, d := range to {
+			if d != from {
+				d.Merge(from.o.Self, digest)
+			}
+		}
+	}
+}
+
+func waitForUrgent(ctx context.Context, d *Dispatcher) {
+	select {
+	case <-ctx.Done():
+	case <-d.Urgent():
+	case <-time.After(300 * time.Millisecond):
+	}
+}
+
 var _ = Describe("a request that kills engines", func() {
 	check := func(g Gomega, w *world, innocent, killed []error) {
 		g.Expect(w.deaths()).To(BeNumerically("<=", 2), "upstreams lost")
@@ -164,6 +186,28 @@
 		check(g, w, innocent, killed)
 	}))
 
+	// Its caller sends it to three daemons at the same moment. Each sees the death,
+	// but they try it alone one after the other, and the second death ends it.
+	It("costs two engines when sent to three daemons at once", session(6, Ours, func(g Gomega, w *world, d *Dispatcher) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		all := []*Dispatcher{d, w.daemon(ctx, "vm2", Ours), w.daemon(ctx, "vm3", Ours)}
+		for _, from := range all {
+			go gossip(ctx, from, all)
+		}
+		time.Sleep(time.Second)
+		var group sync.WaitGroup
+		errs := make([]error, len(all))
+		for i, at := range all {
+			group.Go(func() { _, _, errs[i] = ask(at, killer) })
+		}
+		group.Wait()
+		for _, err := range errs {
+			g.Expect(problem(err).Reason).To(Equal(Poison))
+		}
+		g.Expect(w.deaths()).To(BeNumerically("<=", 2))
+	}))
+
 	// The naive policy shows that the check can find a fault.
 	It("red alive: costs the naive policy more", session(6, Naive, func(g Gomega, w *world, d *Dispatcher) {
 		innocent, killed := poisoned(w, []*Dispatcher{d})
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -86,9 +86,11 @@
 		s.step(health.SaidLeaving{Upstream: name, Source: health.FromPeer}, now)
 	}
 	for _, name := range digest.Down {
-		if m := s.members[name]; m != nil && m.eligible {
-			s.step(health.Doubted{Upstream: name}, now)
+		m := s.members[name]
+		if m == nil || !m.eligible || now.Sub(m.reported) < s.d.o.BusyPoll {
+			continue // known to be down, or known better
 		}
+		s.step(health.Doubted{Upstream: name}, now)
 	}
 	for name, serving := range digest.Serving {
 		if m := s.members[name]; m != nil && m.reported.IsZero() {
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,6 +59,12 @@
 // placeAlone waits for a lane and for its upstream to be free of other work.
 func (r *run) placeAlone(ctx context.Context) (*slot, *Error) {
 	s := r.s
+	if wait := r.d.stagger(r.fp); wait > 0 {
+		waitFor(ctx, nil, wait)
+		if r.d.judge(r.fp).Verdict != poison.Suspect {
+			return nil, nil
+		}
+	}
 	m, err := r.awaitLane(ctx)
 	if err != nil {
 		return nil, err
@@ -79,6 +86,27 @@
 	return sl, nil
 }
 
+// Several daemons may see one request kill at one moment and would all try it
+// alone at once, each at the cost of an upstream. Each waits for a time of its
+// own, so that the first one's word reaches the others before their turn. What
+// is left: two whose times differ by less than that word takes.
+const (
+	staggerLeast = 30 * time.Millisecond
+	staggerRange = 300 // in ms
+)
+
+// stagger is this daemon's wait before it tries a suspect; none without peers.
+func (d *Dispatcher) stagger(fp poison.Fingerprint) time.Duration {
+	d.peers.mu.Lock()
+	alone := len(d.peers.heard) == 0
+	d.peers.mu.Unlock()
+	if alone {
+		return 0
+	}
+	hash := xxhash.Sum64String(string(d.o.Self) + "\x00" + strconv.FormatUint(uint64(fp), 16))
+	return staggerLeast + time.Duration(hash%staggerRange)*time.Millisecond
+}
+
 // awaitLane waits until a lane opens, or fails if no upstream is live for long.
 func (r *run) awaitLane(ctx context.Context) (*member, *Error) {
 	s := r.s
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -31,7 +31,7 @@
 	retries *retry.Budget
 	hedges  *retry.Budget
 	lanes   laneTable
-	models  int // number of models that the group's engines serve
+	models  int // that the group's engines serve, by settings or reports
 	robin   int // naive policy: next in turn
 	pace    pace
 	closed  bool
@@ -168,6 +168,9 @@
 		u.Limit = m.concurrency()
 		u.Serving = newestOf(m.serving)
 	})
+	if len(m.serving) > 1 {
+		s.models = max(s.models, len(m.serving))
+	}
 	s.gate.stale = true
 }
 
--- a/internal/httpapi/admin.go
+++ b/internal/httpapi/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
 	"github.com/dogwoodflow/dogwoodflow/internal/peer"
 	"github.com/dogwoodflow/dogwoodflow/internal/timeline"
 )
@@ -56,18 +58,29 @@
 
 // watchConfig answers once the version is above "after", or after a while as it is.
 func (a *API) watchConfig(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 63)
 	if err != nil {
 		refuse(http.StatusBadRequest, "after must be a version").write(w)
 		return
 	}
+	if problem := mayOpen(r, branchOf(r)); problem != nil {
+		problem.write(w) // before the wait: a stranger must not learn when others change
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), maxWatch)
 	defer cancel()
+	go func() { // ends with ctx
+		select {
+		case <-a.draining:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	a.writeConfig(w, r, a.queries.Await(ctx, ident.Offset(after)))
 }
 
 func (a *API) writeConfig(w http.ResponseWriter, r *http.Request, state *config.State) {
-	branch := config.Branch(r.URL.Query().Get("branch"))
+	branch := branchOf(r)
 	if problem := mayOpen(r, branch); problem != nil {
 		problem.write(w)
 		return
@@ -87,25 +100,25 @@
 	writeJSON(w, http.StatusOK, view)
 }
 
-// mayOpen lets a team's key touch only that team's branch.
+func branchOf(r *http.Request) config.Branch { return config.Branch(r.URL.Query().Get("branch")) }
+
+// mayOpen lets a team's key touch only that team's branch. The empty branch is
+// the whole tree.
 func mayOpen(r *http.Request, branch config.Branch) *Problem {
 	p := principalOf(r)
 	team, isTeam := branch.Team()
-	if p.admin || (isTeam && p.opens(team)) {
-		return nil
+	if !p.admin && !(isTeam && p.opens(team)) {
+		return refusal(http.StatusForbidden, "this key opens only teams/"+string(p.team))
 	}
-	problem := refuse(http.StatusForbidden, "this key opens only teams/"+string(p.team))
-	return &problem
+	if branch != "" && branch.Validate() != nil {
+		return refusal(http.StatusBadRequest, `the branch must be "fleet" or "teams/<team>"`)
+	}
+	return nil
 }
 
 func (a *API) publish(w http.ResponseWriter, r *http.Request) {
-	body, problem := readBody(w, r, maxAdminBody)
-	if problem != nil {
-		problem.write(w)
-		return
-	}
 	var req ChangeRequest
-	if problem := decodeStrict(body, &req); problem != nil {
+	if problem := readJSON(w, r, maxAdminBody, &req); problem != nil {
 		problem.write(w)
 		return
 	}
@@ -113,13 +126,21 @@
 		problem.write(w)
 		return
 	}
+	if req.Branch == "" {
+		refuse(http.StatusBadRequest, "branch is missing").write(w)
+		return
+	}
 	if req.ID == "" {
 		req.ID = uuid.NewString()
 	}
 	change := config.Change{ID: req.ID, Branch: req.Branch, Base: req.Base, Ops: req.Ops, Author: req.Author, At: time.Now().UTC()}
 	verdict, err := a.commands.Publish(r.Context(), change)
 	if err != nil {
-		problemOf(err).write(w)
+		problem := problemOf(err)
+		if problem.Outcome == outcome.Unknown {
+			problem.Detail += "; sending it again with the id " + shorten(req.ID) + " is safe"
+		}
+		problem.write(w)
 		return
 	}
 	writeJSON(w, http.StatusOK, verdict)
@@ -129,16 +150,36 @@
 const defaultHistory = 50
 
 func (a *API) history(w http.ResponseWriter, r *http.Request) {
-	branch := config.Branch(r.URL.Query().Get("branch"))
+	branch := branchOf(r)
 	if problem := mayOpen(r, branch); problem != nil {
 		problem.write(w)
 		return
 	}
-	limit := defaultHistory
-	if n, err := strconv.Atoi(r.URL.Query().Get("limit")); err == nil && n > 0 {
-		limit = n
+	limit, problem := limitOf(r, defaultHistory)
+	if problem != nil {
+		problem.write(w)
+		return
 	}
-	writeJSON(w, http.StatusOK, a.queries.State().History(branch, limit))
+	entries := a.queries.State().History(branch, limit)
+	if entries == nil {
+		entries = []config.HistoryEntry{}
+	}
+	writeJSON(w, http.StatusOK, entries)
+}
+
+// maxLimit bounds how many entries one answer of a list holds.
+const maxLimit = 10_000
+
+func limitOf(r *http.Request, unasked int) (int, *Problem) {
+	text := r.URL.Query().Get("limit")
+	if text == "" {
+		return unasked, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > maxLimit {
+		return 0, refusal(http.StatusBadRequest, fmt.Sprintf("limit must be 1 to %d", maxLimit))
+	}
+	return n, nil
 }
 
 func (a *API) upstreams(w http.ResponseWriter, _ *http.Request) {
@@ -155,10 +196,25 @@
 		Request: ident.RequestID(q.Get("request")), Team: ident.Team(q.Get("team")),
 		Job: ident.Job(q.Get("job")), Sample: q.Get("sample"),
 	}
-	if p := principalOf(r); !p.admin {
-		filter.Team = p.team
+	if problem := a.narrow(r, &filter); problem != nil {
+		problem.write(w)
+		return
 	}
-	filter.Limit, _ = strconv.Atoi(q.Get("limit"))
 	events, missing := a.queries.Timeline(r.Context(), filter)
 	writeJSON(w, http.StatusOK, TimelineView{Events: events, Missing: missing})
 }
+
+// narrow keeps a team's key to the team's own events. Events without a team,
+// such as those of peers and weights, are for administrators.
+func (a *API) narrow(r *http.Request, filter *timeline.Filter) *Problem {
+	p := principalOf(r)
+	if filter.Team != "" && !p.opens(filter.Team) {
+		return refusal(http.StatusForbidden, "this key opens only the team "+string(p.team))
+	}
+	if !p.admin {
+		filter.Team = p.team
+	}
+	limit, problem := limitOf(r, timeline.DefaultLimit)
+	filter.Limit = limit
+	return problem
+}
--- a/internal/httpapi/api.go
+++ b/internal/httpapi/api.go
@@ -3,7 +3,8 @@
 import (
 	"expvar"
 	"net/http"
-	"sync/atomic"
+	"strconv"
+	"sync"
 
 	"github.com/gorilla/mux"
 
@@ -19,37 +20,54 @@
 	commands *command.Commands
 	queries  *query.Queries
 	auth     *authenticator
-	draining atomic.Bool
+	draining chan struct{} // closed by Drain
+	drain    sync.Once
 }
 
 // New returns the API.
 func New(c *command.Commands, q *query.Queries, admin settings.Secret) *API {
-	return &API{commands: c, queries: q, auth: newAuthenticator(admin, q.State)}
+	return &API{commands: c, queries: q, auth: newAuthenticator(admin, q.State), draining: make(chan struct{})}
 }
 
 // Drain makes the daemon "not ready" while it goes on serving, so that the
-// balancer sends no more before the ports close.
-func (a *API) Drain() { a.draining.Store(true) }
+// balancer sends no more before the ports close. Whoever watches the
+// configuration gets his answer at once.
+func (a *API) Drain() { a.drain.Do(func() { close(a.draining) }) }
+
+func (a *API) isDraining() bool {
+	select {
+	case <-a.draining:
+		return true
+	default:
+		return false
+	}
+}
 
 // CallerHandler serves production callers.
 func (a *API) CallerHandler() http.Handler {
 	r := a.router()
 	caller := func(h http.HandlerFunc) http.Handler { return a.auth.require(config.RoleCaller, false, h) }
-	r.Handle("/v1/chat/completions", caller(a.completions(true))).Methods(http.MethodPost)
-	r.Handle("/v1/completions", caller(a.completions(false))).Methods(http.MethodPost)
-	r.PathPrefix("/").Handler(caller(a.service))
+	r.Handle("/v1/chat/completions", methods{http.MethodPost: caller(a.completions(true))})
+	r.Handle("/v1/completions", methods{http.MethodPost: caller(a.completions(false))})
+	r.MatcherFunc(anyPath).Handler(caller(a.service))
 	return r
 }
 
+// anyPath matches paths that the router's own patterns can't, like CONNECT's.
+func anyPath(*http.Request, *mux.RouteMatch) bool { return true }
+
+const stepPath = "/jobs/{job}/steps/{step}"
+
 // TrainerHandler serves trainers.
 func (a *API) TrainerHandler() http.Handler {
 	r := a.router()
 	trainer := func(h http.HandlerFunc) http.Handler { return a.auth.require(config.RoleTrainer, false, h) }
-	const step = "/v1/jobs/{job}/steps/{step}"
-	r.Handle(step, trainer(a.submitStep)).Methods(http.MethodPut)
-	r.Handle(step, trainer(a.stepStatus)).Methods(http.MethodGet)
-	r.Handle(step, trainer(a.cancelStep)).Methods(http.MethodDelete)
-	r.Handle(step+"/pull", trainer(a.pullStep)).Methods(http.MethodPost)
+	r.Handle("/v1"+stepPath, methods{
+		http.MethodPut:    trainer(a.submitStep),
+		http.MethodGet:    trainer(a.stepStatus),
+		http.MethodDelete: trainer(a.cancelStep),
+	})
+	r.Handle("/v1"+stepPath+"/pull", methods{http.MethodPost: trainer(a.pullStep)})
 	return r
 }
 
@@ -57,14 +75,22 @@
 func (a *API) AdminHandler() http.Handler {
 	r := a.router()
 	operator := func(h http.HandlerFunc) http.Handler { return a.auth.require(config.RoleOperator, true, h) }
-	r.Handle("/v1/config", operator(a.getConfig)).Methods(http.MethodGet)
-	r.Handle("/v1/config/watch", operator(a.watchConfig)).Methods(http.MethodGet)
-	r.Handle("/v1/config/changes", operator(a.publish)).Methods(http.MethodPost)
-	r.Handle("/v1/config/history", operator(a.history)).Methods(http.MethodGet)
-	r.Handle("/v1/upstreams", a.adminOnly(a.upstreams)).Methods(http.MethodGet)
-	r.Handle("/v1/daemons", a.adminOnly(a.daemons)).Methods(http.MethodGet)
-	r.Handle("/v1/timeline", operator(a.timeline)).Methods(http.MethodGet)
-	r.Handle("/debug/vars", a.adminOnly(expvar.Handler().ServeHTTP)).Methods(http.MethodGet)
+	get := func(h http.Handler) methods { return methods{http.MethodGet: h} }
+	r.Handle("/v1/whoami", get(operator(a.whoami)))
+	r.Handle("/v1/config", get(operator(a.getConfig)))
+	r.Handle("/v1/config/watch", get(operator(a.watchConfig)))
+	r.Handle("/v1/config/changes", methods{http.MethodPost: operator(a.publish)})
+	r.Handle("/v1/config/history", get(operator(a.history)))
+	r.Handle("/v1/teams/{team}/jobs", get(operator(a.listJobs)))
+	r.Handle("/v1/teams/{team}/jobs/{job}", get(operator(a.showJob)))
+	r.Handle("/v1/teams/{team}"+stepPath, methods{
+		http.MethodGet:    operator(a.stepStatus),
+		http.MethodDelete: operator(a.cancelStep),
+	})
+	r.Handle("/v1/upstreams", get(a.adminOnly(a.upstreams)))
+	r.Handle("/v1/daemons", get(a.adminOnly(a.daemons)))
+	r.Handle("/v1/timeline", get(operator(a.timeline)))
+	r.Handle("/debug/vars", get(a.adminOnly(expvar.Handler().ServeHTTP)))
 	return r
 }
 
@@ -81,13 +107,10 @@
 
 func (a *API) router() *mux.Router {
 	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
-	r.HandleFunc("/healthz", a.healthz)
-	r.HandleFunc("/readyz", a.readyz)
+	r.Handle("/healthz", methods{http.MethodGet: http.HandlerFunc(a.healthz)})
+	r.Handle("/readyz", methods{http.MethodGet: http.HandlerFunc(a.readyz)})
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		refuse(http.StatusNotFound, "no endpoint "+r.URL.Path).write(w)
-	})
-	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		refuse(http.StatusMethodNotAllowed, "the endpoint has no method "+r.Method).write(w)
+		refuse(http.StatusNotFound, "no endpoint "+shorten(r.URL.Path)).write(w)
 	})
 	return r
 }
@@ -114,7 +137,7 @@
 func (a *API) readyz(w http.ResponseWriter, _ *http.Request) {
 	out := readiness{Ready: true, Version: a.queries.State().Version()}
 	switch {
-	case a.draining.Load():
+	case a.isDraining():
 		out.Ready, out.Reason = false, "stopping"
 	case out.Version == 0:
 		out.Ready, out.Reason = false, "no configuration yet"
@@ -122,6 +145,7 @@
 	status := http.StatusOK
 	if !out.Ready {
 		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", strconv.Itoa(retryUnconfiguredSeconds))
 	}
 	writeJSON(w, status, out)
 }
--- a/internal/httpapi/auth.go
+++ b/internal/httpapi/auth.go
@@ -53,7 +53,7 @@
 		p, ok := a.identify(secret, allowAdmin)
 		if !ok {
 			w.Header().Set("WWW-Authenticate", `Bearer error="invalid_token"`)
-			a.refuseUnknown(w)
+			a.refuseUnknown(w, secret)
 			return
 		}
 		if !p.admin && !p.role.Allows(role) {
@@ -66,7 +66,11 @@
 
 // refuseUnknown turns down an unknown key. Without a configuration no key is
 // known, so a good caller is told to come back instead.
-func (a *authenticator) refuseUnknown(w http.ResponseWriter) {
+func (a *authenticator) refuseUnknown(w http.ResponseWriter, secret string) {
+	if a.isAdmin(secret) {
+		refuse(http.StatusUnauthorized, "the administrator's token names no team; this port takes a team's key").write(w)
+		return
+	}
 	if a.state().Version() == 0 {
 		p := refuse(http.StatusServiceUnavailable, "this daemon has no configuration yet")
 		p.RetryAfter = retryUnconfiguredSeconds
@@ -77,18 +81,26 @@
 }
 
 func (a *authenticator) identify(secret string, allowAdmin bool) (principal, bool) {
-	hash := sha256.Sum256([]byte(secret))
-	if allowAdmin && subtle.ConstantTimeCompare(hash[:], a.adminHash[:]) == 1 {
+	if allowAdmin && a.isAdmin(secret) {
 		return principal{admin: true}, true
 	}
 	team, role, ok := a.state().Tree().Authenticate(secret)
 	return principal{team: team, role: role}, ok
 }
 
+func (a *authenticator) isAdmin(secret string) bool {
+	hash := sha256.Sum256([]byte(secret))
+	return subtle.ConstantTimeCompare(hash[:], a.adminHash[:]) == 1
+}
+
+// bearer reads the key. Of two Authorization headers neither counts: another
+// server on the way may have gone by the other one.
 func bearer(r *http.Request) (string, bool) {
-	scheme, token, ok := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !ok || !strings.EqualFold(scheme, "Bearer") || token == "" {
+	values := r.Header.Values("Authorization")
+	if len(values) != 1 {
 		return "", false
 	}
-	return strings.TrimSpace(token), true
+	scheme, token, _ := strings.Cut(values[0], " ")
+	token = strings.TrimSpace(token)
+	return token, strings.EqualFold(scheme, "Bearer") && token != ""
 }
--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -1,12 +1,12 @@
 package httpapi
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"time"
 )
 
 const (
@@ -21,35 +21,49 @@
 	maxStepBody = 80 << 20
 	// maxAdminBody bounds a change of configuration.
 	maxAdminBody = 1 << 20
+	// bodyTimeout bounds how long a whole body may take to arrive.
+	bodyTimeout = time.Minute
 )
 
 // readBody reads a whole body of at most limit bytes. A body that is cut off is
-// an error, never a shorter request.
+// an error, never a shorter request. One that states too large a length is
+// refused unread, so a client that sent "Expect: 100-continue" never sends it.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *Problem) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		p := refuse(http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
-		return nil, &p
+	if r.ContentLength > limit {
+		return nil, tooLarge(limit)
 	}
-	if err != nil {
-		p := refuse(http.StatusBadRequest, "the body ended early")
-		return nil, &p
+	// A client that trickles a byte a minute would hold its connection and
+	// buffer for good. The deadline is lifted again: behind the body it would
+	// cut off the watch for the client's going away.
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // unsupported by a writer in memory
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var overrun *http.MaxBytesError
+	switch {
+	case err == nil:
+		_ = rc.SetReadDeadline(time.Time{})
+		return data, nil
+	case errors.As(err, &overrun):
+		return nil, tooLarge(limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refusal(http.StatusRequestTimeout, fmt.Sprintf("the body took longer than %s", bodyTimeout))
+	default:
+		return nil, refusal(http.StatusBadRequest, "the body ended early or is badly framed")
 	}
-	return data, nil
 }
 
-// decodeStrict reads one JSON value with no unknown fields and nothing behind it.
-func decodeStrict(data []byte, v any) *Problem {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		p := refuse(http.StatusBadRequest, "the body is not the JSON expected: "+err.Error())
-		return &p
+func tooLarge(limit int64) *Problem {
+	return refusal(http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
+}
+
+// readJSON reads a body of one JSON object into v.
+func readJSON(w http.ResponseWriter, r *http.Request, limit int64, v any) *Problem {
+	if encoding := r.Header.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
+		return refusal(http.StatusUnsupportedMediaType, "a body with a Content-Encoding isn't read; send plain JSON")
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		p := refuse(http.StatusBadRequest, "something stands behind the JSON value")
-		return &p
+	data, problem := readBody(w, r, limit)
+	if problem != nil {
+		return problem
 	}
-	return nil
+	return decodeStrict(data, v)
 }
--- a/internal/httpapi/completions.go
+++ b/internal/httpapi/completions.go
@@ -51,13 +51,8 @@
 		id := command.NewRequestID()
 		w.Header().Set(headerRequestID, string(id))
 		team := principalOf(r).team
-		body, problem := readBody(w, r, a.maxBody(team))
-		if problem != nil {
-			problem.write(w)
-			return
-		}
 		var req completionRequest
-		if problem := decodeStrict(body, &req); problem != nil {
+		if problem := readJSON(w, r, a.maxBody(team), &req); problem != nil {
 			problem.write(w)
 			return
 		}
@@ -98,6 +93,11 @@
 		return
 	}
 	out.fail(problemOf(err))
+	// A handler that returns here would close the chunked body cleanly, and a
+	// client that reads to the end of the body, without looking for the end
+	// mark, would take the part for the whole. Aborting cuts the connection (or
+	// resets the HTTP/2 stream), which every client sees as a failed read.
+	panic(http.ErrAbortHandler)
 }
 
 // completionWriter writes one completion in the form of the endpoint asked.
--- a/internal/httpapi/problem.go
+++ b/internal/httpapi/problem.go
@@ -61,6 +61,35 @@
 // seconds rounds up, since Retry-After has no fractions and too early is worse.
 func seconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
 
+// defaultRetrySeconds is when to come back where the layers below don't say.
+const defaultRetrySeconds = 1
+
+// UnmarshalJSON reads a problem document, for clients in Go. An outcome that
+// isn't known is Unknown.
+func (p *Problem) UnmarshalJSON(data []byte) error {
+	type plain Problem
+	shadow := struct {
+		*plain
+		Outcome string `json:"outcome"`
+	}{plain: (*plain)(p)}
+	if err := json.Unmarshal(data, &shadow); err != nil {
+		return err
+	}
+	p.Outcome = outcome.Unknown
+	for _, o := range []outcome.Outcome{outcome.NotRun, outcome.Ran} {
+		if shadow.Outcome == o.String() {
+			p.Outcome = o
+		}
+	}
+	return nil
+}
+
+// refusal is refuse for those that return it.
+func refusal(status int, detail string) *Problem {
+	p := refuse(status, detail)
+	return &p
+}
+
 // refuse is a problem found before anything ran.
 func refuse(status int, detail string) Problem {
 	return Problem{Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: detail, Outcome: outcome.NotRun}
@@ -69,16 +98,36 @@
 func (p Problem) write(w http.ResponseWriter) {
 	metrics.Counter("http_problem_" + strconv.Itoa(p.Status)).Add(1)
 	p.RequestID = w.Header().Get(headerRequestID)
-	w.Header().Set("Content-Type", problemType)
+	if p.RetryAfter <= 0 && asksToComeBack(p.Status) {
+		p.RetryAfter = defaultRetrySeconds
+	}
 	if p.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(p.RetryAfter))
 	}
-	w.WriteHeader(p.Status)
-	_ = json.NewEncoder(w).Encode(p)
+	data, _ := json.Marshal(p) // plain fields: it can't fail
+	writeBody(w, p.Status, problemType, data)
+}
+
+// asksToComeBack is true of the statuses that promise a Retry-After; a poisonous
+// request's 503 is among them.
+func asksToComeBack(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
+	data, err := json.Marshal(v)
+	if err != nil {
+		problemOf(err).write(w)
+		return
+	}
+	writeBody(w, status, "application/json", data)
+}
+
+// writeBody states the length, so that an answer that is cut off shows as such.
+func writeBody(w http.ResponseWriter, status int, mediaType string, data []byte) {
+	data = append(data, '\n')
+	w.Header().Set("Content-Type", mediaType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	_, _ = w.Write(data)
 }
--- a/internal/httpapi/trainers.go
+++ b/internal/httpapi/trainers.go
@@ -7,24 +7,48 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/rollouts"
 )
 
-// stepOf reads a request's job and step. The team is the key's own.
+// stepOf reads a request's team, job and step.
 func stepOf(r *http.Request) (ident.Team, ident.Job, ident.Step, *Problem) {
-	vars := mux.Vars(r)
-	number, err := strconv.ParseInt(vars["step"], 10, 64)
-	if err != nil || number < 0 {
-		p := refuse(http.StatusBadRequest, fmt.Sprintf("step %q is not a number from 0 on", vars["step"]))
-		return "", "", 0, &p
+	job, problem := nameIn(r, "job")
+	if problem != nil {
+		return "", "", 0, problem
+	}
+	number, err := strconv.ParseUint(mux.Vars(r)["step"], 10, 63)
+	if err != nil {
+		return "", "", 0, refusal(http.StatusBadRequest, "the path's step is not a number from 0 on")
 	}
-	return principalOf(r).team, ident.Job(vars["job"]), ident.Step(number), nil
+	team, problem := teamOf(r)
+	return team, ident.Job(job), ident.Step(number), problem
+}
+
+// checkSubmit finds numbers that no step can mean.
+func checkSubmit(r rollouts.SubmitRequest) string {
+	if r.TrainerVersion < 0 {
+		return "trainer_version must not be negative"
+	}
+	for i, p := range r.Prompts {
+		if p.ExpectedTokens < 0 || p.ExpectedTokens > config.MaxTokens {
+			return fmt.Sprintf("prompts/%d: expected_tokens must be 0 to %d", i, config.MaxTokens)
+		}
+	}
+	return ""
+}
+
+func checkPull(r rollouts.PullRequest) string {
+	if r.TrainerVersion < 0 || r.WaitMillis < 0 || r.MaxGroups < 0 {
+		return "trainer_version, wait_ms and max_groups must not be negative"
+	}
+	return ""
 }
 
 func (a *API) submitStep(w http.ResponseWriter, r *http.Request) {
 	var req rollouts.SubmitRequest
-	team, job, step, ok := decodeStep(w, r, &req)
+	team, job, step, ok := decodeStep(w, r, &req, func() string { return checkSubmit(req) })
 	if !ok {
 		return
 	}
@@ -42,7 +66,7 @@
 
 func (a *API) pullStep(w http.ResponseWriter, r *http.Request) {
 	var req rollouts.PullRequest
-	team, job, step, ok := decodeStep(w, r, &req)
+	team, job, step, ok := decodeStep(w, r, &req, func() string { return checkPull(req) })
 	if !ok {
 		return
 	}
@@ -55,12 +79,14 @@
 }
 
 // decodeStep reads a step's path and body; on a fault it has answered.
-func decodeStep(w http.ResponseWriter, r *http.Request, body any) (ident.Team, ident.Job, ident.Step, bool) {
+func decodeStep(w http.ResponseWriter, r *http.Request, body any, check func() string) (ident.Team, ident.Job, ident.Step, bool) {
 	team, job, step, problem := stepOf(r)
 	if problem == nil {
-		var data []byte
-		if data, problem = readBody(w, r, maxStepBody); problem == nil {
-			problem = decodeStrict(data, body)
+		problem = readJSON(w, r, maxStepBody, body)
+	}
+	if problem == nil {
+		if fault := check(); fault != "" {
+			problem = refusal(http.StatusBadRequest, fault)
 		}
 	}
 	if problem != nil {
--- a/internal/keyed/service.go
+++ b/internal/keyed/service.go
@@ -37,8 +37,8 @@
 )
 
 const (
-	// burstSeconds of a daemon's share of the append budget may be used at once.
-	burstSeconds = 1
+	// burst: a daemon's share of the append budget of so long may be used at once.
+	burst = time.Second
 	// maxReports bounds the releases and done records that wait for the log.
 	maxReports = 10_000
 )
@@ -89,11 +89,10 @@
 }
 
 func batcherOptions(opts Options) claims.BatcherOptions {
-	share := opts.AppendBudget / float64(max(opts.Daemons(), 1))
 	return claims.BatcherOptions{
 		Gather:     opts.BatchInterval,
 		Budget:     opts.AppendBudget,
-		Burst:      max(int(share*burstSeconds), 1),
+		Burst:      burst,
 		MaxClaims:  opts.MaxPending,
 		MaxReports: maxReports,
 	}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -119,11 +119,9 @@
 
 // do bounds the whole call. What it gives up on is closed, never used again.
 func (c *client) do(ctx context.Context, r exchange.Request, wait time.Duration, fresh bool) (answer, error) {
-	limit := wait + c.options.Timeout
-	ctx, cancel := context.WithTimeoutCause(ctx, limit, errTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, wait+c.options.Timeout, errTimeout)
 	defer cancel()
-	plan := exchange.Plan{Fresh: fresh, FirstByte: limit, Progress: c.options.Timeout}
-	got, err := c.sender.Send(ctx, r, plan)
+	got, err := c.sender.Send(ctx, r, exchange.Plan{Fresh: fresh})
 	if err != nil {
 		c.forgetAfterTimeout(err)
 		return answer{}, err
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -52,7 +52,7 @@
 		}
 	}
 	if len(t.members) <= scanUpTo {
-		return t.scan(r, false)
+		return t.scan(r, t.fit)
 	}
 	return t.pickOfMany(r)
 }
@@ -66,14 +66,14 @@
 		return i
 	}
 	if len(t.roomy.items) > 0 {
-		if i := t.scan(r, true); i != none {
+		if i := t.scan(r, t.fitRoomy); i != none {
 			return i
 		}
 	}
 	if i := t.sample(t.live.items, r); i != none {
 		return i
 	}
-	return t.scan(r, false)
+	return t.scan(r, t.fit)
 }
 
 // pickOnly serves a quarantined request; its upstream's limit doesn't matter.
@@ -148,31 +148,30 @@
 	return best
 }
 
-// scan takes the cheapest of all that suit, those with room before those without,
-// or only those with room. It starts anywhere, so that ties don't all fall on the
-// first.
-func (t *Table) scan(r *Request, onlyRoom bool) int {
-	if len(t.members) == 0 {
+// scan takes the cheapest of all that a list of versions (fit or fitRoomy) lets
+// pass, those with room before those without. It starts anywhere, so that ties
+// don't all fall on the first.
+func (t *Table) scan(r *Request, fit []ident.Version) int {
+	if len(fit) == 0 {
 		return none
 	}
-	b := cheapest{index: none, cost: math.Inf(1), room: onlyRoom}
-	from := t.random.below(len(t.members))
-	t.scanRange(r, from, len(t.members), &b)
-	t.scanRange(r, 0, from, &b)
+	b := cheapest{index: none, cost: math.Inf(1)}
+	from := t.random.below(len(fit))
+	t.scanRange(r, fit, from, len(fit), &b)
+	t.scanRange(r, fit, 0, from, &b)
 	return b.index
 }
 
-// cheapest is the best of a scan so far; once room is set, only members with room
-// count.
+// cheapest is the best of a scan so far.
 type cheapest struct {
 	index int
 	cost  float64
 	room  bool
 }
 
-func (t *Table) scanRange(r *Request, from, to int, b *cheapest) {
+func (t *Table) scanRange(r *Request, fit []ident.Version, from, to int, b *cheapest) {
 	oldest := max(0, r.MinVersion)
-	for at, version := range t.fit[from:to] {
+	for at, version := range fit[from:to] {
 		if version < oldest {
 			continue
 		}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -28,7 +28,7 @@
 
 // Table holds the members of one upstream group and what was learnt of them.
 //
-// Invariants: hot[i] and fit[i] are derived from members[i]; live holds the
+// Invariants: hot[i], fit[i] and fitRoomy[i] are derived from members[i]; live holds the
 // eligible members and roomy those of them below their limit; sumLoad and
 // sumWeight are the sums over live.
 type Table struct {
@@ -42,6 +42,7 @@
 	index   map[ident.Upstream]int
 
 	fit       []ident.Version // version served, or unfit: what a scan reads first
+	fitRoomy  []ident.Version // the same, and unfit outside roomy
 	live      indexSet
 	roomy     indexSet
 	sumLoad   float64
@@ -90,7 +91,7 @@
 func (t *Table) rebuild() {
 	n := len(t.members)
 	t.hot = make([]hot, n)
-	t.fit = make([]ident.Version, n)
+	t.fit, t.fitRoomy = make([]ident.Version, n), make([]ident.Version, n)
 	t.live, t.roomy = newIndexSet(n), newIndexSet(n)
 	t.sumLoad, t.sumWeight, t.sweep = 0, 0, 0
 	t.speeds.rebuild(t.members, t.index)
@@ -161,12 +162,16 @@
 		h.scale *= t.options.LocalityPenalty
 	}
 	h.limit = int32(max(0, u.Limit))
-	t.fit[i] = unfit
+	roomy := u.Eligible && t.room(h)
+	t.live.set(i, u.Eligible)
+	t.roomy.set(i, roomy)
+	t.fit[i], t.fitRoomy[i] = unfit, unfit
 	if u.Eligible {
 		t.fit[i] = max(0, u.Serving)
 	}
-	t.live.set(i, u.Eligible)
-	t.roomy.set(i, u.Eligible && t.room(h))
+	if roomy {
+		t.fitRoomy[i] = t.fit[i]
+	}
 	t.count(i, 1)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"strings"
@@ -42,6 +43,9 @@
 	WeightsURL string
 	VMListURL  string
 
+	TLSCertFile string // PEM; with TLSKeyFile the three HTTP ports speak TLS
+	TLSKeyFile  string
+
 	AdminToken Secret
 	PeerToken  Secret
 
@@ -56,6 +60,8 @@
 
 	adminTokenFile, peerTokenFile string
 	seeds                         string
+	certificate                   *tls.Certificate
+	fileFaults                    []Fault // of files read by Parse
 }
 
 // Parse reads flags and environment variables and checks them all. On bad
@@ -73,9 +79,7 @@
 	if d.PrintVersion {
 		return d, nil
 	}
-	if err := d.loadSecrets(); err != nil {
-		return nil, err
-	}
+	d.loadFiles()
 	d.complete()
 	return d, d.Validate()
 }
@@ -99,6 +103,8 @@
 	fs.StringVar(&d.LogURL, 0, "log-url", "", "base URL of the platform's log (required)")
 	fs.StringVar(&d.WeightsURL, 0, "weights-url", "", "base URL of the platform's weight store (required)")
 	fs.StringVar(&d.VMListURL, 0, "vm-list-url", "", "base URL of the platform's VM list (required)")
+	fs.StringVar(&d.TLSCertFile, 0, "tls-cert-file", "", "PEM certificate chain of the caller, trainer and admin ports (default: plain HTTP)")
+	fs.StringVar(&d.TLSKeyFile, 0, "tls-key-file", "", "PEM private key of --tls-cert-file")
 	fs.StringVar(&d.adminTokenFile, 0, "admin-token-file", "", "file with the administrator's token")
 	fs.StringVar(&d.peerTokenFile, 0, "peer-token-file", "", "file with the token that daemons share")
 	fs.DurationVar(&d.RequestTimeout, 0, "request-timeout", 2*time.Minute, "longest time a caller's request may take")
@@ -112,11 +118,13 @@
 	return fs
 }
 
-func (d *Daemon) loadSecrets() error {
-	var adminErr, peerErr error
-	d.AdminToken, adminErr = readSecret(d.adminTokenFile, EnvPrefix+"_ADMIN_TOKEN")
-	d.PeerToken, peerErr = readSecret(d.peerTokenFile, EnvPrefix+"_PEER_TOKEN")
-	return errors.Join(adminErr, peerErr)
+// loadFiles reads the files that settings name. What can't be read is reported
+// by Validate along with all other faults.
+func (d *Daemon) loadFiles() {
+	c := checker{}
+	c.readSecret(&d.AdminToken, "admin-token-file", d.adminTokenFile, EnvPrefix+"_ADMIN_TOKEN")
+	c.readSecret(&d.PeerToken, "peer-token-file", d.peerTokenFile, EnvPrefix+"_PEER_TOKEN")
+	d.fileFaults = append(c.faults, d.loadCertificate()...)
 }
 
 // complete fills in what follows from other settings.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 )
@@ -39,7 +40,7 @@
 
 // Validate checks the settings as a whole. The error is an *InvalidError.
 func (d *Daemon) Validate() error {
-	c := checker{}
+	c := checker{faults: slices.Clone(d.fileFaults)}
 	c.name("vm", string(d.VM))
 	c.name("data-centre", string(d.DataCentre))
 	c.addresses(d)
@@ -67,6 +68,11 @@
 	c.faults = append(c.faults, Fault{setting, value, allowed})
 }
 
+// faulty says whether a setting has a fault already.
+func (c *checker) faulty(setting string) bool {
+	return slices.ContainsFunc(c.faults, func(f Fault) bool { return f.Setting == setting })
+}
+
 func (c *checker) name(setting, v string) {
 	if !namePattern.MatchString(v) {
 		c.add(setting, v, nameRule)
@@ -111,7 +117,7 @@
 }
 
 func (c *checker) secret(setting string, s Secret) {
-	if len(s) < minSecretLength {
+	if len(s) < minSecretLength && !c.faulty(setting) {
 		c.add(setting, s.String(), fmt.Sprintf("must name a file with, or the environment must hold, a secret of %d characters or more", minSecretLength))
 	}
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -19,6 +19,8 @@
 	CountsPath = "/_standin/counts"
 	// HeaderCall is a checker's own id of a call; it outlives every resend.
 	HeaderCall = "X-Call"
+	// HeaderAttempt is a checker's own id of one attempt at a call.
+	HeaderAttempt = "X-Attempt"
 	// HeaderKey is the caller's idempotency key.
 	HeaderKey = "Idempotency-Key"
 	// HeaderEcho repeats "METHOD path?query" in the answer.
@@ -40,6 +42,7 @@
 	ByRequest map[string]int     `json:"by_request"`
 	ByKey     map[string]int     `json:"by_key"`
 	ByCall    map[string]int     `json:"by_call"`
+	ByAttempt map[string]int     `json:"by_attempt"`
 	Leaving   host.LeavingReport `json:"leaving"`
 }
 
@@ -63,7 +66,7 @@
 	s := &Service{
 		options: options,
 		bootID:  strconv.FormatInt(time.Now().UnixNano(), 36),
-		counts:  Counts{ByRequest: map[string]int{}, ByKey: map[string]int{}, ByCall: map[string]int{}},
+		counts:  Counts{ByRequest: map[string]int{}, ByKey: map[string]int{}, ByCall: map[string]int{}, ByAttempt: map[string]int{}},
 	}
 	s.handler = s.leaving.Wrap(http.HandlerFunc(s.serve))
 	return s
@@ -86,6 +89,7 @@
 	out.ByRequest = clone(out.ByRequest)
 	out.ByKey = clone(out.ByKey)
 	out.ByCall = clone(out.ByCall)
+	out.ByAttempt = clone(out.ByAttempt)
 	out.Leaving = s.leaving.Report()
 	return out
 }
@@ -145,6 +149,7 @@
 	count(s.counts.ByRequest, r.Header.Get(wire.HeaderRequestID))
 	count(s.counts.ByKey, r.Header.Get(HeaderKey))
 	count(s.counts.ByCall, r.Header.Get(HeaderCall))
+	count(s.counts.ByAttempt, r.Header.Get(HeaderAttempt))
 	factor := 1 + s.options.Slowdown*float64(s.running-1)
 	return time.Duration(float64(s.options.Latency) * factor)
 }
--- a/internal/standin/trainer/options.go
+++ b/internal/standin/trainer/options.go
@@ -34,6 +34,20 @@
 	Unscored bool
 	// PullWait is how long a pull may wait, StepTime when a step is given up.
 	PullWait, StepTime time.Duration
+	// FollowStore has the trainer learn of new versions in PublishTo also while
+	// a step is on its way, as one of several that train the model does.
+	FollowStore bool
+	// MaxGroups bounds a pull's answer, PullPause is the time between two pulls:
+	// a slow trainer leaves finished samples waiting at their daemon.
+	MaxGroups int
+	PullPause time.Duration
+	// CutAnswers is how many answers the trainer's connection is cut in the
+	// middle of, always two running.
+	CutAnswers int
+	// Restarts is how often the trainer starts anew in mid-step, with a pull
+	// outstanding. KeepCursor: it has saved what it had accepted.
+	Restarts   int
+	KeepCursor bool
 	// Progress is told of every accepted answer; may be nil.
 	Progress func(step, samples, wanted int)
 }
--- a/internal/standin/trainer/summary.go
+++ b/internal/standin/trainer/summary.go
@@ -26,6 +26,12 @@
 	JudgedOld int `json:"judged_old"`
 	Failures  int `json:"failures"`
 	Resubmits int `json:"resubmits"`
+	// Restarts counts starts in mid-step, Forgotten the samples that were
+	// accepted before one and not kept; Samples is without them.
+	Restarts  int `json:"restarts"`
+	Forgotten int `json:"forgotten"`
+	// Mixed samples hold tokens of more than one version.
+	Mixed int `json:"mixed"`
 	// IdleMillis is how long each step was waited for.
 	IdleMillis    []int64       `json:"idle_ms"`
 	StalenessMean float64       `json:"staleness_mean"`
@@ -56,6 +62,9 @@
 func (s *Summary) checkSample(o Options, prompt string, newest int64, sample rollout.Sample) {
 	s.Samples++
 	segments := segmentsOf(sample)
+	if len(segments) > 1 {
+		s.Mixed++
+	}
 	s.checkText(o, prompt, sample, segments)
 	oldest := int64(sample.Oldest())
 	staleness := max(newest-oldest, 0)
