--- a/cmd/dogwoodflowd/main.go
+++ b/cmd/dogwoodflowd/main.go
@@ -20,8 +20,9 @@
 
 func run(args []string) int {
 	d, err := settings.Parse(args)
-	if errors.Is(err, settings.ErrHelp) {
-		fmt.Println(err)
+	var help *settings.HelpError
+	if errors.As(err, &help) {
+		fmt.Println(help.Text)
 		return app.ExitOK
 	}
 	if err != nil {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -63,6 +63,8 @@
 	return query.New(c, m, p, d)
 }
 
-func newAPI(s *settings.Daemon, c *command.Commands, q *query.Queries) *httpapi.API {
-	return httpapi.New(c, q, s.AdminToken)
+func newAPI(s *settings.Daemon, c *command.Commands, q *query.Queries, p *peer.Service) *httpapi.API {
+	api := httpapi.New(c, q, s.AdminToken)
+	api.ReadyOnceSettled(p.Settled)
+	return api
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -58,11 +58,20 @@
 		return verdict, turnPublish(err)
 	}
 	if !verdict.Accepted {
-		return verdict, &Error{Kind: Conflict, Outcome: outcome.NotRun, Detail: rejection(verdict)}
+		return verdict, &Error{Kind: rejectionKind(change, verdict), Outcome: outcome.NotRun, Detail: rejection(verdict)}
 	}
 	return verdict, nil
 }
 
+// rejectionKind tells a lost race, which a newer base may mend, from a change
+// that was judged on its own base and breaks the schema.
+func rejectionKind(c config.Change, v config.Verdict) Kind {
+	if c.Base != v.Version {
+		return Conflict
+	}
+	return Invalid
+}
+
 func rejection(v config.Verdict) string {
 	if v.Path == "" {
 		return v.Reason
--- a/internal/command/errors.go
+++ b/internal/command/errors.go
@@ -21,6 +21,7 @@
 // The kinds of error.
 const (
 	Invalid     Kind = iota // the request can't be served as it stands
+	TooLarge                // the request exceeds a bound on its size
 	Forbidden               // the key doesn't open this
 	NotFound                // no such model, route, job or step
 	Conflict                // another request or change came first
--- a/internal/command/turn.go
+++ b/internal/command/turn.go
@@ -34,7 +34,7 @@
 	rollouts.Forbidden:   Forbidden,
 	rollouts.Draining:    Unavailable,
 	rollouts.BadRequest:  Invalid,
-	rollouts.TooLarge:    Invalid,
+	rollouts.TooLarge:    TooLarge,
 	rollouts.Cancelled:   Conflict,
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -25,6 +25,7 @@
 		NeverRetry: !c.Idempotent,
 	}
 	var response *upstream.ServiceResponse
+	attempts := 0
 	err := d.unary(ctx, unary{
 		id:         c.ID,
 		team:       c.Team,
@@ -33,6 +34,11 @@
 		idempotent: c.Idempotent,
 		deadline:   c.Deadline,
 		do: func(ctx context.Context, t upstream.Target) (leaving bool, err error) {
+			if attempts++; c.Idempotent && attempts == 1 {
+				request.FirstByteTimeout = firstTry(c.Deadline.Sub(d.o.Now()))
+			} else {
+				request.FirstByteTimeout = 0
+			}
 			response, err = d.o.Client.Call(ctx, t, request)
 			return err == nil && response.Leaving, err
 		},
@@ -43,6 +49,21 @@
 	return response, nil
 }
 
+const (
+	// firstTryPart is the part of a call's time that its first attempt may wait.
+	firstTryPart = 4
+	firstTryMin  = 2 * time.Second
+)
+
+// firstTry bounds the wait of an idempotent call's first attempt for the service's
+// first byte. A frozen process accepts the connection and never answers; without
+// a bound the call would wait there until its deadline. The second attempt, at
+// another upstream, gets all the time that is left: a service that is just slow
+// still answers, unless it needs more than three quarters of the route's time.
+func firstTry(left time.Duration) time.Duration {
+	return max(left/firstTryPart, firstTryMin)
+}
+
 // Score asks a scorer for a completion's reward. Scoring is idempotent. Errors
 // are *Error.
 func (d *Dispatcher) Score(ctx context.Context, team ident.Team, group string, id ident.RequestID, prompt, completion string, deadline time.Time) (float64, error) {
--- a/internal/httpapi/api.go
+++ b/internal/httpapi/api.go
@@ -22,6 +22,7 @@
 	auth     *authenticator
 	draining chan struct{} // closed by Drain
 	drain    sync.Once
+	settled  func() bool // nil: always
 }
 
 // New returns the API.
@@ -29,6 +30,10 @@
 	return &API{commands: c, queries: q, auth: newAuthenticator(admin, q.State), draining: make(chan struct{})}
 }
 
+// ReadyOnceSettled keeps the daemon "not ready" until it has met its peers. Call it
+// before the ports are served.
+func (a *API) ReadyOnceSettled(settled func() bool) { a.settled = settled }
+
 // Drain makes the daemon "not ready" while it goes on serving, so that the
 // balancer sends no more before the ports close. Whoever watches the
 // configuration gets his answer at once.
@@ -142,6 +147,8 @@
 		out.Ready, out.Reason = false, "stopping"
 	case out.Version == 0:
 		out.Ready, out.Reason = false, "no configuration yet"
+	case a.settled != nil && !a.settled():
+		out.Ready, out.Reason = false, "meeting its peers"
 	}
 	status := http.StatusOK
 	if !out.Ready {
--- a/internal/httpapi/fakes_test.go
+++ b/internal/httpapi/fakes_test.go
@@ -38,7 +38,8 @@
 
 	generate func(onChunk func(upstream.Chunk) error) (dispatch.Generated, error)
 	answer   *upstream.ServiceResponse
-	fail     error // of service calls, steps and publishing
+	fail     error          // of service calls, steps and publishing
+	verdict  config.Verdict // on a change; zero: accepted
 }
 
 func newWorld() *world {
@@ -112,6 +113,9 @@
 
 func (w *world) Publish(_ context.Context, c config.Change) (config.Verdict, error) {
 	w.reached.Add(1)
+	if w.verdict.ChangeID != "" {
+		return w.verdict, w.fail
+	}
 	return config.Verdict{ChangeID: c.ID, Accepted: true, Version: 9}, w.fail
 }
 
--- a/internal/httpapi/problem.go
+++ b/internal/httpapi/problem.go
@@ -33,6 +33,7 @@
 
 var statusOf = map[command.Kind]int{
 	command.Invalid:     http.StatusUnprocessableEntity,
+	command.TooLarge:    http.StatusRequestEntityTooLarge,
 	command.Forbidden:   http.StatusForbidden,
 	command.NotFound:    http.StatusNotFound,
 	command.Conflict:    http.StatusConflict,
--- a/internal/httpapi/requests_test.go
+++ b/internal/httpapi/requests_test.go
@@ -18,6 +18,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
 	"github.com/dogwoodflow/dogwoodflow/internal/httpapi"
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
+	"github.com/dogwoodflow/dogwoodflow/internal/rollouts"
 )
 
 func unescape(path string) (string, error) { return url.PathUnescape(path) }
@@ -194,6 +195,28 @@
 		Expect([]int{p.Status, p.RetryAfter}).To(Equal([]int{503, 2}))
 	})
 
+	It("isn't ready before it has met its peers", func() {
+		w := newWorld()
+		settled := false
+		w.api.ReadyOnceSettled(func() bool { return settled })
+		rec := w.send("caller", "GET", "/readyz", "", "")
+		Expect(rec.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(rec.Body.String()).To(ContainSubstring("peers"))
+		settled = true
+		Expect(w.send("caller", "GET", "/readyz", "", "").Code).To(Equal(http.StatusOK))
+	})
+
+	It("tells a lost race from a change that breaks the schema, and a step that is too large", func() {
+		w := newWorld()
+		change := `{"id":"c1","branch":"teams/koperasi","base":4,"ops":[{"path":"limits/max_queue","value":-1}]}`
+		w.verdict = config.Verdict{ChangeID: "c1", Version: 5, Path: "teams/koperasi", Reason: "made on version 4"}
+		Expect(problemIn(w.send("admin", "POST", "/v1/config/changes", operator, change)).Status).To(Equal(409))
+		w.verdict = config.Verdict{ChangeID: "c1", Version: 4, Path: "teams/koperasi/limits/max_queue", Reason: "must be"}
+		Expect(problemIn(w.send("admin", "POST", "/v1/config/changes", operator, change)).Status).To(Equal(422))
+		w.fail = &rollouts.Error{Kind: rollouts.TooLarge, Reason: "prompts"}
+		Expect(problemIn(w.send("trainer", "PUT", step, trainer, `{"prompts":[{"text":"a"}]}`)).Status).To(Equal(413))
+	})
+
 	It("passes neither the key nor a connection's own headers on to a service", func() {
 		w := newWorld()
 		w.answer.Header = http.Header{"X-Not-Run": {"true"}, "X-Leaving": {"true"}, "X-Kept": {"yes"}}
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -130,6 +130,7 @@
 		}
 	}
 	s.step(membership.Listed{Entries: daemons})
+	s.meeting.list(daemons)
 	s.reportLeaving(leaving)
 }
 
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -32,6 +32,8 @@
 	// one VM reach the dispatcher in the order in which membership decided.
 	order sync.Mutex
 
+	meeting meeting
+
 	mu      sync.Mutex // guards what follows; never held while calling out
 	members *membership.Members
 	links   map[ident.VM]*link
@@ -64,6 +66,7 @@
 		heardOf:     map[ident.VM]report{},
 		dials:       map[membership.Contact]context.CancelFunc{},
 		leaving:     map[ident.Upstream]bool{},
+		meeting:     meeting{began: time.Now(), read: options.VMs == nil},
 	}
 	s.running, s.stop = context.WithCancel(context.Background())
 	s.SetSteps(options.Steps)
--- a/internal/routing/naive_test.go
+++ b/internal/routing/naive_test.go
@@ -73,11 +73,11 @@
 }
 
 func (n *naive) cost(t *routing.Table, m *routing.Upstream, c routing.Class) float64 {
-	cost := (t.Load(m.Name, n.now) + 1) * t.Speed(m.Name, c)
+	load := (t.Load(m.Name, n.now) + 1) / max(0.05, m.Weight)
 	if m.DataCentre != "dc0" {
-		cost *= routing.DefaultLocalityPenalty
+		load *= routing.DefaultLocalityPenalty
 	}
-	return cost / max(0.05, m.Weight)
+	return (load + routing.DefaultHalfLoad) * t.Speed(m.Name, c)
 }
 
 // candidates lists those that may serve, with room if any has it.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -16,7 +16,7 @@
 	// suitable ones.
 	tries = 16
 	// leastBound keeps affinity in an idle group: one of median speed still takes
-	// a second request of its prefix, and one 2.5 times slower its first.
+	// a second request of its prefix.
 	leastBound = 2.5
 	none       = -1
 )
@@ -52,12 +52,13 @@
 			return i
 		}
 	}
-	if t.decides(r) {
+	decides := t.decides(r)
+	if decides {
 		if i := t.pickFastest(r); i != none {
 			return i
 		}
 	}
-	if r.Prefix != 0 {
+	if r.Prefix != 0 && !decides {
 		if i := t.pickPrefix(r); i != none {
 			return i
 		}
@@ -134,7 +135,7 @@
 			continue
 		}
 		h := &t.hot[i]
-		busy := (t.loadOf(h) + 1) * t.speedOf(h, r.Class)
+		busy := t.busy(h, r.Class)
 		if busy > bound*h.weight || !t.suits(i, r) {
 			continue
 		}
@@ -217,7 +218,14 @@
 func (t *Table) room(h *hot) bool { return h.limit == 0 || t.loadOf(h) < float64(h.limit) }
 
 func (t *Table) cost(h *hot, c Class) float64 {
-	return (t.loadOf(h) + 1) * t.speedOf(h, c) * h.scale
+	return ((t.loadOf(h)+1)*h.scale + t.options.HalfLoad) * t.speedOf(h, c)
+}
+
+// busy is a member's load with one request more, as one of median speed would
+// have to be loaded to take as long for a token.
+func (t *Table) busy(h *hot, c Class) float64 {
+	half := t.options.HalfLoad
+	return (t.loadOf(h)+1+half)*t.speedOf(h, c) - half
 }
 
 // bound is what a preferred upstream may be loaded to, the request to be placed
--- a/internal/routing/reserve.go
+++ b/internal/routing/reserve.go
@@ -17,7 +17,7 @@
 	// reserveShare bounds the reserve, as a share of the live members.
 	reserveShare = 1.0 / 3
 	// reserveSlowest is the speed score up to which a member may be reserved.
-	reserveSlowest = 1.25
+	reserveSlowest = 1.1
 	// lengthRate is the weight of a new expected length in their mean.
 	lengthRate = 0.02
 )
@@ -81,7 +81,7 @@
 	bound := t.reserveBound()
 	for _, i := range t.reserve.items {
 		h := &t.hot[i]
-		busy := (t.loadOf(h) + 1) * t.speedOf(h, r.Class)
+		busy := t.busy(h, r.Class)
 		if busy > t.options.ReserveLoad*h.weight || !t.room(h) || !t.suits(int(i), r) {
 			continue
 		}
@@ -92,24 +92,10 @@
 			affine, highest = int(i), rank
 		}
 	}
-	switch {
-	case best == none, !t.decides(r) && t.outsideMean()+1 <= t.loadOf(&t.hot[best]):
-		return none // no bulk to get out of the way of
-	case affine != none:
+	if affine != none {
 		return affine
-	default:
-		return best
-	}
-}
-
-// outsideMean is the mean load of the live members that aren't reserved.
-func (t *Table) outsideMean() float64 {
-	load, n := t.sumLoad, len(t.live.items)
-	for _, i := range t.reserve.items {
-		load -= t.loadOf(&t.hot[i])
-		n--
 	}
-	return load / float64(max(1, n))
+	return best
 }
 
 // reserveBound is what a reserved member may be loaded to by affinity.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -17,8 +17,10 @@
 //     times the mean.
 //  5. Anything else takes the cheapest of a few random choices.
 //
-// Cost is (load+1) x speed score x locality penalty / slow-start weight. The
-// product of locality and speed is the L x V product of PAL (see speed.go).
+// Cost is ((load+1) x locality penalty / slow-start weight + HalfLoad) x speed score:
+// an engine's token time is about linear in its load, and not in proportion to it,
+// so an empty slow engine is dearer than a fast one with some load. The product of
+// locality and speed is the L x V product of PAL (see speed.go).
 //
 // # What was weighed
 //
@@ -97,7 +99,8 @@
 	DefaultPrefixLoadFactor = 1.25
 	DefaultLocalityPenalty  = 1.1
 	DefaultLongFactor       = 2.0
-	DefaultReserveLoad      = 8.0
+	DefaultReserveLoad      = 6.0
+	DefaultHalfLoad         = 16.0
 	DefaultReportLife       = 4 * time.Second
 	DefaultChoices          = 4
 )
@@ -115,6 +118,9 @@
 	// LongFactor is how many times the mean expected length of rollouts makes a
 	// long one. Above 1.
 	LongFactor float64
+	// HalfLoad is about how many requests at once make an engine's token take twice
+	// the time that it takes one alone: what speed is weighed against load by.
+	HalfLoad float64
 	// ReserveLoad is how many requests a reserved upstream takes, in requests at
 	// one of median speed.
 	ReserveLoad float64
@@ -136,6 +142,9 @@
 	if o.LongFactor <= 1 {
 		o.LongFactor = DefaultLongFactor
 	}
+	if o.HalfLoad <= 0 {
+		o.HalfLoad = DefaultHalfLoad
+	}
 	if o.ReserveLoad < 1 {
 		o.ReserveLoad = DefaultReserveLoad
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,8 +18,11 @@
 // EnvPrefix begins the name of every environment variable of the daemon.
 const EnvPrefix = "DOGWOODFLOW"
 
-// ErrHelp says that help was asked for; the text is in the error's message.
-var ErrHelp = errors.New("help requested")
+// HelpError says that help was asked for. It isn't a fault.
+type HelpError struct{ Text string }
+
+// Error returns the help text.
+func (e *HelpError) Error() string { return e.Text }
 
 // Policies of dispatch.
 const (
@@ -71,7 +74,7 @@
 	fs := d.flags()
 	err := ff.Parse(fs, args, ff.WithEnvVarPrefix(EnvPrefix))
 	if errors.Is(err, ff.ErrHelp) {
-		return nil, fmt.Errorf("%w\n%s%s", ErrHelp, ffhelp.Flags(fs), secretsHelp)
+		return nil, &HelpError{Text: fmt.Sprintf("%s%s", ffhelp.Flags(fs), secretsHelp)}
 	}
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
