--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,9 @@
 
 fuzz:
 	scripts/fuzz.sh
+
+bench: build
+	scripts/bench.sh $(BENCH_FLAGS)
+
+bench-quick: build
+	scripts/bench.sh --quick $(BENCH_FLAGS)
--- a/cmd/bench/commands.go
+++ b/cmd/bench/commands.go
@@ -26,14 +26,16 @@
 	return &ff.Command{
 		Name: "list", Usage: "bench list [FLAGS]", ShortHelp: "prints the scenarios' names", Flags: fs,
 		Exec: func(context.Context, []string) error {
-			for _, s := range bench.Scenarios() {
-				switch {
-				case *quick && !s.Quick:
-				case *stories:
+			scenarios := bench.Scenarios()
+			if *quick {
+				scenarios = bench.Quick()
+			}
+			for _, s := range scenarios {
+				if *stories {
 					fmt.Printf("%s: %s\n", s.Name, s.Story)
-				default:
-					fmt.Println(s.Name)
+					continue
 				}
+				fmt.Println(s.Name)
 			}
 			return nil
 		},
--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -111,7 +111,7 @@
 	d.API.Drain()
 	d.Peers.Drain()
 	for _, p := range d.Ports.list {
-		p.server.SetKeepAlivesEnabled(false)
+		p.endConnections()
 	}
 	d.Log.Info().Msg("stopping: not ready any more")
 	wait(ctx, d.Settings.DrainDelay)
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -33,6 +33,7 @@
 	server   *http.Server
 	listener net.Listener
 	inFlight atomic.Int64
+	lastOnes atomic.Bool // each answer ends its connection
 }
 
 func newPort(name, address string, h http.Handler, d *settings.Daemon, logger zerolog.Logger) *port {
@@ -80,10 +81,19 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.inFlight.Add(1)
 		defer p.inFlight.Add(-1)
+		if p.lastOnes.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		h.ServeHTTP(w, r)
 	})
 }
 
+// endConnections lets each connection end with its next answer. Idle ones stay
+// open until the port closes: http.Server.SetKeepAlivesEnabled(false) would close
+// them at once, and a request on its way there would be cut before its caller
+// could know that the daemon is stopping.
+func (p *port) endConnections() { p.lastOnes.Store(true) }
+
 func (p *port) listen() error {
 	l, err := net.Listen("tcp", p.address)
 	if err != nil {
--- a/internal/app/rollouts.go
+++ b/internal/app/rollouts.go
@@ -56,10 +56,10 @@
 // dispatcher queues and orders.
 const window = 1024
 
-// stepOptions has the naive policy dispatch all samples at once, without hedges.
+// stepOptions has the naive policy dispatch all samples at once.
 func stepOptions(policy string) rollout.Options {
 	if policy == settings.PolicyNaive {
-		return rollout.Options{Window: math.MaxInt32, HedgeShare: -1}
+		return rollout.Options{Window: math.MaxInt32}
 	}
 	return rollout.Options{Window: window}
 }
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -27,8 +27,6 @@
 	// PoisonEvery is the time between two calls of a request that crashes each
 	// engine that runs it; 0: none. Crashed engines are started again.
 	PoisonEvery time.Duration
-	// Quick scenarios make up make bench-quick.
-	Quick bool
 	// Measures are the names of what the table shows.
 	Measures []string
 }
@@ -88,9 +86,15 @@
 	Publish bool
 }
 
+// every returns all scenarios, those that make bench leaves out too.
+func every() []Scenario { return append(Scenarios(), costScenario(), quick()) }
+
+// Quick returns the scenarios of make bench-quick.
+func Quick() []Scenario { return []Scenario{quick()} }
+
 // Find returns the scenario of a name.
 func Find(name string) (Scenario, bool) {
-	for _, s := range append(Scenarios(), costScenario()) {
+	for _, s := range every() {
 		if s.Name == name {
 			return s, true
 		}
--- a/internal/bench/scenarios.go
+++ b/internal/bench/scenarios.go
@@ -120,11 +120,20 @@
 	s.Story = "long-tailed lengths on engines of unequal speed, with production"
 	s.Trainer.Lengths = trainer.Lengths{Min: 20, Max: 60, Tail: 160, TailShare: 0.04}
 	s.Trainer.Steps = 3
-	s.Quick = true
 	s.Measures = measures(idle, production, staleness, []string{"prefix_hits", "wasted"})
 	return s
 }
 
+// quick is mixed with a single, smaller step.
+func quick() Scenario {
+	s := mixed()
+	s.Name = "quick"
+	s.Trainer = &Trainer{Steps: 1, Prompts: 64, Lengths: trainer.Lengths{Min: 20, Max: 60, Tail: 120, TailShare: 0.04}}
+	s.Callers = []Callers{usual("koperasi", 40)}
+	s.Duration = 4 * time.Second
+	return s
+}
+
 func crash() Scenario {
 	return Scenario{
 		Name:     "crash",
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -37,7 +37,7 @@
 // Summarize makes the table of some runs.
 func Summarize(runs []Run) (Report, error) {
 	report := Report{Runs: runs, Rows: []Row{}, Faults: []string{}}
-	for _, s := range append(Scenarios(), costScenario()) {
+	for _, s := range every() {
 		for _, name := range s.Measures {
 			row, found, err := rowOf(s.Name, name, runs)
 			if err != nil {
--- a/internal/capacity/measures.go
+++ b/internal/capacity/measures.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 )
 
 // Quantity is one number of the samples.
@@ -43,9 +44,12 @@
 	return Quantity{"sent", "B/s", func(s Sample) float64 { return s.rate(meters, func(t Traffic) int64 { return t.Out }) }, nil}
 }
 
+// wireOf names onTheWire.
+func wireOf(meters ...string) string { return strings.Join(meters, ", ") + ": both ways with headers" }
+
 // onTheWire counts both ways with a header and an ACK for each segment.
 func onTheWire(meters ...string) Quantity {
-	return Quantity{"both ways with headers", "B/s", func(s Sample) float64 {
+	return Quantity{wireOf(meters...), "B/s", func(s Sample) float64 {
 		return s.rate(meters, func(t Traffic) int64 { return t.In + t.Out + 2*headerBytes*t.Segments })
 	}, nil}
 }
--- a/internal/confsync/follow_test.go
+++ b/internal/confsync/follow_test.go
@@ -145,9 +145,9 @@
 	}
 }
 
-// A rack comes back and thirty daemons start in one moment. The log, which one
-// read of the retained stream by each would bring down, sees them one by one; all
-// are up to date within the users' bound.
+// A rack comes back and thirty daemons start in one moment. Each reads the whole
+// retained stream, and the log would get it all at once. With a spread it never
+// sees half of them in a tenth of a second, and all are up to date after it.
 func TestStartsTogether(t *testing.T) {
 	bubble(t, func(g *WithT, ctx context.Context, log *fakeLog) {
 		first := follower(ctx, log, confsync.Options{})
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -11,7 +11,7 @@
 		return
 	}
 	s.gate.stale = false
-	total, held := 0, 0
+	total, held := 0.0, 0.0
 	for _, m := range s.order {
 		switch {
 		case m.usable():
@@ -23,15 +23,15 @@
 	if total == 0 {
 		total = held // rather beside suspects than not at all
 	}
-	s.gate.queue.SetCapacity(total, 0)
+	s.gate.queue.SetCapacity(max(1, int(math.Ceil(total))), 0)
 }
 
 // capacity is what this daemon may run on one member: its share of the limit,
-// scaled down while the member starts slowly. At least one, to learn from.
-func (m *member) capacity() int {
+// scaled down while the member starts slowly. Not rounded: over all members and
+// daemons, places rounded up would come to several times a small limit.
+func (m *member) capacity() float64 {
 	m.share.SetLimit(m.concurrency())
-	allowed := float64(m.share.Allowed()) * m.weight
-	return max(1, int(math.Ceil(allowed)))
+	return m.share.AllowedExact() * m.weight
 }
 
 // observe teaches a member's limit from a token's time, or a call's.
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -110,9 +110,13 @@
 		return now.Add(d.o.QueueTimeout)
 	}
 	left := deadline.Sub(now)
-	return deadline.Add(-min(need, left/2))
+	return deadline.Add(-min(need, time.Duration(mostNeed*float64(left))))
 }
 
+// mostNeed is the share of its time that a request is expected to run, at most:
+// the estimate may be wrong, and on an idle engine it's worth a try.
+const mostNeed = 0.9
+
 // prefixOf hashes the beginning of the prompt, which engines cache by.
 func prefixOf(g Generate) uint64 {
 	prompt := g.Prompt
--- a/internal/limits/controller.go
+++ b/internal/limits/controller.go
@@ -9,7 +9,7 @@
 
 // Defaults of a Controller.
 const (
-	DefaultInitial   = 16
+	DefaultInitial   = 32
 	DefaultMin       = 1
 	DefaultMax       = 1024
 	DefaultTolerance = 2.0
--- a/internal/limits/share.go
+++ b/internal/limits/share.go
@@ -1,6 +1,9 @@
 package limits
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Share returns how many requests this daemon may have in flight at one upstream,
 // until it next hears from its peers.
@@ -24,26 +27,34 @@
 //     their even parts at once: less than twice the limit in flight (and rounding),
 //     until the first ones hear of it and start nothing new.
 func Share(limit, own, peers, daemons int) int {
+	return int(math.Ceil(ShareExact(limit, own, peers, daemons) - rounding))
+}
+
+// ShareExact is Share before it is rounded up. Over a group of upstreams, the sum
+// of exact shares is to be rounded: 13 daemons that round up their parts of a limit
+// of 14 take 26.
+func ShareExact(limit, own, peers, daemons int) float64 {
 	if limit <= 0 {
 		return 0
 	}
 	daemons = max(1, daemons)
-	even := ceilDiv(limit, daemons)
+	even := float64(limit) / float64(daemons)
 	own, peers = max(0, own), max(0, peers)
 	free := limit - own - peers
 	if free <= 0 {
 		return even
 	}
-	part := ceilDiv(free*(busyWeight*own+1), busyWeight*(own+peers)+daemons)
-	return min(limit, max(even, own+part))
+	part := float64(free*(busyWeight*own+1)) / float64(busyWeight*(own+peers)+daemons)
+	return min(float64(limit), max(even, float64(own)+part))
 }
 
+// rounding absorbs the error of a quotient that should be whole.
+const rounding = 1e-9
+
 // busyWeight is how much a request in flight counts against a daemon that merely
 // is there, when what is free is parted.
 const busyWeight = 4
 
-func ceilDiv(a, b int) int { return (a + b - 1) / b }
-
 // remembered is how many changes of own a Sharer keeps. For what came before, the
 // least of them stands: it grants least.
 const remembered = 64
@@ -92,6 +103,11 @@
 // Allowed returns how many this daemon may have in flight.
 func (s *Sharer) Allowed() int { return Share(s.limit, s.own, s.peers, s.daemons) }
 
+// AllowedExact is Allowed before it is rounded up.
+func (s *Sharer) AllowedExact() float64 {
+	return ShareExact(s.limit, s.own, s.peers, s.daemons)
+}
+
 // ownAt returns what was in flight at a time, 0 if nothing is known.
 func (s *Sharer) ownAt(at time.Time) int {
 	if s.kept < remembered {
--- a/internal/standin/callers/result.go
+++ b/internal/standin/callers/result.go
@@ -46,8 +46,8 @@
 	// Refusals counts attempts by the status of the daemon's refusal.
 	Refusals map[string]Refusals `json:"refusals,omitempty"`
 	Resent   int                 `json:"resent"`
-	Shed      int            `json:"shed"`
-	Seconds   float64        `json:"seconds"`
+	Shed     int                 `json:"shed"`
+	Seconds  float64             `json:"seconds"`
 	// Latency is from due time to whole answer, FirstToken to its first byte.
 	Latency    map[Kind]Quantiles `json:"latency_ms"`
 	FirstToken map[Kind]Quantiles `json:"first_token_ms"`
--- a/internal/weightsync/syncer_test.go
+++ b/internal/weightsync/syncer_test.go
@@ -107,3 +107,18 @@
 		g.Expect(a.Newest()).To(Equal(map[ident.Model]ident.Version{model: 7}))
 	})
 }
+
+// Two teams sample one model, and one of them allows no staleness: it decides.
+func TestStrictestTeamDecides(t *testing.T) {
+	g := NewWithT(t)
+	none, two := int64(0), int64(2)
+	loose := Target{StalenessWeight: 0.2, StalenessBound: &two}
+	for _, pair := range [][2]Target{{loose, {StalenessWeight: 0.9, StalenessBound: &none}}, {{StalenessBound: &none}, {StalenessWeight: 0.9}}} {
+		for _, joined := range []Target{strictest(pair[0], pair[1]), strictest(pair[1], pair[0])} {
+			g.Expect(joined).To(Equal(Target{StalenessWeight: 0.9, StalenessBound: &none}))
+			g.Expect(joined.needed(5)).To(Equal(ident.Version(5)))
+		}
+	}
+	g.Expect(loose.needed(1)).To(BeZero())
+	g.Expect(Target{}.needed(5)).To(BeZero(), "unknown")
+}
--- a/scripts/prove/fencing.sh
+++ b/scripts/prove/fencing.sh
@@ -79,7 +79,7 @@
 
 # Woken with version 5 published, its connections to the log silent and new reads
 # of the leases slow: it orders with its old number before it learns better.
-"$BIN/standin" fault --match "GET /v1/streams/leases" --value 3000 --duration 8s "$LOG_URL" slow
+"$BIN/standin" fault --match "GET /v1/streams/leases" --value 4500 --duration 9s "$LOG_URL" slow
 publish_version 5
 signal entry-1 CONT
 sleep 2.5
--- a/scripts/prove/not-run.sh
+++ b/scripts/prove/not-run.sh
@@ -78,7 +78,7 @@
 at_the_door
 start_callers flood $DAEMONS --concurrency 120 --duration 20s --completion-share 0.4 --keyed-share 0.5 \
   --tokens-min 20 --tokens-max 80 --body-bytes 200 --resends 3 --timeout 30s --engines "$(engine_urls $ENGINES)"
-start waiting "$BIN/standin" callers --json --daemons "$(urls caller 1 2 3)" --key $CALLER_KEY --concurrency 20 --duration 20s \
+start waiting "$BIN/standin" callers --json --daemons "$(urls caller 1 2 3)" --key $CALLER_KEY --rate 100 --duration 20s \
   --completion-share 0 --service-path /waits --keyed-share 0 --resends 0 --seed 2 --services "${COUNTERS[0]},${COUNTERS[1]}"
 sleep 1
 for round in 1 2; do
