--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -10,7 +10,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 )
 
-// Limits on one record of the leases stream.
+// Limits on one record of a stream of leases.
 const (
 	MaxRecordBytes = 1 << 20
 	MaxUpstreams   = 4096
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -1,5 +1,5 @@
 // Package lease decides which daemon may give orders to which upstream. It is
-// pure: records of the log's leases stream and monotonic time go in, records to
+// pure: records of one of the log's streams of leases and monotonic time go in, records to
 // append and permits come out.
 //
 // # Who holds a lease
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -82,13 +82,30 @@
 // hold the answer back. Every failure is ErrUnavailable.
 func (c *client) get(ctx context.Context, path string, wait time.Duration) (answer, error) {
 	r := exchange.Request{Method: http.MethodGet, URL: c.base + path}
-	a, err := c.do(ctx, r, wait, false)
+	plan := exchange.Plan{}
+	if wait == 0 {
+		plan.FirstByteReused = c.options.Timeout / reusedPart
+	}
+	a, err := c.do(ctx, r, wait, plan)
+	if isSilent(err) {
+		a, err = c.do(ctx, r, wait, exchange.Plan{Fresh: true})
+	}
 	if err != nil {
 		return answer{}, fmt.Errorf("%w: GET %s: %w", ErrUnavailable, path, err)
 	}
 	return a, nil
 }
 
+// reusedPart is the part of a call's time that a reused connection gets to begin
+// its answer. It may have fallen silent; what changes nothing is then asked again on
+// a new one, so that the caller isn't refused for a dead connection's sake.
+const reusedPart = 4
+
+func isSilent(err error) bool {
+	var f *exchange.Failure
+	return errors.As(err, &f) && f.Kind == exchange.Silent
+}
+
 // post asks for a change on a connection of its own, once.
 func (c *client) post(ctx context.Context, path string, body any) (answer, error) {
 	data, err := json.Marshal(body)
@@ -101,7 +118,7 @@
 		Header: http.Header{"Content-Type": {"application/json"}},
 		Body:   data,
 	}
-	a, err := c.do(ctx, r, 0, true)
+	a, err := c.do(ctx, r, 0, exchange.Plan{Fresh: true})
 	if err != nil {
 		return answer{}, fmt.Errorf("%w: POST %s: %w", outcomeOf(err), path, err)
 	}
@@ -118,10 +135,10 @@
 }
 
 // do bounds the whole call. What it gives up on is closed, never used again.
-func (c *client) do(ctx context.Context, r exchange.Request, wait time.Duration, fresh bool) (answer, error) {
+func (c *client) do(ctx context.Context, r exchange.Request, wait time.Duration, plan exchange.Plan) (answer, error) {
 	ctx, cancel := context.WithTimeoutCause(ctx, wait+c.options.Timeout, errTimeout)
 	defer cancel()
-	got, err := c.sender.Send(ctx, r, exchange.Plan{Fresh: fresh})
+	got, err := c.sender.Send(ctx, r, plan)
 	if err != nil {
 		return answer{}, err
 	}
