--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -9,40 +9,22 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 
 	"github.com/peterbourgon/ff/v4"
-	"github.com/peterbourgon/ff/v4/ffhelp"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/capacity"
+	"github.com/dogwoodflow/dogwoodflow/internal/cli"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	os.Exit(run(ctx, os.Args[1:]))
-}
-
-func run(ctx context.Context, args []string) int {
-	root := &ff.Command{
+	os.Exit(cli.Main(&ff.Command{
 		Name:        "capacity",
 		Usage:       "capacity SUBCOMMAND ...",
+		ShortHelp:   "measures what a daemon costs as the fleet grows",
 		Flags:       ff.NewFlagSet("capacity"),
 		Subcommands: []*ff.Command{measureCommand(), stateCommand(), tableCommand()},
-	}
-	err := root.ParseAndRun(ctx, args, ff.WithEnvVarPrefix("DOGWOODFLOW"))
-	switch {
-	case err == nil:
-		return 0
-	case errors.Is(err, ff.ErrHelp), errors.Is(err, ff.ErrNoExec):
-		fmt.Fprintln(os.Stderr, ffhelp.Command(root))
-		return 2
-	default:
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
+	}, "DOGWOODFLOW"))
 }
 
 func measureCommand() *ff.Command {
--- a/internal/app/rollouts.go
+++ b/internal/app/rollouts.go
@@ -79,7 +79,7 @@
 	out, err := g.dispatcher.Generate(ctx, dispatch.Generate{
 		ID: r.ID, Team: r.Team, Model: r.Model, Class: dispatch.Rollout,
 		Prompt: r.Prompt, MaxTokens: r.MaxTokens, Seed: r.Seed, Deadline: r.Deadline,
-		ExpectedTokens: r.ExpectedTokens, MinVersion: r.MinVersion, Straggler: r.Straggler,
+		ExpectedTokens: r.ExpectedTokens, MinVersion: r.MinVersion, Prefer: r.Prefer, Straggler: r.Straggler,
 	}, onChunk)
 	if err != nil {
 		return rollouts.Generated{}, workError(err)
--- a/internal/dispatch/api.go
+++ b/internal/dispatch/api.go
@@ -46,6 +46,9 @@
 	ExpectedTokens int       // 0: unknown
 	// MinVersion keeps a rollout off engines that serve an older version; 0 is any.
 	MinVersion ident.Version
+	// Prefer brings it to an engine that serves this version or a newer one while
+	// one has room, and to any that MinVersion lets pass otherwise.
+	Prefer ident.Version
 	// Straggler marks one of a step's last samples: it may hedge.
 	Straggler bool
 }
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -26,6 +26,7 @@
 	stepDeadline time.Time
 	urgent       bool // before its team's others: straggler, or begun already
 	cost         float64
+	prefer       ident.Version // rather on engines that serve it; 0: no matter
 	route        routing.Request
 }
 
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -83,6 +83,7 @@
 		stepDeadline: g.Deadline,
 		urgent:       g.Straggler,
 		cost:         float64(tokens),
+		prefer:       g.Prefer,
 		route: routing.Request{
 			Class:          classOf(g.Class),
 			Prefix:         prefixOf(g),
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -17,6 +17,9 @@
 	r := w.route
 	tried := r.Exclude
 	r.Exclude = s.unfit(w, tried)
+	if m := s.placeFresher(w, r, now); m != nil {
+		return m
+	}
 	if name, ok := s.table.Pick(r, now); ok {
 		return s.members[name]
 	}
@@ -29,6 +32,26 @@
 	return s.lastResort(w)
 }
 
+// placeFresher chooses among the members that serve the version preferred, nil if
+// none of them has room: to wait for one would cost more than an older version.
+func (s *shard) placeFresher(w *want, r routing.Request, now time.Time) *member {
+	if w.prefer <= r.MinVersion {
+		return nil
+	}
+	r.MinVersion = w.prefer
+	fresher := *w
+	fresher.route.MinVersion = w.prefer
+	r.Exclude = s.unfit(&fresher, r.Exclude)
+	name, ok := s.table.Pick(r, now)
+	if !ok || !s.members[name].hasRoom() {
+		return nil
+	}
+	return s.members[name]
+}
+
+// hasRoom says whether this daemon's share of the member's limit isn't used up.
+func (m *member) hasRoom() bool { return float64(m.inFlight) < m.capacity() }
+
 // unfit returns the members that can't run the want: those already tried, and
 // in a group of several models, those that don't serve its model fresh enough.
 // A group of one model leaves versions to the table.
--- a/internal/keyed/options.go
+++ b/internal/keyed/options.go
@@ -1,6 +1,7 @@
 package keyed
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -59,14 +60,14 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.BatchInterval, defaultBatchInterval)
-	setDefault(&o.AppendBudget, defaultAppendBudget)
-	setDefault(&o.MaxClaimAge, defaultMaxClaimAge)
-	setDefault(&o.AppendTimeout, defaultAppendTimeout)
-	setDefault(&o.PollWait, defaultPollWait)
-	setDefault(&o.MaxKeys, defaultMaxKeys)
-	setDefault(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
-	setDefault(&o.MaxPending, defaultMaxPending)
+	o.BatchInterval = cmp.Or(o.BatchInterval, defaultBatchInterval)
+	o.AppendBudget = cmp.Or(o.AppendBudget, defaultAppendBudget)
+	o.MaxClaimAge = cmp.Or(o.MaxClaimAge, defaultMaxClaimAge)
+	o.AppendTimeout = cmp.Or(o.AppendTimeout, defaultAppendTimeout)
+	o.PollWait = cmp.Or(o.PollWait, defaultPollWait)
+	o.MaxKeys = cmp.Or(o.MaxKeys, defaultMaxKeys)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, defaultMaxAnswerBytes)
+	o.MaxPending = cmp.Or(o.MaxPending, defaultMaxPending)
 	if o.Daemons == nil {
 		o.Daemons = func() int { return 1 }
 	}
@@ -76,13 +77,6 @@
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func upstreamOutcome(err error) outcome.Outcome {
 	var e *upstream.Error
 	if errors.As(err, &e) {
--- a/internal/rollout/message.go
+++ b/internal/rollout/message.go
@@ -133,6 +133,9 @@
 	// Straggler: the sample is one of the last outstanding, so the step's end
 	// hangs on it. Send it to the fastest upstream.
 	Straggler bool
+	// Prefer is the oldest version that leaves the sample time to age. Where such an
+	// engine has room it goes there; it isn't worth a wait. Never below MinVersion.
+	Prefer ident.Version
 }
 
 // Score asks for the reward of a completion.
--- a/internal/rollout/schedule.go
+++ b/internal/rollout/schedule.go
@@ -54,17 +54,23 @@
 		MinVersion:     s.minVersion(),
 		ExpectedTokens: s.spec.Prompts[id.Group].ExpectedTokens,
 		Straggler:      straggler,
+		Prefer:         s.preferred(),
 	})
 }
 
 // oldestAllowed is the oldest version that may be delivered now.
 func (s *Step) oldestAllowed() ident.Version { return s.newest - ident.Version(s.bound) }
 
-// minVersion is the oldest version worth starting on. A sample at the edge of
-// the bound is thrown away if one more version comes before its pull, so the
-// team's weight of staleness moves the edge up, by the whole bound at most less
-// one: while engines switch, the version before the newest must still do.
-func (s *Step) minVersion() ident.Version {
+// minVersion is the oldest version that an attempt may start on: what the bound
+// demands and no more. Any margin may be newer than all that engines serve, and
+// the step would stand still while samples made now were fresh on arrival.
+func (s *Step) minVersion() ident.Version { return max(0, s.oldestAllowed()) }
+
+// preferred is the oldest version worth preferring. A sample at the edge of the
+// bound is thrown away if one more version comes before its pull, so the team's
+// weight of staleness moves the edge up, by the whole bound at most less one:
+// while engines switch, the version before the newest must still do.
+func (s *Step) preferred() ident.Version {
 	margin := int64(math.Round(s.spec.StalenessWeight * float64(s.bound)))
 	margin = max(0, min(margin, s.bound-1))
 	return max(0, s.oldestAllowed()+ident.Version(margin))
--- a/internal/rollouts/interfaces.go
+++ b/internal/rollouts/interfaces.go
@@ -19,7 +19,8 @@
 	Deadline       time.Time
 	ExpectedTokens int
 	MinVersion     ident.Version
-	Straggler      bool // one of the step's last samples
+	Straggler      bool          // one of the step's last samples
+	Prefer         ident.Version // an engine that serves it, if one has room
 }
 
 // Generated is a whole completion. Segments cover exactly its Tokens.
--- a/internal/rollouts/options.go
+++ b/internal/rollouts/options.go
@@ -1,6 +1,7 @@
 package rollouts
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -56,23 +57,16 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxSteps, DefaultMaxSteps)
-	setDefault(&o.MaxHeldBytes, DefaultMaxHeldBytes)
-	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	setDefault(&o.TickInterval, DefaultTickInterval)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.ForeignTimeout, DefaultForeignTimeout)
-	setDefault(&o.FinishedTimeout, DefaultFinishedTimeout)
-	setDefault(&o.ForwardMargin, DefaultForwardMargin)
-	setDefault(&o.AttemptTimeout, DefaultAttemptTimeout)
-	setDefault(&o.ScoreTimeout, DefaultScoreTimeout)
-	setDefault(&o.DrainGrace, DefaultDrainGrace)
+	o.MaxSteps = cmp.Or(o.MaxSteps, DefaultMaxSteps)
+	o.MaxHeldBytes = cmp.Or(o.MaxHeldBytes, DefaultMaxHeldBytes)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.TickInterval = cmp.Or(o.TickInterval, DefaultTickInterval)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.ForeignTimeout = cmp.Or(o.ForeignTimeout, DefaultForeignTimeout)
+	o.FinishedTimeout = cmp.Or(o.FinishedTimeout, DefaultFinishedTimeout)
+	o.ForwardMargin = cmp.Or(o.ForwardMargin, DefaultForwardMargin)
+	o.AttemptTimeout = cmp.Or(o.AttemptTimeout, DefaultAttemptTimeout)
+	o.ScoreTimeout = cmp.Or(o.ScoreTimeout, DefaultScoreTimeout)
+	o.DrainGrace = cmp.Or(o.DrainGrace, DefaultDrainGrace)
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/rollouts/runner_work.go
+++ b/internal/rollouts/runner_work.go
@@ -97,6 +97,7 @@
 		ExpectedTokens: a.ExpectedTokens,
 		MinVersion:     a.MinVersion,
 		Straggler:      a.Straggler,
+		Prefer:         a.Prefer,
 	}
 	began := func(v ident.Version) {
 		r.send(rollout.Began{ID: a.ID, Attempt: a.Attempt, Version: v})
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -19,6 +19,7 @@
 package weights
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"strconv"
@@ -65,30 +66,23 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxLoads, defaultMaxLoads)
-	setDefault(&o.PauseMin, defaultPauseMin)
-	setDefault(&o.SpreadShare, defaultSpreadShare)
-	setDefault(&o.MaxSpread, defaultMaxSpread)
-	setDefault(&o.ReadyShare, defaultReadyShare)
-	setDefault(&o.SwitchShare, defaultSwitchShare)
-	setDefault(&o.UrgentShare, defaultUrgentShare)
-	setDefault(&o.SwitchWithin, defaultSwitchWithin)
-	setDefault(&o.TurnTimeout, defaultTurnTimeout)
-	setDefault(&o.MaxSwitchDelay, defaultMaxSwitchDelay)
-	setDefault(&o.ReadyTimeout, defaultReadyTimeout)
-	setDefault(&o.BackoffMin, defaultBackoffMin)
-	setDefault(&o.BackoffMax, defaultBackoffMax)
-	setDefault(&o.SettleTime, defaultSettleTime)
+	o.MaxLoads = cmp.Or(o.MaxLoads, defaultMaxLoads)
+	o.PauseMin = cmp.Or(o.PauseMin, defaultPauseMin)
+	o.SpreadShare = cmp.Or(o.SpreadShare, defaultSpreadShare)
+	o.MaxSpread = cmp.Or(o.MaxSpread, defaultMaxSpread)
+	o.ReadyShare = cmp.Or(o.ReadyShare, defaultReadyShare)
+	o.SwitchShare = cmp.Or(o.SwitchShare, defaultSwitchShare)
+	o.UrgentShare = cmp.Or(o.UrgentShare, defaultUrgentShare)
+	o.SwitchWithin = cmp.Or(o.SwitchWithin, defaultSwitchWithin)
+	o.TurnTimeout = cmp.Or(o.TurnTimeout, defaultTurnTimeout)
+	o.MaxSwitchDelay = cmp.Or(o.MaxSwitchDelay, defaultMaxSwitchDelay)
+	o.ReadyTimeout = cmp.Or(o.ReadyTimeout, defaultReadyTimeout)
+	o.BackoffMin = cmp.Or(o.BackoffMin, defaultBackoffMin)
+	o.BackoffMax = cmp.Or(o.BackoffMax, defaultBackoffMax)
+	o.SettleTime = cmp.Or(o.SettleTime, defaultSettleTime)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Kind is what an order asks for.
 type Kind string
 
--- a/internal/weightsync/options.go
+++ b/internal/weightsync/options.go
@@ -1,6 +1,7 @@
 package weightsync
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -123,16 +124,16 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.PollInterval, defaultPollInterval)
-	setDefault(&o.PollBudget, defaultPollBudget)
-	setDefault(&o.StepInterval, defaultStepInterval)
-	setDefault(&o.LeaseDuration, defaultLeaseDuration)
-	setDefault(&o.OrderDeadline, defaultOrderDeadline)
-	setDefault(&o.Margin, defaultMargin)
-	setDefault(&o.LoadTimeout, defaultLoadTimeout)
-	setDefault(&o.SwitchTimeout, defaultSwitchTimeout)
-	setDefault(&o.CallTimeout, defaultCallTimeout)
-	setDefault(&o.PollWait, defaultPollWait)
+	o.PollInterval = cmp.Or(o.PollInterval, defaultPollInterval)
+	o.PollBudget = cmp.Or(o.PollBudget, defaultPollBudget)
+	o.StepInterval = cmp.Or(o.StepInterval, defaultStepInterval)
+	o.LeaseDuration = cmp.Or(o.LeaseDuration, defaultLeaseDuration)
+	o.OrderDeadline = cmp.Or(o.OrderDeadline, defaultOrderDeadline)
+	o.Margin = cmp.Or(o.Margin, defaultMargin)
+	o.LoadTimeout = cmp.Or(o.LoadTimeout, defaultLoadTimeout)
+	o.SwitchTimeout = cmp.Or(o.SwitchTimeout, defaultSwitchTimeout)
+	o.CallTimeout = cmp.Or(o.CallTimeout, defaultCallTimeout)
+	o.PollWait = cmp.Or(o.PollWait, defaultPollWait)
 	if o.Applied == nil {
 		o.Applied = func(string, ident.Upstream) {}
 	}
@@ -141,10 +142,3 @@
 	}
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
