--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -37,6 +37,8 @@
 	ready chan struct{}
 	slot  *slot
 	err   *Error
+	// ticket is set when it is parked.
+	ticket limits.Ticket
 }
 
 // slot is a place on an upstream, held from the start of an attempt to its end.
@@ -47,6 +49,7 @@
 	bootID  string // of the process, as known at the start
 	started time.Time
 	lane    bool // alone, off the queue's books
+	passed  bool // got past probation: not alone any more
 	beside  int  // requests in flight there, with this one, over all daemons
 	class   routing.Class
 	// sensitive work may use the reserve, see routing.Table.SetReserve.
@@ -59,8 +62,12 @@
 type gate struct {
 	queue   *limits.Queue
 	last    limits.Ticket
-	waiting map[limits.Ticket]*waiter
-	stale   bool // capacity has to be counted anew
+	waiting map[limits.Ticket]*waiter // in the queue or parked
+	stale   bool                      // capacity has to be counted anew
+
+	parked    []*parkedList      // what waits beside the queue, none empty between calls
+	reserve   float64            // the part of the places that rollouts leave free
+	maxQueues map[ident.Team]int // 0: the default
 }
 
 func newGate(p Policy) gate {
@@ -78,14 +85,17 @@
 	if g.queue == nil {
 		return
 	}
+	reserve := t.Fleet.ProductionReserve
+	if kind != config.KindEngine {
+		reserve = 0
+	}
 	if len(g.waiting) == 0 && g.queue.Running(routing.ClassProduction)+g.queue.Running(routing.ClassRollout) == 0 {
-		reserve := t.Fleet.ProductionReserve
-		if kind != config.KindEngine {
-			reserve = 0
-		}
 		g.queue = limits.NewQueue(limits.Options{ProductionReserve: reserve})
+		g.reserve = reserve
 	}
+	g.maxQueues = map[ident.Team]int{}
 	for name, team := range t.Teams {
+		g.maxQueues[name] = team.Limits.MaxQueue
 		g.queue.SetTeam(name, team.Limits.Weight, team.Limits.MaxQueue)
 	}
 	g.stale = true
@@ -132,17 +142,36 @@
 		return ticket
 	}
 	s.countCapacity()
+	if s.mustPark(&w.want) {
+		s.parkOrRefuse(ticket, w)
+		return ticket
+	}
+	s.admit(ticket, w, now)
+	return ticket
+}
+
+// admit brings a waiter into the queue; true if it starts at once.
+func (s *shard) admit(ticket limits.Ticket, w *waiter, now time.Time) bool {
 	decision := s.gate.queue.Enqueue(s.entry(ticket, w), now)
 	switch {
 	case decision.Admit:
 		s.start(ticket, w, now)
+		return true
 	case decision.Queued:
 		s.gate.waiting[ticket] = w
 	default:
 		refusals.Add(1)
 		w.refuse(refusal(decision))
 	}
-	return ticket
+	return false
+}
+
+func (s *shard) parkOrRefuse(ticket limits.Ticket, w *waiter) {
+	if s.park(ticket, w) {
+		return
+	}
+	refusals.Add(1)
+	w.refuse(&Error{Outcome: outcome.NotRun, Reason: Overloaded, RetryAfter: retryNoUpstream})
 }
 
 func (s *shard) entry(ticket limits.Ticket, w *waiter) limits.Entry {
@@ -182,6 +211,7 @@
 	default:
 		delete(s.gate.waiting, ticket)
 		s.gate.queue.Cancel(ticket, s.d.o.Now())
+		s.gate.dropParked(func(other *waiter) bool { return other == w })
 	}
 	s.pump(s.d.o.Now())
 }
@@ -197,6 +227,16 @@
 		return
 	}
 	s.countCapacity()
+	s.expireParked(now)
+	s.unpark(now)
+	for s.pumpOnce(now) {
+	}
+}
+
+// pumpOnce starts what the queue lets through. What finds its engines full is
+// parked; true says that something was, so that the queue has places left.
+func (s *shard) pumpOnce(now time.Time) (parked bool) {
+	q := s.gate.queue
 	starts, expired := q.Next(now)
 	for _, e := range expired {
 		w := s.gate.waiting[e.Ticket]
@@ -207,11 +247,19 @@
 	for _, ticket := range starts {
 		w := s.gate.waiting[ticket]
 		delete(s.gate.waiting, ticket)
+		if s.mustPark(&w.want) {
+			q.Cancel(ticket, now)
+			s.parkOrRefuse(ticket, w)
+			parked = true
+			continue
+		}
 		s.start(ticket, w, now)
 	}
+	return parked
 }
 
 func (s *shard) refuseWaiting(now time.Time) {
+	s.gate.parked = nil
 	for ticket, w := range s.gate.waiting {
 		delete(s.gate.waiting, ticket)
 		s.gate.queue.Cancel(ticket, now)
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -177,11 +177,13 @@
 		ResumeText:   c.had.text.String(),
 		ResumeTokens: c.had.tokens,
 	}
+	c.resumed = c.had.tokens
 	c.mu.Unlock()
 	w := watch{s: c.s, sl: sl, model: c.g.Model}
 	name := sl.m.target.Name
 	err := c.d.o.Client.Generate(ctx, c.s.targetOf(sl.m), request, func(ch upstream.Chunk) error {
 		w.saw(ch, c.d.o.Now())
+		c.probation(sl)
 		return c.take(func() error { return c.had.add(name, ch) })
 	})
 	if err != nil {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -13,6 +13,7 @@
 	retriesMade  = metrics.Counter("dispatch_retries")
 	resumesMade  = metrics.Counter("dispatch_resumes")
 	refusals     = metrics.Counter("dispatch_refused")
+	parkings     = metrics.Counter("dispatch_parked")
 	hedgesMade   = metrics.Counter("dispatch_hedges")
 	hedgesWon    = metrics.Counter("dispatch_hedges_won")
 	tokensWasted = metrics.Counter("dispatch_tokens_wasted")
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -33,18 +33,22 @@
 		InFlight: map[ident.Upstream]int{},
 		Serving:  map[ident.Upstream]map[ident.Model]ident.Version{},
 	}
-	for _, s := range d.allShards() {
-		s.digest(&digest)
-	}
+	// Who reads in the marks that this daemon knows of a lane reads in the requests
+	// in flight what runs there after it began to keep clear.
 	d.poisonMu.Lock()
 	digest.Poison = d.keeper.Marks(now)
+	taken := d.keeper.Taken(now)
 	d.poisonMu.Unlock()
+	for _, s := range d.allShards() {
+		s.digest(&digest, taken)
+	}
 	return digest
 }
 
-func (s *shard) digest(to *Digest) {
+func (s *shard) digest(to *Digest, taken []ident.Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.keepClear(taken)
 	for _, m := range s.polled() {
 		name := m.target.Name
 		view, _ := s.health.View(name)
--- /dev/null
+++ b/internal/dispatch/probation_test.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/poison"
+)
+
+// innocents asks for n answers at once and waits for all of them.
+func innocents(w *world, d *Dispatcher, n int) []error {
+	var group sync.WaitGroup
+	errs := make([]error, n)
+	for i := range n {
+		group.Go(func() {
+			_, seen, err := ask(d, fmt.Sprint("innocent ", i))
+			if err == nil && seen != wholeOf(w.size) {
+				err = errors.New("not whole: " + seen)
+			}
+			errs[i] = err
+		})
+	}
+	group.Wait()
+	return errs
+}
+
+// killedAmid sends a killer among innocents.
+func killedAmid(w *world, d *Dispatcher) (innocent []error, killed error) {
+	var group sync.WaitGroup
+	group.Go(func() { innocent = innocents(w, d, 24) })
+	time.Sleep(tokenTime / 2)
+	_, _, killed = ask(d, killer)
+	group.Wait()
+	return innocent, killed
+}
+
+var _ = Describe("a suspect on probation", func() {
+	// A request ends its engine at one token of its answer, be it the first, one
+	// that it reaches after a long while, or the last. Two engines are lost. Cause
+	// of a third: a request that had generated for a while was excused once.
+	for _, at := range []int{0, 8, 15, 16, 17, 40, 58, 59} {
+		It(fmt.Sprintf("costs two engines if it kills at token %d of 60", at), session(6, Ours, func(g Gomega, w *world, d *Dispatcher) {
+			w.size, w.killAt = 60, at
+			innocent, killed := killedAmid(w, d)
+			g.Expect(w.deaths()).To(BeNumerically("<=", 2), "upstreams lost")
+			g.Expect(problem(killed).Reason).To(Equal(Poison))
+			for _, err := range innocent {
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			_, _, again := ask(d, killer)
+			g.Expect(problem(again).Reason).To(Equal(Poison))
+			g.Expect(w.deaths()).To(BeNumerically("<=", 2))
+		}))
+	}
+
+	// An engine crashes under eight of 24 streams, each with two seconds to go.
+	// One after the other alone, they would take 16 s on the one lane. Each takes
+	// as long as its 16 tokens; then the next one joins.
+	It("makes room for the next one", session(3, Ours, func(g Gomega, w *world, d *Dispatcher) {
+		w.size = 300
+		time.AfterFunc(time.Second, func() { w.kill(w.engines["e0"]) })
+		began := time.Now()
+		for _, err := range innocents(w, d, 24) {
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		g.Expect(w.deaths()).To(Equal(1))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 7*time.Second))
+		d.allShards()[0].mu.Lock()
+		defer d.allShards()[0].mu.Unlock()
+		lanes := d.allShards()[0].lanes
+		g.Expect(lanes.held).To(BeEmpty())
+		g.Expect(lanes.spare).To(BeEmpty())
+		g.Expect(lanes.passed).To(BeEmpty())
+		for _, m := range d.allShards()[0].order {
+			g.Expect(m.usable()).To(BeTrue())
+		}
+	}))
+
+	// Two engines crash, some seconds apart. Requests that ran on both were past
+	// probation on the second one: they are answered, not convicted.
+	It("isn't convicted for a second engine that it shared", session(3, Ours, func(g Gomega, w *world, d *Dispatcher) {
+		w.size = 600
+		time.AfterFunc(time.Second, func() { w.kill(w.engines["e0"]) })
+		time.AfterFunc(4*time.Second, func() { w.kill(w.engines["e1"]) })
+		time.AfterFunc(4500*time.Millisecond, func() { w.kill(w.engines["e2"]) })
+		errs := innocents(w, d, 3)
+		for _, err := range errs {
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+	}))
+
+	// A straggler and its copy run on two engines, and both are killed, apart.
+	// Peers' and own marks show one death that counts.
+	It("isn't convicted for the engines of two copies at different points", func() {
+		d := New(Options{Self: "vm1", Client: newWorld(1)})
+		r := &run{d: d, fp: 7}
+		dies := func(boot string, tokens int) poison.Verdict {
+			r.suspect(&slot{m: &member{}, tokens: tokens}, poison.Death{Upstream: "e", BootID: boot})
+			return d.judge(7).Verdict
+		}
+		Expect(dies("a", 100)).To(Equal(poison.Suspect))
+		Expect(dies("b", 200)).To(Equal(poison.Suspect))
+		Expect(dies("c", 101)).To(Equal(poison.Convicted), "both killed at one point")
+	})
+
+	It("is convicted by a death alone, at whatever point", func() {
+		d := New(Options{Self: "vm1", Client: newWorld(1)})
+		r := &run{d: d, fp: 7}
+		r.suspect(&slot{m: &member{}, tokens: 100}, poison.Death{Upstream: "e", BootID: "a"})
+		r.suspect(&slot{m: &member{}, tokens: 3, lane: true}, poison.Death{Upstream: "e", BootID: "b"})
+		Expect(d.judge(7).Verdict).To(Equal(poison.Convicted))
+	})
+})
+
+var _ = Describe("a lane's upstream", func() {
+	// A peer's word of a moment ago says that nothing runs there; meanwhile it has
+	// placed a request. Only a word made after it heard of the lane counts.
+	It("is idle when each peer has heard of the lane and says so", func() {
+		d := New(Options{Self: "vm1", Client: newWorld(1)})
+		peer := New(Options{Self: "vm2", Client: newWorld(1)})
+		d.died(7, poison.Death{Upstream: "e9", BootID: "a"})
+		d.Merge("vm2", peer.Digest())
+		Expect(d.try(7, "e0", time.Now())).To(BeTrue())
+		Expect(d.saidClear(7, "e0")).To(BeFalse(), "said before it heard")
+		peer.Merge("vm1", d.Digest())
+		busy := peer.Digest()
+		busy.InFlight["e0"] = 1
+		d.Merge("vm2", busy)
+		Expect(d.saidClear(7, "e0")).To(BeFalse(), "one runs on there")
+		d.Merge("vm2", peer.Digest())
+		Expect(d.saidClear(7, "e0")).To(BeTrue())
+		Expect(d.saidClear(7, "e1")).To(BeFalse())
+	})
+
+	It("isn't waited for longer than QuarantineWait", session(2, Ours, func(g Gomega, w *world, d *Dispatcher) {
+		d.Merge("vm2", Digest{})
+		s := d.allShards()[0]
+		began := time.Now()
+		s.awaitIdle(context.Background(), s.order[0], 7, false)
+		g.Expect(time.Since(began)).To(Equal(d.o.QuarantineWait))
+	}))
+})
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -20,15 +20,20 @@
 
 // laneTable holds which suspects run where, under the shard's lock.
 type laneTable struct {
-	held    map[ident.Upstream]poison.Fingerprint
-	running map[poison.Fingerprint]int // all attempts in flight, in lanes or not
-	wake    chan struct{}              // closed when a lane or an upstream gets free
+	held    map[ident.Upstream]poison.Fingerprint // suspects alone there
+	spare   map[ident.Upstream]bool               // clear of other work, for the next suspect
+	passed  map[ident.Upstream]int                // requests in flight past probation
+	running map[poison.Fingerprint]int            // all attempts in flight, in lanes or not
+	seekers int                                   // suspects that wait for a lane
+	wake    chan struct{}                         // closed when a lane or an upstream gets free
 	waiters int
 }
 
 func newLaneTable() laneTable {
 	return laneTable{
 		held:    map[ident.Upstream]poison.Fingerprint{},
+		spare:   map[ident.Upstream]bool{},
+		passed:  map[ident.Upstream]int{},
 		running: map[poison.Fingerprint]int{},
 		wake:    make(chan struct{}),
 	}
@@ -55,6 +60,35 @@
 	}
 }
 
+// ended takes an attempt off the books that got past probation.
+func (t *laneTable) ended(sl *slot) {
+	if !sl.passed {
+		return
+	}
+	name := sl.m.target.Name
+	t.passed[name]--
+	if t.passed[name] == 0 {
+		delete(t.passed, name)
+	}
+}
+
+// probation ends the suspect's time alone once it got past the point where its
+// upstream died. A crash makes suspects of all that ran there; to run each alone
+// to its end would make a step wait for the innocent, and a request that kills at
+// one point does so before this. It runs on, and the next suspect runs beside it.
+func (r *run) probation(sl *slot) {
+	if !sl.lane || sl.passed || !r.d.passed(r.fp, r.resumed+sl.tokens) {
+		return
+	}
+	s := r.s
+	s.mu.Lock()
+	sl.passed = true
+	s.lanes.passed[sl.m.target.Name]++
+	s.mu.Unlock()
+	r.d.record("cleared", r.id, r.want.team, sl.m.target.Name, "")
+	s.closeLane(sl.m)
+}
+
 // placeAlone waits for a lane and for its upstream to be free of other work.
 func (r *run) placeAlone(ctx context.Context) (*slot, *Error) {
 	s := r.s
@@ -64,7 +98,7 @@
 			return nil, nil
 		}
 	}
-	m, err := r.awaitLane(ctx)
+	m, cleared, err := r.awaitLane(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -73,7 +107,7 @@
 		s.closeLane(m)
 		return nil, nil // judged anew
 	}
-	s.awaitIdle(ctx, m)
+	s.awaitIdle(ctx, m, r.fp, cleared)
 	now := r.d.o.Now()
 	if ctx.Err() != nil {
 		r.d.tried(r.fp, false)
@@ -114,8 +148,11 @@
 }
 
 // awaitLane waits until a lane opens, or fails if no upstream is live for long.
-func (r *run) awaitLane(ctx context.Context) (*member, *Error) {
+// Cleared says that other work on it has ended.
+func (r *run) awaitLane(ctx context.Context) (m *member, cleared bool, err *Error) {
 	s := r.s
+	s.seek(1)
+	defer s.seek(-1)
 	since := r.d.o.Now()
 	for {
 		s.mu.Lock()
@@ -123,27 +160,52 @@
 		if s.anyEligible() {
 			since = now
 		}
-		m := s.openLane(r.fp, &r.want)
+		m, cleared := s.openLane(r.fp, &r.want)
 		wake := s.lanes.wake
 		if m == nil {
 			s.lanes.waiters++
 		}
 		s.mu.Unlock()
 		if m != nil {
-			return m, nil
+			return m, cleared, nil
 		}
 		if now.Sub(since) >= r.d.o.NoUpstreamWait {
 			s.leaveLanes()
-			return nil, &Error{Outcome: r.outcome(), Reason: NoUpstream, RetryAfter: retryNoUpstream}
+			return nil, false, &Error{Outcome: r.outcome(), Reason: NoUpstream, RetryAfter: retryNoUpstream}
 		}
 		waitFor(ctx, wake, tick)
 		s.leaveLanes()
 		if ctx.Err() != nil {
-			return nil, contextError(ctx, r.outcome())
+			return nil, false, contextError(ctx, r.outcome())
 		}
 	}
 }
 
+// seek counts who waits for a lane. With the last one, spare lanes go back to
+// other work.
+func (s *shard) seek(delta int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lanes.seekers += delta
+	if s.lanes.seekers > 0 || len(s.lanes.spare) == 0 {
+		return
+	}
+	for _, m := range s.order {
+		if s.lanes.spare[m.target.Name] {
+			s.release(m)
+		}
+	}
+	clear(s.lanes.spare)
+	s.pump(s.d.o.Now())
+}
+
+// release opens an upstream to other work.
+func (s *shard) release(m *member) {
+	delete(s.lanes.spare, m.target.Name)
+	m.held = false
+	s.refresh(m)
+}
+
 func (s *shard) leaveLanes() {
 	s.mu.Lock()
 	s.lanes.waiters--
@@ -151,8 +213,9 @@
 }
 
 // openLane takes an upstream off other work, nil while none may be taken. The
-// lock is held. Suspects of one fingerprint run one by one.
-func (s *shard) openLane(fp poison.Fingerprint, w *want) *member {
+// lock is held. Suspects of one fingerprint run one by one. A spare lane comes
+// first: it is cleared already.
+func (s *shard) openLane(fp poison.Fingerprint, w *want) (m *member, cleared bool) {
 	live, usable := 0, 0
 	for _, m := range s.order {
 		if m.eligible {
@@ -162,22 +225,46 @@
 			usable++
 		}
 	}
-	if len(s.lanes.held) >= max(1, live/lanePart) || s.lanes.running[fp] > 0 {
-		return nil
+	if s.lanes.running[fp] > 0 {
+		return nil, false
 	}
 	for _, taken := range s.lanes.held {
 		if taken == fp {
-			return nil
+			return nil, false
 		}
 	}
-	m := s.chooseLane(w)
+	if m := s.takeSpare(w); m != nil {
+		s.lanes.held[m.target.Name] = fp
+		return m, true
+	}
+	if len(s.lanes.held)+len(s.lanes.spare) >= max(1, live/lanePart) {
+		return nil, false
+	}
+	m = s.chooseLane(w)
 	if m == nil {
-		return nil
+		return nil, false
 	}
 	s.lanes.held[m.target.Name] = fp
 	m.held = usable > 1 // the last one goes on with other work
 	s.refresh(m)
-	return m
+	return m, false
+}
+
+// takeSpare returns a spare lane that fits, nil if there is none, and gives up
+// those whose upstream isn't live any more.
+func (s *shard) takeSpare(w *want) *member {
+	for _, m := range s.order {
+		name := m.target.Name
+		switch {
+		case !s.lanes.spare[name]:
+		case !m.eligible:
+			s.release(m)
+		case m.fits(w):
+			delete(s.lanes.spare, name)
+			return m
+		}
+	}
+	return nil
 }
 
 // chooseLane prefers upstreams that weren't tried and that no other daemon uses
@@ -188,7 +275,8 @@
 	var bestRank int
 	var bestHash uint64
 	for _, m := range s.order {
-		if _, taken := s.lanes.held[m.target.Name]; taken || !m.eligible || !m.fits(w) {
+		_, taken := s.lanes.held[m.target.Name]
+		if taken || s.lanes.spare[m.target.Name] || !m.eligible || !m.fits(w) {
 			continue
 		}
 		rank := 0
@@ -207,18 +295,21 @@
 }
 
 // awaitIdle gives other work on the upstream, ours and peers', some time to end.
-func (s *shard) awaitIdle(ctx context.Context, m *member) {
+// On one that is cleared already, nothing but what got past probation runs.
+func (s *shard) awaitIdle(ctx context.Context, m *member, fp poison.Fingerprint, cleared bool) {
+	name := m.target.Name
 	until := s.d.o.Now().Add(s.d.o.QuarantineWait)
 	for {
+		said := cleared || s.d.saidClear(fp, name)
 		s.mu.Lock()
-		u, _ := s.table.Member(m.target.Name)
-		idle := m.inFlight == 0 && u.Peers == 0
+		u, _ := s.table.Member(name)
+		idle := said && m.inFlight <= s.lanes.passed[name] && u.Peers == 0
 		wake := s.lanes.wake
 		s.lanes.waiters++
 		s.mu.Unlock()
 		left := until.Sub(s.d.o.Now())
 		if !idle && left > 0 {
-			waitFor(ctx, wake, left)
+			waitFor(ctx, wake, min(left, peerLook))
 		}
 		s.leaveLanes()
 		if idle || left <= 0 || ctx.Err() != nil {
@@ -227,13 +318,42 @@
 	}
 }
 
-// closeLane gives the upstream back to other work.
+// peerLook is how often awaitIdle looks at what peers said.
+const peerLook = 10 * time.Millisecond
+
+// saidClear says whether each live peer's last word was made after it had heard
+// of the lane, and none of its requests runs there. A word that repeats the mark
+// with this daemon's trial shows both, see Digest. An older word may say that
+// nothing runs there while a request is just being placed.
+func (d *Dispatcher) saidClear(fp poison.Fingerprint, on ident.Upstream) bool {
+	d.peers.mu.Lock()
+	defer d.peers.mu.Unlock()
+	for _, h := range d.peers.heard {
+		if h.digest.InFlight[on] > 0 || !d.echoed(h.digest.Poison, fp, on) {
+			return false
+		}
+	}
+	return true
+}
+
+// echoed finds this daemon's trial in a peer's marks.
+func (d *Dispatcher) echoed(marks []poison.Mark, fp poison.Fingerprint, on ident.Upstream) bool {
+	return slices.ContainsFunc(marks, func(m poison.Mark) bool {
+		return m.Fingerprint == fp && m.Trying == d.o.Self && m.TryingOn == on
+	})
+}
+
+// closeLane gives the upstream to the next suspect, or back to other work.
 func (s *shard) closeLane(m *member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.lanes.held, m.target.Name)
-	m.held = false
-	s.refresh(m)
+	name := m.target.Name
+	delete(s.lanes.held, name)
+	if m.held && m.eligible && s.lanes.seekers > 0 && s.members[name] == m && m.used {
+		s.lanes.spare[name] = true
+	} else {
+		s.release(m)
+	}
 	s.lanes.changed()
 	s.pump(s.d.o.Now())
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -28,7 +28,7 @@
 	mayHaveRun outcome.Outcome // of the attempts so far
 	lastFault  error
 	died       bool // the last attempt's upstream ended
-	excused    bool // a death was put down to something else
+	resumed    int  // tokens of the answer that the last attempt began with
 }
 
 // outcome is what is known over all attempts: NotRun while none began.
@@ -144,11 +144,13 @@
 }
 
 func (r *run) succeeded(sl *slot) {
-	if sl.lane {
+	alone := sl.lane && !sl.passed
+	if alone {
 		r.d.tried(r.fp, true)
 	}
 	s := r.s
 	s.mu.Lock()
+	s.lanes.ended(sl)
 	now := r.d.o.Now()
 	s.retries.Succeeded(now)
 	s.hedges.Succeeded(now)
@@ -158,7 +160,7 @@
 	s.giveBack(sl, true)
 	s.pump(now)
 	s.mu.Unlock()
-	if sl.lane {
+	if alone {
 		s.closeLane(sl.m)
 	}
 }
@@ -175,27 +177,26 @@
 			r.suspect(sl, death)
 		}
 	}
-	if sl.lane {
+	alone := sl.lane && !sl.passed
+	if alone {
 		r.d.tried(r.fp, false)
 	}
-	r.s.giveBackLocked(sl, false)
-	if sl.lane {
+	r.s.mu.Lock()
+	r.s.lanes.ended(sl)
+	r.s.giveBack(sl, false)
+	r.s.pump(r.d.o.Now())
+	r.s.mu.Unlock()
+	if alone {
 		r.s.closeLane(sl.m)
 	}
 }
 
-// provenTokens is how many tokens an attempt must have generated to count as
-// harmless when its upstream dies.
-const provenTokens = 16
-
-// suspect marks the request as one that may have killed its upstream. A crash
-// breaks all streams at once, and to run each of them alone would make a step wait
-// for the innocent; a request that kills does so as it starts. So one that had
-// generated for a while is excused, once: one that kills later than that ends a
-// third upstream before its answer is final, and no more.
+// suspect marks the request as one that may have killed its upstream, whatever it
+// had generated.
 func (r *run) suspect(sl *slot, death poison.Death) {
-	if sl.tokens >= provenTokens && !r.excused && !sl.lane {
-		r.excused = true
+	death.Seen = true
+	death.Tokens = r.resumed + sl.tokens
+	if alone := sl.lane && !sl.passed; !alone && r.d.unrelated(r.fp, death) {
 		return
 	}
 	r.d.died(r.fp, death)
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -39,6 +39,23 @@
 	d.tellUrgent()
 }
 
+// passed ends a suspect's trial if it got past the point of its death.
+func (d *Dispatcher) passed(fp poison.Fingerprint, tokens int) bool {
+	d.poisonMu.Lock()
+	ok := d.keeper.Passed(fp, tokens, d.o.Now())
+	d.poisonMu.Unlock()
+	if ok {
+		d.tellUrgent()
+	}
+	return ok
+}
+
+func (d *Dispatcher) unrelated(fp poison.Fingerprint, death poison.Death) bool {
+	d.poisonMu.Lock()
+	defer d.poisonMu.Unlock()
+	return d.keeper.Unrelated(fp, death, d.o.Now())
+}
+
 // taken returns the upstreams on which peers run suspects alone.
 func (d *Dispatcher) taken(now time.Time) []ident.Upstream {
 	d.poisonMu.Lock()
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -45,10 +45,12 @@
 	engines map[ident.Upstream]*engine
 	began   map[string]int   // requests by prompt or body that an upstream began
 	beside  map[string][]int // what ran beside, at each beginning
+	size    int              // of an answer, in tokens
+	killAt  int              // the token at which a killer ends its engine
 }
 
 func newWorld(n int) *world {
-	w := &world{engines: map[ident.Upstream]*engine{}, began: map[string]int{}, beside: map[string][]int{}}
+	w := &world{engines: map[ident.Upstream]*engine{}, began: map[string]int{}, beside: map[string][]int{}, size: answerSize, killAt: 2}
 	for i := range n {
 		name := ident.Upstream(fmt.Sprintf("e%d", i))
 		w.engines[name] = &engine{name: name, alive: true, boot: 1, version: ident.Version(i + 1), end: make(chan struct{})}
@@ -112,6 +114,12 @@
 	return e.slow
 }
 
+func (w *world) versionOf(e *engine) ident.Version {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return e.version
+}
+
 func fail(t upstream.Target, f upstream.Fault, o outcome.Outcome) error {
 	return &upstream.Error{Fault: f, Outcome: o, Upstream: t.Name, Err: errors.New("fake")}
 }
@@ -149,8 +157,8 @@
 		return err
 	}
 	defer w.done(e)
-	for i := r.ResumeTokens; i < answerSize; i++ {
-		if strings.Contains(r.Prompt, killer) && i == 2 {
+	for i := r.ResumeTokens; i < w.size; i++ {
+		if strings.Contains(r.Prompt, killer) && i == w.killAt {
 			w.kill(e)
 		}
 		select {
@@ -160,8 +168,8 @@
 			return fail(t, upstream.Cancelled, outcome.Unknown)
 		case <-time.After(tokenTime + w.slowness(e)):
 		}
-		ch := upstream.Chunk{Text: fmt.Sprintf("t%d ", i), Tokens: 1, Version: e.version, Leaving: e.leaving}
-		if i == answerSize-1 {
+		ch := upstream.Chunk{Text: fmt.Sprintf("t%d ", i), Tokens: 1, Version: w.versionOf(e), Leaving: e.leaving}
+		if i == w.size-1 {
 			ch.FinishReason = "stop"
 		}
 		if err := onChunk(ch); err != nil {
@@ -236,9 +244,11 @@
 }
 
 // whole is the text of a whole answer.
-func whole() string {
+func whole() string { return wholeOf(answerSize) }
+
+func wholeOf(size int) string {
 	var b strings.Builder
-	for i := range answerSize {
+	for i := range size {
 		fmt.Fprintf(&b, "t%d ", i)
 	}
 	return b.String()
--- a/internal/poison/mark.go
+++ b/internal/poison/mark.go
@@ -38,8 +38,24 @@
 type Death struct {
 	Upstream ident.Upstream `json:"upstream"`
 	BootID   string         `json:"boot_id"`
-	// Forgiven: the request ran alone and succeeded after this death.
+	// Forgiven: the request ran alone and succeeded after this death, or got past
+	// the point of it.
 	Forgiven bool `json:"forgiven,omitempty"`
+	// Seen: this daemon's own request died there, when its answer had Tokens.
+	// Peers aren't told either.
+	Seen   bool `json:"-"`
+	Tokens int  `json:"-"`
+}
+
+// same says whether two name the end of one process.
+func (d Death) same(o Death) bool { return compareDeaths(d, o) == 0 }
+
+// see takes over where the request was. Of two copies on one process the further
+// one counts.
+func (d *Death) see(o Death) {
+	if o.Seen {
+		d.Seen, d.Tokens = true, max(d.Tokens, o.Tokens)
+	}
 }
 
 // Mark is what daemons tell each other about one suspect request.
@@ -72,6 +88,7 @@
 	if found {
 		news := d.Forgiven && !m.Deaths[i].Forgiven
 		m.Deaths[i].Forgiven = m.Deaths[i].Forgiven || d.Forgiven
+		m.Deaths[i].see(d)
 		return news
 	}
 	m.Deaths = slices.Insert(m.Deaths, i, d)
@@ -105,7 +122,7 @@
 }
 
 // mergeTrying takes over who tries the suspect. Only the trying daemon itself
-// // may end its attempt. Of two others the lower name is kept, so that daemons
+// may end its attempt. Of two others the lower name is kept, so that daemons
 // agree; a daemon's own attempt is under way and isn't given up.
 func (m *Mark) mergeTrying(from ident.VM, theirs Mark, self ident.VM, limit time.Time) bool {
 	if theirs.Trying != from {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -48,8 +48,9 @@
 //
 // Invariants:
 //   - a fingerprint with two deaths not forgiven is never admitted until its
-//     mark expires, so one request costs at most two upstreams (plus copies that
-//     other daemons had in flight before they heard of the first death);
+//     mark expires, so a request that kills at its start, at a token or at its end
+//     costs at most two upstreams (plus copies that other daemons had in flight
+//     before they heard of the first death);
 //   - a mark's deaths are a set and forgiving only grows, so merging is
 //     commutative, idempotent, and the same whatever order peers are heard in;
 //   - at most one daemon runs a suspect once the marks have spread.
@@ -130,6 +131,49 @@
 	}
 }
 
+// Proven is how many tokens past a death show that the request doesn't kill
+// there: more than what an engine may have generated and not yet sent.
+const Proven = 16
+
+// Passed ends Try and forgives the death if the request, which runs alone and has
+// this many tokens, got past the point where it died. That holds once, and only
+// where this daemon knows the point: whoever had a death forgiven runs alone to
+// its end, so that a request that kills at no fixed point is convicted as well.
+func (k *Keeper) Passed(fp Fingerprint, tokens int, now time.Time) bool {
+	m := k.live(fp, now)
+	if m == nil || m.Trying != k.options.Self || m.Crashes() >= convictedAt {
+		return false
+	}
+	for _, d := range m.Deaths {
+		if d.Forgiven || !d.Seen || tokens < d.Tokens+Proven {
+			return false
+		}
+	}
+	m.release()
+	m.forgive()
+	return true
+}
+
+// Unrelated says that a death beside other work, d, tells nothing new of a
+// suspect: another copy of it died at quite another point. A request that kills
+// does so at one point; two engines that end by chance, with a straggler and its
+// copy on them, must not convict it.
+func (k *Keeper) Unrelated(fp Fingerprint, d Death, now time.Time) bool {
+	m := k.live(fp, now)
+	if m == nil || m.Crashes() == 0 {
+		return false
+	}
+	for _, o := range m.Deaths {
+		if o.Forgiven {
+			continue
+		}
+		if !o.Seen || o.same(d) || max(o.Tokens-d.Tokens, d.Tokens-o.Tokens) < Proven {
+			return false
+		}
+	}
+	return true
+}
+
 // Merge takes a peer's marks in and reports whether anything changed.
 func (k *Keeper) Merge(from ident.VM, marks []Mark, now time.Time) bool {
 	changed := false
@@ -151,6 +195,7 @@
 	}
 	changed := false
 	for _, d := range theirs.Deaths {
+		d.Seen, d.Tokens = false, 0
 		changed = m.addDeath(d) || changed
 	}
 	// A peer's clock may be ahead: no mark outlives our own expiry.
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -161,6 +161,33 @@
 		Expect(b.Admit(1, epoch).Verdict).To(Equal(Suspect))
 	})
 
+	// It died at token 40. Alone, it gets past that point and is cleared of it,
+	// once; a resend from the start isn't past it at token 16.
+	It("clears who got past the point of its death, once", func() {
+		k := New(Options{Self: "a"})
+		k.Died(1, Death{Upstream: "u1", Seen: true, Tokens: 40}, epoch)
+		Expect(k.Passed(1, 99, epoch)).To(BeFalse(), "not alone")
+		k.Try(1, "u2", epoch)
+		Expect(k.Passed(1, Proven, epoch)).To(BeFalse())
+		Expect(k.Passed(1, 40+Proven-1, epoch)).To(BeFalse())
+		Expect(k.Passed(1, 40+Proven, epoch)).To(BeTrue())
+		Expect(k.Admit(1, epoch).Verdict).To(Equal(Clean))
+		k.Died(1, Death{Upstream: "u2", Seen: true, Tokens: 90}, epoch)
+		k.Try(1, "u3", epoch)
+		Expect(k.Passed(1, 500, epoch)).To(BeFalse(), "alone to its end now")
+		k.Died(1, Death{Upstream: "u3", Seen: true, Tokens: 500}, epoch)
+		Expect(k.Admit(1, epoch).Verdict).To(Equal(Convicted))
+	})
+
+	It("doesn't clear by a point that it doesn't know", func() {
+		a, b := New(Options{Self: "a"}), New(Options{Self: "b"})
+		a.Died(1, Death{Upstream: "u1", Seen: true, Tokens: 40}, epoch)
+		b.Merge("a", a.Marks(epoch), epoch)
+		b.Try(1, "u2", epoch)
+		Expect(b.Passed(1, 500, epoch)).To(BeFalse())
+		Expect(b.Unrelated(1, Death{Upstream: "u2", Seen: true, Tokens: 500}, epoch)).To(BeFalse())
+	})
+
 	It("stays bounded and forgets the least first", func() {
 		k := New(Options{Self: "a", MaxMarks: 3})
 		k.Died(9, Death{Upstream: "u1"}, epoch)
