--- a/cmd/dogwoodflowctl/change.go
+++ b/cmd/dogwoodflowctl/change.go
@@ -133,7 +133,11 @@
 		return hinted{err, fmt.Sprintf("It may or may not come into force. Repeating the command with --id %s --base %s is safe:\n"+
 			"it applies once at most. 'config history --branch %s' shows whether it did.", change.ID, change.Base, change.Branch)}
 	}
-	if adminclient.StatusOf(err) != http.StatusConflict {
+	switch adminclient.StatusOf(err) {
+	case http.StatusConflict:
+	case http.StatusUnprocessableEntity:
+		return hinted{err, "Nothing was changed."}
+	default:
 		return err
 	}
 	view, readErr := client.Config(ctx, change.Branch)
--- a/internal/dispatch/probation_test.go
+++ b/internal/dispatch/probation_test.go
@@ -40,6 +40,16 @@
 	return innocent, killed
 }
 
+// gossipLate is gossip whose words take lateWord on their way.
+func gossipLate(ctx context.Context, from, to *Dispatcher) {
+	const lateWord = 60 * time.Millisecond
+	for ctx.Err() == nil {
+		waitForUrgent(ctx, from)
+		digest := from.Digest()
+		time.AfterFunc(lateWord, func() { to.Merge(from.o.Self, digest) })
+	}
+}
+
 var _ = Describe("a suspect on probation", func() {
 	// A request ends its engine at one token of its answer, be it the first, one
 	// that it reaches after a long while, or the last. Two engines are lost. Cause
@@ -138,6 +148,33 @@
 		Expect(d.saidClear(7, "e1")).To(BeFalse())
 	})
 
+	// The same with two busy daemons whose words take a while on their way. What
+	// killed once ran beside a request that the peer had placed meanwhile.
+	It("is idle though words take long", session(4, Ours, func(g Gomega, w *world, d *Dispatcher) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		peer := w.daemon(ctx, "vm2", Ours)
+		go gossipLate(ctx, d, peer)
+		go gossipLate(ctx, peer, d)
+		var group sync.WaitGroup
+		for i, from := range []*Dispatcher{d, peer} {
+			for j := range 3 {
+				group.Go(func() {
+					for n := range 40 {
+						waitFor(ctx, nil, time.Duration(7*i+11*j+13*n%50)*time.Millisecond)
+						_, _, _ = ask(from, fmt.Sprint("load ", i, j, n))
+					}
+				})
+			}
+		}
+		time.Sleep(time.Second)
+		_, _, err := ask(d, killer)
+		group.Wait()
+		g.Expect(problem(err).Reason).To(Equal(Poison))
+		g.Expect(w.beside[killer]).To(HaveLen(2))
+		g.Expect(w.beside[killer][1]).To(Equal(0))
+	}))
+
 	It("isn't waited for longer than QuarantineWait", session(2, Ours, func(g Gomega, w *world, d *Dispatcher) {
 		d.Merge("vm2", Digest{})
 		s := d.allShards()[0]
