--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -33,7 +33,8 @@
 }
 
 // placeFresher chooses among the members that serve the version preferred, nil if
-// none of them has room: to wait for one would cost more than an older version.
+// none of them has room or if they bear much more than the others: to wait for one,
+// or to crowd it, would cost more than an older version.
 func (s *shard) placeFresher(w *want, r routing.Request, now time.Time) *member {
 	if w.prefer <= r.MinVersion {
 		return nil
@@ -43,10 +44,29 @@
 	fresher.route.MinVersion = w.prefer
 	r.Exclude = s.unfit(&fresher, r.Exclude)
 	name, ok := s.table.Pick(r, now)
-	if !ok || !s.members[name].hasRoom() {
+	if !ok {
 		return nil
 	}
-	return s.members[name]
+	if m := s.members[name]; m.hasRoom() && s.withinBound(m) {
+		return m
+	}
+	return nil
+}
+
+// fresherFactor is how much more than the mean a member with newer weights may bear
+// for that alone, as prefixes may put on theirs.
+const fresherFactor = 1.25
+
+// withinBound keeps the first members that switched from taking all while others idle.
+func (s *shard) withinBound(m *member) bool {
+	sum, n := 0, 0
+	for _, other := range s.order {
+		if other.usable() {
+			sum += other.inFlight
+			n++
+		}
+	}
+	return float64(m.inFlight) <= fresherFactor*float64(sum+1)/float64(max(1, n))+1
 }
 
 // hasRoom says whether this daemon's share of the member's limit isn't used up.
--- a/internal/dispatch/probation_test.go
+++ b/internal/dispatch/probation_test.go
@@ -177,9 +177,28 @@
 
 	It("isn't waited for longer than QuarantineWait", session(2, Ours, func(g Gomega, w *world, d *Dispatcher) {
 		d.Merge("vm2", Digest{})
+		d.died(7, poison.Death{Upstream: "e9", BootID: "a"})
 		s := d.allShards()[0]
 		began := time.Now()
 		s.awaitIdle(context.Background(), s.order[0], 7, false)
 		g.Expect(time.Since(began)).To(Equal(d.o.QuarantineWait))
 	}))
+
+	// All lanes are taken for long. A peer convicts a request that waits for one;
+	// its caller gets the final answer at once.
+	It("isn't waited for by who was convicted meanwhile", session(2, Ours, func(g Gomega, w *world, d *Dispatcher) {
+		s := d.allShards()[0]
+		s.mu.Lock()
+		s.openLane(99, &want{})
+		s.mu.Unlock()
+		d.died(7, poison.Death{Upstream: "e8", BootID: "a"})
+		time.AfterFunc(time.Second, func() { d.died(7, poison.Death{Upstream: "e9", BootID: "b"}) })
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		r := &run{d: d, s: s, fp: 7}
+		began := time.Now()
+		_, err := r.place(ctx)
+		g.Expect(err.Reason).To(Equal(Poison))
+		g.Expect(time.Since(began)).To(BeNumerically("<", time.Second+2*tick))
+	}))
 })
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -8,70 +8,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
 )
 
-// lanePart is the part of a group's live upstreams that may run suspects at
-// once, each alone on its own. A crash with many requests in flight makes as many
-// suspects; one lane would keep the innocent among them waiting for each other.
-// It costs no more upstreams: a request runs on one lane at a time.
-const lanePart = 3
-
-// laneTable holds which suspects run where, under the shard's lock.
-type laneTable struct {
-	held    map[ident.Upstream]poison.Fingerprint // suspects alone there
-	spare   map[ident.Upstream]bool               // clear of other work, for the next suspect
-	passed  map[ident.Upstream]int                // requests in flight past probation
-	running map[poison.Fingerprint]int            // all attempts in flight, in lanes or not
-	seekers int                                   // suspects that wait for a lane
-	wake    chan struct{}                         // closed when a lane or an upstream gets free
-	waiters int
-}
-
-func newLaneTable() laneTable {
-	return laneTable{
-		held:    map[ident.Upstream]poison.Fingerprint{},
-		spare:   map[ident.Upstream]bool{},
-		passed:  map[ident.Upstream]int{},
-		running: map[poison.Fingerprint]int{},
-		wake:    make(chan struct{}),
-	}
-}
-
-// changed wakes those who wait for a lane.
-func (t *laneTable) changed() {
-	if t.waiters == 0 {
-		return
-	}
-	close(t.wake)
-	t.wake = make(chan struct{})
-}
-
-// runs counts an attempt of a fingerprint; it is known only to poison, so 0
-// isn't counted.
-func (t *laneTable) runs(fp poison.Fingerprint, delta int) {
-	if fp == 0 {
-		return
-	}
-	t.running[fp] += delta
-	if t.running[fp] <= 0 {
-		delete(t.running, fp)
-	}
-}
-
-// ended takes an attempt off the books that got past probation.
-func (t *laneTable) ended(sl *slot) {
-	if !sl.passed {
-		return
-	}
-	name := sl.m.target.Name
-	t.passed[name]--
-	if t.passed[name] == 0 {
-		delete(t.passed, name)
-	}
-}
-
 // probation ends the suspect's time alone once it got past the point where its
 // upstream died. A crash makes suspects of all that ran there; to run each alone
 // to its end would make a step wait for the innocent, and a request that kills at
@@ -99,7 +38,7 @@
 		}
 	}
 	m, cleared, err := r.awaitLane(ctx)
-	if err != nil {
+	if m == nil {
 		return nil, err
 	}
 	// Said before the wait, so that peers keep clear of the upstream from now on.
@@ -148,13 +87,18 @@
 }
 
 // awaitLane waits until a lane opens, or fails if no upstream is live for long.
-// Cleared says that other work on it has ended.
+// Cleared says that other work on it has ended. It returns nothing once the
+// request isn't a suspect any more: one that was convicted or cleared elsewhere
+// must not wait for a lane to learn it.
 func (r *run) awaitLane(ctx context.Context) (m *member, cleared bool, err *Error) {
 	s := r.s
 	s.seek(1)
 	defer s.seek(-1)
 	since := r.d.o.Now()
 	for {
+		if r.d.judge(r.fp).Verdict != poison.Suspect {
+			return nil, false, nil
+		}
 		s.mu.Lock()
 		now := r.d.o.Now()
 		if s.anyEligible() {
@@ -294,55 +238,6 @@
 	return best
 }
 
-// awaitIdle gives other work on the upstream, ours and peers', some time to end.
-// On one that is cleared already, nothing but what got past probation runs.
-func (s *shard) awaitIdle(ctx context.Context, m *member, fp poison.Fingerprint, cleared bool) {
-	name := m.target.Name
-	until := s.d.o.Now().Add(s.d.o.QuarantineWait)
-	for {
-		said := cleared || s.d.saidClear(fp, name)
-		s.mu.Lock()
-		u, _ := s.table.Member(name)
-		idle := said && m.inFlight <= s.lanes.passed[name] && u.Peers == 0
-		wake := s.lanes.wake
-		s.lanes.waiters++
-		s.mu.Unlock()
-		left := until.Sub(s.d.o.Now())
-		if !idle && left > 0 {
-			waitFor(ctx, wake, min(left, peerLook))
-		}
-		s.leaveLanes()
-		if idle || left <= 0 || ctx.Err() != nil {
-			return
-		}
-	}
-}
-
-// peerLook is how often awaitIdle looks at what peers said.
-const peerLook = 10 * time.Millisecond
-
-// saidClear says whether each live peer's last word was made after it had heard
-// of the lane, and none of its requests runs there. A word that repeats the mark
-// with this daemon's trial shows both, see Digest. An older word may say that
-// nothing runs there while a request is just being placed.
-func (d *Dispatcher) saidClear(fp poison.Fingerprint, on ident.Upstream) bool {
-	d.peers.mu.Lock()
-	defer d.peers.mu.Unlock()
-	for _, h := range d.peers.heard {
-		if h.digest.InFlight[on] > 0 || !d.echoed(h.digest.Poison, fp, on) {
-			return false
-		}
-	}
-	return true
-}
-
-// echoed finds this daemon's trial in a peer's marks.
-func (d *Dispatcher) echoed(marks []poison.Mark, fp poison.Fingerprint, on ident.Upstream) bool {
-	return slices.ContainsFunc(marks, func(m poison.Mark) bool {
-		return m.Fingerprint == fp && m.Trying == d.o.Self && m.TryingOn == on
-	})
-}
-
 // closeLane gives the upstream to the next suspect, or back to other work.
 func (s *shard) closeLane(m *member) {
 	s.mu.Lock()
--- a/internal/dispatch/recheck_test.go
+++ b/internal/dispatch/recheck_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 )
 
 // A step waits for an engine to switch to a version that it may use. The engine is
@@ -15,7 +17,9 @@
 
 	serves := func(recheck bool) func() {
 		return session(1, Ours, func(g Gomega, w *world, d *Dispatcher) {
-			time.Sleep(5 * time.Second) // its first reports are in
+			for untilNextReport(d, "g", "e0") <= seen {
+				time.Sleep(tick)
+			}
 			w.mu.Lock()
 			w.engines["e0"].version = 7
 			w.mu.Unlock()
@@ -30,3 +34,11 @@
 	It("is seen to serve the new version within ticks", serves(true))
 	It("red alive: is seen late when nobody asks", serves(false))
 })
+
+// untilNextReport is how long an upstream's next regular report is away.
+func untilNextReport(d *Dispatcher, group string, name ident.Upstream) time.Duration {
+	s := d.shardOf(group)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Until(s.members[name].nextProbe)
+}
--- a/internal/dispatch/versions_test.go
+++ b/internal/dispatch/versions_test.go
@@ -137,6 +137,7 @@
 		d := limitedDaemon(ctx, w)
 		var group sync.WaitGroup
 		group.Go(func() {
+			defer GinkgoRecover()
 			failed, _ := rollOut(d, "new", 60, 4, 0)
 			g.Expect(failed).To(BeZero())
 		})
@@ -200,7 +201,10 @@
 			for i := range 300 {
 				least, gone := ident.Version(r.IntN(5)), r.IntN(8) == 0
 				patience := time.Duration(r.IntN(300)) * time.Millisecond
-				group.Go(func() { g.Expect(w.sample(ctx, d, i, least, gone, patience)).To(BeTrue()) })
+				group.Go(func() {
+					defer GinkgoRecover()
+					g.Expect(w.sample(ctx, d, i, least, gone, patience)).To(BeTrue())
+				})
 				if r.IntN(20) == 0 {
 					w.raise(d, ident.Upstream(fmt.Sprintf("e%d", r.IntN(4))))
 				}
@@ -223,11 +227,23 @@
 		failed, _ := rollOut(d, "few", 3, 1, 2)
 		g.Expect(failed).To(BeZero())
 		g.Expect(w.most("few")).To(Equal(3), "all on the newer one")
-		failed, took := rollOut(d, "more", 11, 1, 2)
+		failed, took := rollOut(d, "more", 14, 1, 2)
 		g.Expect(failed).To(BeZero())
 		g.Expect(w.most("more")).To(Equal(engineLimit))
 		g.Expect(took).To(BeNumerically("<=", (answerSize+1)*tokenTime), "none waited")
 		failed, _ = rollOut(d, "none serves", 3, 1, 9)
 		g.Expect(failed).To(BeZero())
 	}))
+
+	// The first engine to switch was filled to its limit while three idled, and its
+	// samples, slow by its load, decided the step's end.
+	It("doesn't pile all on the first engine with newer weights", bubble(func(g Gomega) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		w := newWorld(4)
+		d := limitedDaemon(ctx, w)
+		failed, _ := rollOut(d, "some", 12, 1, 4)
+		g.Expect(failed).To(BeZero())
+		g.Expect(w.most("some")).To(And(BeNumerically(">", 12/4), BeNumerically("<=", 6)), "more than its part, within the bound")
+	}))
 })
