--- a/internal/platform/silent_test.go
+++ b/internal/platform/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,14 +15,21 @@
 // ago, hears nothing, and refuses the change, though a new connection would do.
 var _ = Describe("a connection that fell silent", func() {
 	It("costs an immediate read no more than a second try on a new one", func(ctx SpecContext) {
+		var mu sync.Mutex
 		seen := map[string]bool{} // by the caller's address
+		again := func(address string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			was := seen[address]
+			seen[address] = true
+			return was
+		}
 		done := make(chan struct{})
 		url := serve(func(w http.ResponseWriter, r *http.Request) {
-			if seen[r.RemoteAddr] {
+			if again(r.RemoteAddr) {
 				<-done
 				return
 			}
-			seen[r.RemoteAddr] = true
 			_, _ = io.WriteString(w, `{"first":1,"next":1,"records":[]}`)
 		})
 		DeferCleanup(func() { close(done) }) // runs before the server waits for its handlers
@@ -31,6 +39,8 @@
 			_, err := l.Read(ctx, StreamConfig, 1, 10, 0)
 			Expect(err).NotTo(HaveOccurred())
 		}
+		mu.Lock()
+		defer mu.Unlock()
 		Expect(seen).To(HaveLen(2))
 	})
 })
