A view counts as loaded at the log's end; a cancelled run never completes

Cause 1 (UNASKED): a restarted daemon counted its view as loaded after the first page, ran batches whose end it had not read yet. Cause 2 (MIXED): a stream that reached its end while its run was cancelled for a handover was listed without the events that had been dropped since.

--- a/internal/batchrun/stream.go
+++ b/internal/batchrun/stream.go
@@ -92,8 +92,8 @@
 	}
 	r.work.Go(func() {
 		err := r.s.options.Engines.Run(ctx, u, ask, func(e batch.Event) { r.emit(x, head, e) })
-		if cause := context.Cause(ctx); cause != nil && err != nil {
-			err = cause
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause // also of a stream that reached its end: emit dropped events since
 		}
 		cancel(nil)
 		r.ended(x, head, err)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -154,8 +154,8 @@
 		f.options.Sink.Record(offset, record)
 		f.next = offset + 1
 	}
-	f.loaded = true
 	if f.next >= page.End {
+		f.loaded = true
 		f.markCurrentLocked()
 	}
 }
