Texts and requests lie in blobs; daemons follow small records only

Ruled out: detection and the group's timeout (1.5 s of it). Now results carry only the rest of their text, and readers fetch blobs on demand.

--- /dev/null
+++ b/internal/batch/blob.go
@@ -0,0 +1,117 @@
+package batch
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// overheadBytes covers the fields of an encoded item or request beside its strings.
+const overheadBytes = 96
+
+// PackRequests puts the requests of a batch into blobs of at most limit bytes and
+// returns how many are in each. A single request above the limit is an error.
+func PackRequests(requests []Request, limit int) (blobs [][]byte, counts []int, err error) {
+	for len(requests) > 0 {
+		n, size := 0, overheadBytes
+		for n < len(requests) && size+requests[n].size() <= limit {
+			size += requests[n].size()
+			n++
+		}
+		if n == 0 {
+			return nil, nil, fmt.Errorf("batch: a request has %d bytes, the limit is %d", requests[0].size(), limit)
+		}
+		data, err := cbor.Marshal(requests[:n])
+		if err != nil {
+			return nil, nil, fmt.Errorf("batch: encode requests: %w", err)
+		}
+		blobs = append(blobs, data)
+		counts = append(counts, n)
+		requests = requests[n:]
+	}
+	return blobs, counts, nil
+}
+
+func (r Request) size() int {
+	n := overheadBytes + len(r.Path) + len(r.Body)
+	for name, value := range r.Header {
+		n += len(name) + len(value) + 6
+	}
+	return n
+}
+
+// UnpackRequests reads a blob of PackRequests. Error: ErrMalformed.
+func UnpackRequests(blob []byte) ([]Request, error) {
+	var out []Request
+	if err := cbor.Unmarshal(blob, &out); err != nil {
+		return nil, fmt.Errorf("%w: requests: %w", ErrMalformed, err)
+	}
+	return out, nil
+}
+
+// RequestBlob returns the offset of the blob with an item's request, and the
+// request's place in it.
+func (h Head) RequestBlob(item int) (offset int64, index int) {
+	for i, n := range h.RequestCounts {
+		if item < n {
+			return h.RequestsAt + int64(i), item
+		}
+		item -= n
+	}
+	return math.MaxInt64, 0
+}
+
+// PackText puts the data of events into a blob.
+func PackText(events []Event) ([]byte, error) {
+	texts := make([]string, len(events))
+	for i, e := range events {
+		texts[i] = e.Data
+	}
+	return cbor.Marshal(texts)
+}
+
+// UnpackText reads a blob of PackText. Error: ErrMalformed.
+func UnpackText(blob []byte) ([]string, error) {
+	var out []string
+	if err := cbor.Unmarshal(blob, &out); err != nil {
+		return nil, fmt.Errorf("%w: text: %w", ErrMalformed, err)
+	}
+	return out, nil
+}
+
+// VersionRuns shortens the versions of events.
+func VersionRuns(events []Event) []VersionRun {
+	var out []VersionRun
+	for _, e := range events {
+		if n := len(out); n > 0 && out[n-1].Version == e.Version {
+			out[n-1].Events++
+			continue
+		}
+		out = append(out, VersionRun{Version: e.Version, Events: 1})
+	}
+	return out
+}
+
+// Split divides a batch into the records of its append, none of them above limit
+// bytes.
+func Split(id, copyID string, head Head, items []Item, limit int) []Accepted {
+	parts := []Accepted{{Batch: id, Copy: copyID, Head: &head}}
+	room := limit - len(head.Host) - len(head.Path) - len(head.Model) - 9*len(head.RequestCounts) - 2*overheadBytes
+	left := room
+	for _, item := range items {
+		size := overheadBytes + len(item.ID) + len(item.Group)
+		if size > left {
+			parts = append(parts, Accepted{Batch: id, Copy: copyID})
+			left = room
+		}
+		last := &parts[len(parts)-1]
+		last.Items = append(last.Items, item)
+		left -= size
+	}
+	for i := range parts {
+		parts[i].Part = i
+		parts[i].Parts = len(parts)
+	}
+	return parts
+}
--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -50,14 +50,42 @@
 type Sample struct {
 	Item
 	State    State
-	Events   []Event // kept text; all of it once Completed
-	Writer   string  // of the kept text, "" before the first Progress
-	Whole    bool    // Events are all of the text, from an earlier batch
-	Failures int     // answers of upstreams that it failed
+	Text     Text // kept text; all of it once Completed
+	Whole    bool // Text is complete, from an earlier batch
+	Failures int  // answers of upstreams that it failed
 	// attempts that failed, so that a second copy of a record counts once.
 	failedAttempts []string
 }
 
+// Text is where a sample's text lies.
+type Text struct {
+	Segments []Segment
+	Events   int
+	Writer   string // of the last segment, "" for none of this batch
+}
+
+// Clip returns the text without room for others to append in place.
+func (t Text) Clip() Text {
+	t.Segments = slices.Clip(t.Segments)
+	return t
+}
+
+// Fits reports whether the text may be part of a result of the batch.
+func (t Text) Fits(h Head) bool {
+	first := int64(0)
+	for _, s := range t.Segments {
+		for _, run := range s.Versions {
+			if first == 0 {
+				first = run.Version
+			}
+			if run.Version < h.MinVersion || h.SingleVersion && run.Version != first {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // NewFold returns the state before the first record.
 func NewFold() *Fold {
 	return &Fold{batches: map[string]*Batch{}, pending: map[string]*pending{}, newest: map[string]sampleRef{}}
@@ -66,8 +94,8 @@
 // Apply takes the next record. It returns the batch that changed, nil if none did.
 func (f *Fold) Apply(record any, now time.Duration) *Batch {
 	switch r := record.(type) {
-	case Submitted:
-		return f.submitted(r, now)
+	case Accepted:
+		return f.accepted(r, now)
 	case Progress:
 		return f.progress(r)
 	case Result:
@@ -80,7 +108,7 @@
 	return nil
 }
 
-func (f *Fold) submitted(r Submitted, now time.Duration) *Batch {
+func (f *Fold) accepted(r Accepted, now time.Duration) *Batch {
 	if _, known := f.batches[r.Batch]; known {
 		return nil
 	}
@@ -105,7 +133,7 @@
 	b := &Batch{ID: id, Head: *p.head, Samples: make([]Sample, len(p.items)), Seen: now}
 	for i, item := range p.items {
 		b.Samples[i] = Sample{Item: item}
-		b.Samples[i].Events, b.Samples[i].Whole = f.reusable(b, item.ID)
+		b.Samples[i].Text, b.Samples[i].Whole = f.reusable(b, item.ID)
 		f.newest[item.ID] = sampleRef{b, i}
 	}
 	f.batches[id] = b
@@ -114,31 +142,19 @@
 }
 
 // reusable returns text of the same sample in an earlier batch, if its weights
-// are new enough for this one. A sample that was given up there has no text to
-// use: its upstreams refused it. whole says that the text is complete.
-func (f *Fold) reusable(b *Batch, itemID string) (events []Event, whole bool) {
+// are new enough for this one. whole says that it is complete.
+func (f *Fold) reusable(b *Batch, itemID string) (text Text, whole bool) {
 	ref, ok := f.newest[itemID]
 	if !ok || ref.batch.Model != b.Model {
-		return nil, false
+		return Text{}, false
 	}
 	s := &ref.batch.Samples[ref.index]
-	if !Fits(s.Events, b.Head) {
-		return nil, false
+	if !s.Text.Fits(b.Head) {
+		return Text{}, false
 	}
-	return s.Events[:len(s.Events):len(s.Events)], s.Whole || s.State == Completed
-}
-
-// Fits reports whether text may be part of a result of the batch.
-func Fits(events []Event, h Head) bool {
-	for _, e := range events {
-		if e.Version < h.MinVersion {
-			return false
-		}
-		if h.SingleVersion && e.Version != events[0].Version {
-			return false
-		}
-	}
-	return true
+	text = s.Text.Clip()
+	text.Writer = ""
+	return text, s.Whole || s.State == Completed
 }
 
 func (f *Fold) sample(batch string, index int) (*Batch, *Sample) {
@@ -149,17 +165,26 @@
 	return b, &b.Samples[index]
 }
 
+// follows reports whether a piece of text belongs behind the kept text.
+func (t Text) follows(l Link) bool {
+	return l.From == t.Events && (l.Writer == t.Writer || l.After == t.Writer && l.Base == l.From)
+}
+
+func (t *Text) add(l Link, s Segment) {
+	t.Writer = l.Writer
+	if s.Events == 0 {
+		return
+	}
+	t.Segments = append(t.Segments, s)
+	t.Events += s.Events
+}
+
 func (f *Fold) progress(r Progress) *Batch {
 	b, s := f.sample(r.Batch, r.Item)
-	if s == nil || s.State != Open || s.Whole || r.From != len(s.Events) {
+	if s == nil || s.State != Open || s.Whole || !s.Text.follows(r.Link) {
 		return nil
 	}
-	follows := r.Writer == s.Writer || r.After == s.Writer && r.Base == r.From
-	if !follows {
-		return nil
-	}
-	s.Writer = r.Writer
-	s.Events = append(s.Events, r.Events...)
+	s.Text.add(r.Link, r.Segment)
 	return b
 }
 
@@ -168,20 +193,20 @@
 	if s == nil || s.State != Open || r.State == Open {
 		return nil
 	}
-	s.State = r.State
-	if r.State == Completed {
-		s.Events = r.Events
+	if r.State == Completed && !s.Whole {
+		if !s.Text.follows(r.Link) {
+			return nil
+		}
+		s.Text.add(r.Link, r.Segment)
 	}
+	s.State = r.State
 	b.Listed = append(b.Listed, r.Item)
 	return b
 }
 
 func (f *Fold) failed(r Failed) *Batch {
 	b, s := f.sample(r.Batch, r.Item)
-	if s == nil || s.State != Open {
-		return nil
-	}
-	if slices.Contains(s.failedAttempts, r.Attempt) {
+	if s == nil || s.State != Open || slices.Contains(s.failedAttempts, r.Attempt) {
 		return nil
 	}
 	s.failedAttempts = append(s.failedAttempts, r.Attempt)
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -2,6 +2,10 @@
 // records describe them, what the log's order makes of these records, and which
 // sample runs next on which engine. It is pure: records, views and time go in,
 // state and starts come out.
+//
+// Two kinds of data lie in the log. Records are small and say what holds; every
+// daemon reads all of them. Blobs hold requests and generated text; records name
+// them by their offset, and a daemon reads the few that it needs.
 package batch
 
 import (
@@ -11,22 +15,22 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// ErrMalformed says that a record can't be read. It is skipped by every daemon alike.
+// ErrMalformed says that a record or blob can't be read. Every daemon skips it alike.
 var ErrMalformed = errors.New("batch: malformed record")
 
 type recordKind byte
 
 const (
-	kindSubmitted recordKind = iota + 1
+	kindAccepted recordKind = iota + 1
 	kindProgress
 	kindResult
 	kindFailed
 	kindEnded
 )
 
-// Submitted is a part of an accepted batch. The parts of one batch are appended
+// Accepted is a part of an accepted batch. The parts of one batch are appended
 // together, all or none; the batch counts from its last part on.
-type Submitted struct {
+type Accepted struct {
 	Batch string `cbor:"1,keyasint"`
 	// Copy tells the parts of one append from those of a second copy.
 	Copy  string `cbor:"2,keyasint"`
@@ -49,38 +53,66 @@
 	MaxAttempts   int   `cbor:"8,keyasint"`
 	RetentionMS   int64 `cbor:"9,keyasint"` // a sample may be given up this long after acceptance
 	TargetMS      int64 `cbor:"10,keyasint"`
+	// Requests lie in blobs from this offset on, so many items in each.
+	RequestsAt    int64 `cbor:"11,keyasint"`
+	RequestCounts []int `cbor:"12,keyasint"`
 }
 
 // Item is one sample to generate.
 type Item struct {
-	ID     string            `cbor:"1,keyasint"`
-	Path   string            `cbor:"2,keyasint"`
-	Header map[string]string `cbor:"3,keyasint"`
-	Body   []byte            `cbor:"4,keyasint"`
-	Tokens int               `cbor:"5,keyasint"` // prompt and at most generated
-	Group  string            `cbor:"6,keyasint"`
+	ID    string `cbor:"1,keyasint"`
+	Group string `cbor:"2,keyasint"`
 	// Expected is the caller's estimate of the tokens that will be generated, 0 unknown.
-	Expected int `cbor:"7,keyasint,omitempty"`
+	Expected int `cbor:"3,keyasint,omitempty"`
+}
+
+// Request is what an engine is asked for a sample.
+type Request struct {
+	Path   string            `cbor:"1,keyasint"`
+	Header map[string]string `cbor:"2,keyasint"`
+	Body   []byte            `cbor:"3,keyasint"`
 }
 
 // Event is one event of a sample's stream.
 type Event struct {
-	Data    string `cbor:"1,keyasint"`
-	Version int64  `cbor:"2,keyasint"` // of the weights that made it
+	Data    string
+	Version int64 // of the weights that made it
+}
+
+// Segment is a piece of a sample's text in a blob.
+type Segment struct {
+	At     int64 `cbor:"1,keyasint"` // offset of the blob, -1 if it holds no event
+	Events int   `cbor:"2,keyasint"`
+	// Versions of the weights that made the events, each for so many in a row.
+	Versions []VersionRun `cbor:"3,keyasint"`
+}
+
+// VersionRun is a number of events in a row that one version made.
+type VersionRun struct {
+	Version int64 `cbor:"1,keyasint"`
+	Events  int   `cbor:"2,keyasint"`
+}
+
+// Link is where a piece of text belongs. It counts only if it begins where the
+// kept text ends, and comes from the writer of that text or from one that went on
+// from just there: the runs of two daemons for one sample have different texts of
+// equal length.
+type Link struct {
+	From   int    `cbor:"1,keyasint"` // events kept before these
+	Writer string `cbor:"2,keyasint"` // unique to one owner's work on the sample
+	// After is the writer of the text that Writer began with, and Base how many
+	// events that had.
+	After string `cbor:"3,keyasint,omitempty"`
+	Base  int    `cbor:"4,keyasint,omitempty"`
 }
 
-// Progress adds events to a sample's unfinished text, so that another daemon can
-// go on behind them. It counts only if it begins where the kept text ends, and
-// comes from the writer of that text or from one that went on from just there:
-// the runs of two daemons for one sample have different texts of equal length.
+// Progress adds to a sample's unfinished text, so that another daemon can go on
+// behind it.
 type Progress struct {
-	Batch  string  `cbor:"1,keyasint"`
-	Item   int     `cbor:"2,keyasint"`
-	From   int     `cbor:"3,keyasint"` // events kept before these
-	Events []Event `cbor:"4,keyasint"`
-	Writer string  `cbor:"5,keyasint"`           // unique to one owner's work on the sample
-	After  string  `cbor:"6,keyasint,omitempty"` // writer of the text that Writer began with
-	Base   int     `cbor:"7,keyasint,omitempty"` // events that Writer began with
+	Batch   string  `cbor:"1,keyasint"`
+	Item    int     `cbor:"2,keyasint"`
+	Link    Link    `cbor:"3,keyasint"`
+	Segment Segment `cbor:"4,keyasint"`
 }
 
 // State is what became of a sample.
@@ -93,12 +125,14 @@
 	Dead // given up
 )
 
-// Result ends a sample. The first one in the log's order counts.
+// Result ends a sample. The first one in the log's order counts. Segment is the
+// last piece of a completed text.
 type Result struct {
-	Batch  string  `cbor:"1,keyasint"`
-	Item   int     `cbor:"2,keyasint"`
-	State  State   `cbor:"3,keyasint"`
-	Events []Event `cbor:"4,keyasint,omitempty"`
+	Batch   string  `cbor:"1,keyasint"`
+	Item    int     `cbor:"2,keyasint"`
+	State   State   `cbor:"3,keyasint"`
+	Link    Link    `cbor:"4,keyasint,omitempty"`
+	Segment Segment `cbor:"5,keyasint,omitempty"`
 }
 
 // Failed counts an upstream's answer that the sample failed there.
@@ -129,8 +163,8 @@
 
 func kindOf(record any) (recordKind, error) {
 	switch record.(type) {
-	case Submitted:
-		return kindSubmitted, nil
+	case Accepted:
+		return kindAccepted, nil
 	case Progress:
 		return kindProgress, nil
 	case Result:
@@ -149,8 +183,8 @@
 		return nil, ErrMalformed
 	}
 	switch recordKind(data[0]) {
-	case kindSubmitted:
-		return decode[Submitted](data[1:])
+	case kindAccepted:
+		return decode[Accepted](data[1:])
 	case kindProgress:
 		return decode[Progress](data[1:])
 	case kindResult:
@@ -170,40 +204,3 @@
 	}
 	return out, nil
 }
-
-// itemOverheadBytes covers the fields of an encoded item beside its strings.
-const itemOverheadBytes = 96
-
-// Split divides a batch into the records of its append, none of them above limit
-// bytes. A single item above the limit is an error.
-func Split(id, copyID string, head Head, items []Item, limit int) ([]Submitted, error) {
-	parts := []Submitted{{Batch: id, Copy: copyID, Head: &head}}
-	room := limit - len(head.Host) - len(head.Path) - len(head.Model) - 2*itemOverheadBytes
-	left := room
-	for _, item := range items {
-		size := item.size()
-		if size > room {
-			return nil, fmt.Errorf("batch: item %s has %d bytes, the limit is %d", item.ID, size, room)
-		}
-		if size > left {
-			parts = append(parts, Submitted{Batch: id, Copy: copyID})
-			left = room
-		}
-		last := &parts[len(parts)-1]
-		last.Items = append(last.Items, item)
-		left -= size
-	}
-	for i := range parts {
-		parts[i].Part = i
-		parts[i].Parts = len(parts)
-	}
-	return parts, nil
-}
-
-func (i Item) size() int {
-	n := itemOverheadBytes + len(i.ID) + len(i.Path) + len(i.Body) + len(i.Group)
-	for name, value := range i.Header {
-		n += len(name) + len(value) + 6
-	}
-	return n
-}
--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -14,11 +14,9 @@
 
 // SampleRun asks an engine to run a sample, or to go on with it.
 type SampleRun struct {
-	ID     string
-	Host   string
-	Path   string
-	Header map[string]string
-	Body   []byte
+	ID   string
+	Host string
+	batch.Request
 	// After is how many events of the text are had already.
 	After int
 }
--- a/internal/batchrun/look.go
+++ b/internal/batchrun/look.go
@@ -31,8 +31,9 @@
 		return
 	}
 	now := boottime.Now()
+	r.takeRejectedLocked()
 	work := r.models(config)
-	r.collectLocked(config, work, now)
+	r.collectLocked(ctx, config, work, now)
 	for model, w := range work {
 		r.serveLocked(ctx, config, model, w, now)
 	}
@@ -56,7 +57,7 @@
 
 // collectLocked finds the samples that wait, and ends the runs that nobody wants
 // any more.
-func (r *runner) collectLocked(config *routes.Config, work map[string]*modelWork, now time.Duration) {
+func (r *runner) collectLocked(ctx context.Context, config *routes.Config, work map[string]*modelWork, now time.Duration) {
 	r.part.mu.Lock()
 	defer r.part.mu.Unlock()
 	open := r.part.fold.Open()
@@ -74,7 +75,7 @@
 			work[b.Model] = w
 		}
 		w.service = route.Services[0].Service
-		r.samplesLocked(b, w, now)
+		r.samplesLocked(ctx, b, w, now)
 	}
 	r.endUnwantedLocked(wanted)
 }
@@ -95,7 +96,8 @@
 // read of its batch at different times.
 const retentionMargin = time.Second
 
-func (r *runner) samplesLocked(b *batch.Batch, w *modelWork, now time.Duration) {
+func (r *runner) samplesLocked(ctx context.Context, b *batch.Batch, w *modelWork, now time.Duration) {
+	ready := r.requestsLocked(ctx, b) != nil
 	expired := now-b.Seen > time.Duration(b.RetentionMS)*time.Millisecond+retentionMargin
 	for i := range b.Samples {
 		s := &b.Samples[i]
@@ -107,14 +109,14 @@
 		w.active = true
 		switch {
 		case s.Whole:
-			r.completeLocked(key, s.Events)
+			r.completeLocked(key, r.textLocked(key, s))
 		case s.Failures >= b.MaxAttempts:
 			r.dropRunLocked(key, s)
 			r.giveUpLocked(key, s.ID, "failed at every attempt")
 		case expired:
 			r.dropRunLocked(key, s)
 			r.giveUpLocked(key, s.ID, "kept too long")
-		case r.runs[key] == nil:
+		case r.runs[key] == nil && ready:
 			w.waiting = append(w.waiting, r.waitingLocked(b, i))
 		}
 	}
@@ -136,9 +138,9 @@
 	s := &b.Samples[i]
 	key := sampleKey{b.ID, i}
 	again := r.retries[key]
-	had := len(s.Events)
+	had := s.Text.Events
 	if t := r.texts[key]; t != nil {
-		had = max(had, len(t.events))
+		had = max(had, t.had())
 	}
 	return batch.Waiting{
 		Batch: b.ID, Index: i, Group: s.Group, MinVersion: b.MinVersion,
@@ -163,6 +165,11 @@
 			delete(r.retries, key)
 		}
 	}
+	for id := range r.requests {
+		if !wanted[id] {
+			delete(r.requests, id)
+		}
+	}
 	for key := range r.finished {
 		if !wanted[key.batch] {
 			delete(r.finished, key)
@@ -263,3 +270,43 @@
 		}
 	}
 }
+
+// requestsLocked returns the requests of a batch's samples, nil while they are
+// read from the log.
+func (r *runner) requestsLocked(ctx context.Context, b *batch.Batch) []batch.Request {
+	requests, asked := r.requests[b.ID]
+	if asked {
+		return requests
+	}
+	r.requests[b.ID] = nil
+	head, id, samples := b.Head, b.ID, len(b.Samples)
+	r.work.Go(func() { r.readRequests(ctx, id, head, samples) })
+	return nil
+}
+
+func (r *runner) readRequests(ctx context.Context, id string, head batch.Head, samples int) {
+	var offsets []int64
+	for i := range head.RequestCounts {
+		offsets = append(offsets, head.RequestsAt+int64(i))
+	}
+	found, err := r.s.blobs.get(ctx, r.part.number, offsets)
+	var requests []batch.Request
+	for _, at := range offsets {
+		if err != nil {
+			break
+		}
+		var list []batch.Request
+		if list, err = batch.UnpackRequests(found[at]); err == nil {
+			requests = append(requests, list...)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	defer r.wake()
+	if err != nil || len(requests) != samples {
+		r.log.Warn().Err(err).Str("batch", id).Int("requests", len(requests)).Int("samples", samples).Msg("requests not read, trying again")
+		delete(r.requests, id)
+		return
+	}
+	r.requests[id] = requests
+}
--- a/internal/batchrun/partition.go
+++ b/internal/batchrun/partition.go
@@ -20,7 +20,9 @@
 	mu      sync.Mutex
 	fold    *batch.Fold
 	waiters map[string]chan struct{} // by batch, closed at its next change
-	wake    func()                   // the runner's, nil if this daemon isn't the owner
+	// The owner's; nil if this daemon isn't it. Both are called under mu.
+	wake      func()
+	onIgnored func(sampleKey)
 }
 
 func newPartition(number int, log zerolog.Logger) *partition {
@@ -38,6 +40,7 @@
 	defer p.mu.Unlock()
 	changed := p.fold.Apply(record, boottime.Now())
 	if changed == nil {
+		p.ignoredLocked(record)
 		return
 	}
 	if waiter := p.waiters[changed.ID]; waiter != nil {
@@ -49,6 +52,18 @@
 	}
 }
 
+// ignoredLocked tells the owner of a result that didn't count: its text went on
+// from another one than what the log keeps, so the sample has to run again.
+func (p *partition) ignoredLocked(record any) {
+	r, ok := record.(batch.Result)
+	if !ok || p.onIgnored == nil {
+		return
+	}
+	if b := p.fold.Get(r.Batch); b != nil && r.Item < len(b.Samples) && b.Samples[r.Item].State == batch.Open {
+		p.onIgnored(sampleKey{r.Batch, r.Item})
+	}
+}
+
 // Gap: the topic is kept longer than any batch has to be, so what is missing
 // belongs to batches that are over.
 func (p *partition) Gap(first int64) {
@@ -58,10 +73,11 @@
 // Reset is never called: the topic has no keys.
 func (p *partition) Reset([]store.Entry) {}
 
-func (p *partition) setWake(wake func()) {
+func (p *partition) setOwner(wake func(), onIgnored func(sampleKey)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.wake = wake
+	p.onIgnored = onIgnored
 }
 
 // view runs a function on a batch under the lock; b is nil if there is none.
--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -25,8 +26,18 @@
 	Results []Result
 }
 
-// maxPageBytes bounds the texts of one page; one result is always returned.
-const maxPageBytes = 900 << 10
+const (
+	// maxPageBytes bounds the texts of one page; one result is always returned.
+	maxPageBytes = 900 << 10
+	// maxPageResults bounds the blobs that one page reads from the log.
+	maxPageResults = 128
+)
+
+// listing is a part of a batch's results as the fold has it.
+type listing struct {
+	total  int
+	listed []batch.Sample // from the position asked for
+}
 
 // Results returns the results from a position on. Without any it waits for the
 // first. Errors: ErrNotFound, ErrUnsure.
@@ -38,14 +49,13 @@
 	limit := time.NewTimer(wait)
 	defer limit.Stop()
 	for waiting := true; ; {
-		page, changed, ok := p.page(id, after)
-		if !ok {
+		l, changed, ok := p.list(id, after)
+		switch {
+		case !ok:
 			return Page{}, ErrUnsure // forgotten since it was located
-		}
-		if len(page.Results) > 0 {
-			return page, nil
-		}
-		if !waiting || after >= page.Total {
+		case len(l.listed) > 0:
+			return s.page(ctx, p, l, after)
+		case !waiting || after >= l.total:
 			return s.confirmEmpty(ctx, p, id, after)
 		}
 		select {
@@ -62,21 +72,21 @@
 // of date, as behind a connection that fell silent, is brought up to date first:
 // another daemon may have shown the position already.
 func (s *Service) confirmEmpty(ctx context.Context, p *partition, id string, after int) (Page, error) {
-	if p.follower.Age() > follow.StaleAfter || after > p.listed(id) {
+	if p.follower.Age() > follow.StaleAfter || after > p.count(id) {
 		ctx, cancel := context.WithTimeout(ctx, confirmWait)
 		defer cancel()
 		if err := p.follower.CatchUp(ctx); err != nil {
 			return Page{}, errors.Join(ErrUnsure, err)
 		}
 	}
-	page, _, ok := p.page(id, after)
+	l, _, ok := p.list(id, after)
 	if !ok {
 		return Page{}, ErrUnsure
 	}
-	return page, nil
+	return s.page(ctx, p, l, after)
 }
 
-func (p *partition) listed(id string) int {
+func (p *partition) count(id string) int {
 	n := 0
 	p.view(id, func(b *batch.Batch) {
 		if b != nil {
@@ -86,42 +96,84 @@
 	return n
 }
 
-// page collects results and returns a channel that closes at the next change.
-func (p *partition) page(id string, after int) (page Page, changed <-chan struct{}, ok bool) {
+// list collects results and returns a channel that closes at the next change.
+func (p *partition) list(id string, after int) (l listing, changed <-chan struct{}, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.fold.Get(id)
 	if b == nil {
-		return Page{}, nil, false
+		return listing{}, nil, false
+	}
+	l.total = len(b.Samples)
+	for at := after; at < len(b.Listed) && len(l.listed) < maxPageResults; at++ {
+		sample := b.Samples[b.Listed[at]]
+		sample.Text = sample.Text.Clip()
+		l.listed = append(l.listed, sample)
 	}
-	page = Page{Total: len(b.Samples), Next: after}
+	return l, p.waiterLocked(id), true
+}
+
+// page puts the texts of listed samples together from their blobs.
+func (s *Service) page(ctx context.Context, p *partition, l listing, after int) (Page, error) {
+	var offsets []int64
+	for i := range l.listed {
+		offsets = append(offsets, blobsOf(&l.listed[i])...)
+	}
+	found, err := s.blobs.get(ctx, p.number, offsets)
+	if err != nil {
+		return Page{}, errors.Join(ErrUnsure, err)
+	}
+	page := Page{Total: l.total, Next: after}
 	size := 0
-	for at := after; at < len(b.Listed) && size < maxPageBytes; at++ {
-		r := resultOf(&b.Samples[b.Listed[at]])
+	for i := range l.listed {
+		r, err := resultOf(&l.listed[i], found)
+		if err != nil {
+			return Page{}, errors.Join(ErrUnsure, err)
+		}
 		size += len(r.Text)
 		if size > maxPageBytes && len(page.Results) > 0 {
 			break
 		}
 		page.Results = append(page.Results, r)
-		page.Next = at + 1
+		page.Next++
+	}
+	return page, nil
+}
+
+func blobsOf(s *batch.Sample) []int64 {
+	if s.State != batch.Completed {
+		return nil
+	}
+	var out []int64
+	for _, segment := range s.Text.Segments {
+		out = append(out, segment.At)
 	}
-	return page, p.waiterLocked(id), true
+	return out
 }
 
-func resultOf(s *batch.Sample) Result {
+func resultOf(s *batch.Sample, found map[int64][]byte) (Result, error) {
 	r := Result{ID: s.ID, State: s.State}
 	if s.State != batch.Completed {
-		return r
+		return r, nil
 	}
-	texts := make([]string, len(s.Events))
-	for i, e := range s.Events {
-		texts[i] = e.Data
-		if len(r.Versions) == 0 || r.Versions[len(r.Versions)-1] != e.Version {
-			r.Versions = append(r.Versions, e.Version)
+	var texts []string
+	for _, segment := range s.Text.Segments {
+		events, err := batch.UnpackText(found[segment.At])
+		if err != nil {
+			return Result{}, err
+		}
+		if len(events) != segment.Events {
+			return Result{}, fmt.Errorf("%w: %d events at offset %d, %d were recorded", batch.ErrMalformed, len(events), segment.At, segment.Events)
+		}
+		texts = append(texts, events...)
+		for _, run := range segment.Versions {
+			if n := len(r.Versions); n == 0 || r.Versions[n-1] != run.Version {
+				r.Versions = append(r.Versions, run.Version)
+			}
 		}
 	}
 	r.Text = strings.Join(texts, "\n")
-	return r
+	return r, nil
 }
 
 // Body returns the body of a sample. Errors: ErrNotFound, ErrUnsure.
@@ -130,20 +182,28 @@
 	if err != nil {
 		return nil, err
 	}
-	var body []byte
-	found := false
+	at, index, found := int64(0), 0, false
 	p.view(id, func(b *batch.Batch) {
 		if b == nil {
 			return
 		}
 		for i := range b.Samples {
 			if b.Samples[i].ID == item {
-				body, found = b.Samples[i].Body, true
+				at, index = b.RequestBlob(i)
+				found = true
 			}
 		}
 	})
 	if !found {
 		return nil, ErrNotFound
 	}
-	return body, nil
+	blob, err := s.blobs.get(ctx, p.number, []int64{at})
+	if err != nil {
+		return nil, errors.Join(ErrUnsure, err)
+	}
+	requests, err := batch.UnpackRequests(blob[at])
+	if err != nil || index >= len(requests) {
+		return nil, errors.Join(ErrUnsure, err)
+	}
+	return requests[index].Body, nil
 }
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -40,6 +40,10 @@
 	finished map[sampleKey]bool // a result is on its way to the log
 	retries  map[sampleKey]retry
 	engines  map[string]*engine
+	requests map[string][]batch.Request // of open batches; nil while they are read
+	rejected []sampleKey                // results that didn't count, under rejectedMu
+
+	rejectedMu sync.Mutex // taken under the partition's lock, so it isn't mu
 }
 
 type sampleKey struct {
@@ -47,13 +51,23 @@
 	index int
 }
 
-// text is what this owner has of a sample's text.
+// text is what this owner has of a sample's text: the events since the log's text
+// that it began with.
 type text struct {
-	events []batch.Event
-	saved  int    // events that are in the log or the outbox
-	writer string // of this owner's work on the sample
-	after  string // writer of the text that it began with
-	base   int    // events that it began with
+	base     int // events of the log's text that this owner went on from
+	after    string
+	writer   string // of this owner's work on the sample
+	versions []batch.VersionRun
+	events   []batch.Event // behind base
+	saved    int           // of events, how many are in the log or the outbox
+}
+
+// had is the number of events before the next one.
+func (t *text) had() int { return t.base + len(t.events) }
+
+// link is where the events that aren't saved yet belong.
+func (t *text) link() batch.Link {
+	return batch.Link{From: t.base + t.saved, Writer: t.writer, After: t.after, Base: t.base}
 }
 
 // retry is why and until when a sample isn't started again.
@@ -79,22 +93,22 @@
 func newRunner(s *Service, p *partition, inTouch func() bool) *runner {
 	log := s.options.Logger.With().Int("part", p.number).Logger()
 	return &runner{
-		s: s, part: p, outbox: newOutbox(s.options.Log, p.number, log), inTouch: inTouch, log: log,
+		s: s, part: p, outbox: newOutbox(s.options.Log, s.blobs, p.number, log), inTouch: inTouch, log: log,
 		wakes: make(chan struct{}, 1), runs: map[sampleKey]*run{}, texts: map[sampleKey]*text{},
-		finished: map[sampleKey]bool{}, retries: map[sampleKey]retry{}, engines: map[string]*engine{},
+		requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]retry{}, engines: map[string]*engine{},
 	}
 }
 
 func (r *runner) start(ctx context.Context) {
 	ctx, r.cancel = context.WithCancel(ctx)
-	r.part.setWake(r.wake)
+	r.part.setOwner(r.wake, r.ignored)
 	r.loop.Go(func() { r.outbox.run(ctx) })
 	r.loop.Go(func() { r.run(ctx) })
 }
 
 // stop ends all runs, waits until how far they came is in the log, and returns.
 func (r *runner) stop(ctx context.Context) {
-	r.part.setWake(nil)
+	r.part.setOwner(nil, nil)
 	r.mu.Lock()
 	r.stopping = true
 	for _, x := range r.runs {
@@ -160,9 +174,9 @@
 	if t.saved == len(t.events) {
 		return
 	}
-	r.outbox.add(batch.Progress{
-		Batch: key.batch, Item: key.index, From: t.saved, Events: t.events[t.saved:len(t.events):len(t.events)],
-		Writer: t.writer, After: t.after, Base: t.base,
+	link := t.link()
+	r.outbox.addText(t.events[t.saved:len(t.events):len(t.events)], func(s batch.Segment) any {
+		return batch.Progress{Batch: key.batch, Item: key.index, Link: link, Segment: s}
 	})
 	t.saved = len(t.events)
 }
@@ -171,17 +185,38 @@
 // the log's.
 func (r *runner) textLocked(key sampleKey, s *batch.Sample) *text {
 	t := r.texts[key]
-	if t != nil && len(t.events) >= len(s.Events) {
+	if t != nil && t.had() >= s.Text.Events {
 		return t
 	}
-	t = &text{
-		events: s.Events[:len(s.Events):len(s.Events)], saved: len(s.Events),
-		writer: uuid.NewString(), after: s.Writer, base: len(s.Events),
+	t = &text{base: s.Text.Events, after: s.Text.Writer, writer: uuid.NewString()}
+	for _, segment := range s.Text.Segments {
+		t.versions = append(t.versions, segment.Versions...)
 	}
 	r.texts[key] = t
 	return t
 }
 
+// ignored notes a result that didn't count.
+func (r *runner) ignored(key sampleKey) {
+	r.rejectedMu.Lock()
+	r.rejected = append(r.rejected, key)
+	r.rejectedMu.Unlock()
+	r.wake()
+}
+
+// takeRejectedLocked forgets what was had of samples whose results didn't count.
+func (r *runner) takeRejectedLocked() {
+	r.rejectedMu.Lock()
+	keys := r.rejected
+	r.rejected = nil
+	r.rejectedMu.Unlock()
+	for _, key := range keys {
+		r.log.Warn().Str("batch", key.batch).Int("item", key.index).Msg("result didn't count, running the sample again")
+		delete(r.finished, key)
+		delete(r.texts, key)
+	}
+}
+
 var (
 	samplesCompleted = metrics.Counter("samples_completed")
 	samplesDead      = metrics.Counter("samples_given_up")
@@ -190,12 +225,25 @@
 	sampleTime       = metrics.Latency("sample_run_ms")
 )
 
-func (r *runner) completeLocked(key sampleKey, events []batch.Event) {
+// completeLocked lists a sample with the rest of its text.
+func (r *runner) completeLocked(key sampleKey, t *text) {
 	r.finished[key] = true
-	r.outbox.add(batch.Result{Batch: key.batch, Item: key.index, State: batch.Completed, Events: events})
 	samplesCompleted.Add(1)
+	link := t.link()
+	result := func(s batch.Segment) any {
+		return batch.Result{Batch: key.batch, Item: key.index, State: batch.Completed, Link: link, Segment: s}
+	}
+	if t.saved == len(t.events) {
+		r.outbox.add(result(batch.Segment{At: noBlob}))
+		return
+	}
+	r.outbox.addText(t.events[t.saved:], result)
+	t.saved = len(t.events)
 }
 
+// noBlob stands in a segment without events.
+const noBlob = -1
+
 func (r *runner) giveUpLocked(key sampleKey, id, why string) {
 	r.finished[key] = true
 	r.outbox.add(batch.Result{Batch: key.batch, Item: key.index, State: batch.Dead})
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -20,7 +20,8 @@
 
 // Topics of the shared log.
 const (
-	batchTopic  = "batches"
+	batchTopic  = "batches" // records, which every daemon follows
+	textTopic   = "texts"   // blobs that the records name
 	claimsTopic = "claims"
 	ownersGroup = "batch-owners"
 )
@@ -58,13 +59,14 @@
 type Service struct {
 	options Options
 	parts   []*partition
+	blobs   *blobs
 	orders  *orders
 	owner   *owner
 }
 
 // New returns a Service that has read nothing.
 func New(o Options) *Service {
-	s := &Service{options: o}
+	s := &Service{options: o, blobs: newBlobs(o.Log, o.Parts)}
 	for n := range o.Parts {
 		p := newPartition(n, o.Logger)
 		p.follower = follow.New(follow.Options{Log: o.Log, Topic: batchTopic, Part: n, Sink: p, Logger: o.Logger})
@@ -165,9 +167,9 @@
 
 // Submit accepts a batch once, however often it comes. A nil error promises that
 // it will be kept. Errors: ErrNotRun, ErrUnknown, ErrTooLarge.
-func (s *Service) Submit(ctx context.Context, id string, head batch.Head, items []batch.Item) error {
+func (s *Service) Submit(ctx context.Context, id string, head batch.Head, items []batch.Item, requests []batch.Request) error {
 	began := time.Now()
-	err := s.submit(ctx, id, head, items)
+	err := s.submit(ctx, id, head, items, requests)
 	acceptTime.Observe(time.Since(began))
 	line := s.options.Logger.Info()
 	if err != nil {
@@ -181,11 +183,15 @@
 	return err
 }
 
-func (s *Service) submit(ctx context.Context, id string, head batch.Head, items []batch.Item) error {
+func (s *Service) submit(ctx context.Context, id string, head batch.Head, items []batch.Item, requests []batch.Request) error {
 	p := s.partitionOf(head.Model)
 	if p.has(id) {
 		return nil
 	}
+	var err error
+	if head.RequestsAt, head.RequestCounts, err = s.putRequests(ctx, p, requests); err != nil {
+		return err
+	}
 	records, err := s.encode(id, head, items)
 	if err != nil {
 		return err
@@ -193,22 +199,55 @@
 	return s.appendOnce(ctx, p, records, func() bool { return p.has(id) })
 }
 
-func (s *Service) encode(id string, head batch.Head, items []batch.Item) ([][]byte, error) {
-	parts, err := batch.Split(id, uuid.NewString(), head, items, s.options.RecordBytes)
+// putRequests writes the requests of a batch to the log. Until a record names
+// them they mean nothing, so every failure is "not accepted".
+func (s *Service) putRequests(ctx context.Context, p *partition, requests []batch.Request) (at int64, counts []int, err error) {
+	packed, counts, err := batch.PackRequests(requests, s.options.RecordBytes-blobMargin)
 	if err != nil {
-		return nil, errors.Join(ErrTooLarge, err)
+		return 0, nil, errors.Join(ErrTooLarge, err)
+	}
+	if total(packed) > s.options.CallBytes {
+		return 0, nil, ErrTooLarge
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendWait)
+	defer cancel()
+	for try := 1; ; try++ {
+		at, err = s.options.Log.Append(ctx, textTopic, p.number, packed)
+		if err == nil {
+			break
+		}
+		if try == refusedTries || ctx.Err() != nil || errors.Is(err, store.ErrRejected) {
+			return 0, nil, errors.Join(ErrNotRun, err)
+		}
+		pause(ctx, refusedPause)
+	}
+	for i, data := range packed {
+		s.blobs.put(p.number, at+int64(i), data)
+	}
+	return at, counts, nil
+}
+
+// blobMargin is left of a record for the encoding's own bytes.
+const blobMargin = 1 << 10
+
+func total(blobs [][]byte) int {
+	n := 0
+	for _, b := range blobs {
+		n += len(b) + 4
 	}
+	return n
+}
+
+func (s *Service) encode(id string, head batch.Head, items []batch.Item) ([][]byte, error) {
 	var records [][]byte
-	size := 0
-	for _, part := range parts {
+	for _, part := range batch.Split(id, uuid.NewString(), head, items, s.options.RecordBytes-blobMargin) {
 		data, err := batch.Encode(part)
 		if err != nil {
 			return nil, errors.Join(ErrTooLarge, err)
 		}
 		records = append(records, data)
-		size += len(data) + 4
 	}
-	if size > s.options.CallBytes {
+	if total(records) > s.options.CallBytes {
 		return nil, ErrTooLarge
 	}
 	return records, nil
--- a/internal/batchrun/stream.go
+++ b/internal/batchrun/stream.go
@@ -73,20 +73,21 @@
 	key := sampleKey{w.Batch, w.Index}
 	r.part.mu.Lock()
 	b := r.part.fold.Get(w.Batch)
-	if b == nil {
+	requests := r.requests[w.Batch]
+	if b == nil || requests == nil {
 		r.part.mu.Unlock()
 		return
 	}
 	head := b.Head
-	s := b.Samples[w.Index] // a copy; events are only appended to
-	r.part.mu.Unlock()
+	s := b.Samples[w.Index]
 	t := r.textLocked(key, &s)
+	r.part.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
 	now := boottime.Now()
-	x := &run{ctx: ctx, key: key, id: s.ID, engine: u.ID, model: model, text: t, began: now, cancel: cancel, started: len(t.events), lastAt: now}
+	x := &run{ctx: ctx, key: key, id: s.ID, engine: u.ID, model: model, text: t, began: now, cancel: cancel, started: t.had(), lastAt: now}
 	r.runs[key] = x
 	r.engineLocked(u.ID).running++
-	ask := SampleRun{ID: s.ID, Host: head.Host, Path: s.Path, Header: s.Header, Body: s.Body, After: len(t.events)}
+	ask := SampleRun{ID: s.ID, Host: head.Host, Request: requests[w.Index], After: t.had()}
 	if ask.After > 0 {
 		samplesResumed.Add(1)
 	}
@@ -112,11 +113,11 @@
 	case e.Version < head.MinVersion:
 		x.cancel(errTooOld)
 		return
-	case head.SingleVersion && len(x.text.events) > 0 && x.text.events[0].Version != e.Version:
+	case head.SingleVersion && x.text.other(e.Version):
 		x.cancel(errMixed)
 		return
 	}
-	if len(x.text.events) == x.started {
+	if x.text.had() == x.started {
 		r.s.options.View.Upstreams(func(reg *registry.Registry, _ time.Duration) { reg.Loaded(x.engine, x.model, e.Version) })
 	} else {
 		r.engineLocked(x.engine).pace.observe(now-x.lastAt, now)
@@ -138,7 +139,7 @@
 	sampleTime.Observe(now - x.began)
 	if err == nil {
 		e.failures = 0
-		r.completeLocked(x.key, x.text.events)
+		r.completeLocked(x.key, x.text)
 		delete(r.texts, x.key)
 		return
 	}
@@ -166,10 +167,9 @@
 		again.notBefore = now + engineRefusedPause
 	case errors.Is(err, errMixed):
 		delete(r.texts, x.key)
-		x.text.saved = len(x.text.events)
 	default:
 		samplesBroken.Add(1)
-		if len(x.text.events) > x.started {
+		if x.text.had() > x.started {
 			e.failures = 0 // it worked until then
 		}
 		e.broke(now)
@@ -183,5 +183,13 @@
 		line = r.log.Warn().Err(err)
 	}
 	line.Str("batch", x.key.batch).Str("sample", x.id).Str("upstream", x.engine).Int("after", x.started).
-		Int("events", len(x.text.events)).Dur("took", now-x.began).Dur("since_event", now-x.lastAt).Msg("sample run ended")
+		Int("events", x.text.had()).Dur("took", now-x.began).Dur("since_event", now-x.lastAt).Msg("sample run ended")
+}
+
+// other reports whether the text has an event of another version.
+func (t *text) other(version int64) bool {
+	if len(t.versions) > 0 {
+		return t.versions[0].Version != version
+	}
+	return len(t.events) > 0 && t.events[0].Version != version
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -114,7 +114,7 @@
 
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
 	from := f.Next()
-	page, err := f.options.Log.Read(ctx, f.options.Topic, f.options.Part, from, wait)
+	page, err := f.options.Log.Read(ctx, f.options.Topic, f.options.Part, store.ReadFrom{Offset: from, Wait: wait})
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
 		return f.skip(ctx, trimmed.First)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -44,6 +44,13 @@
 	End     int64    // offset behind the partition's last record
 }
 
+// ReadFrom says what a read wants.
+type ReadFrom struct {
+	Offset   int64
+	MaxBytes int           // of the records together, 0: the store's default
+	Wait     time.Duration // for the first record if there is none
+}
+
 // Entry is the newest record of a key.
 type Entry struct {
 	Key    string
@@ -65,9 +72,8 @@
 	// AppendAt is Append on the condition that the partition ends at the offset;
 	// else the error is a *ConflictError.
 	AppendAt(ctx context.Context, topic string, part int, at int64, records [][]byte) (int64, error)
-	// Read returns records from an offset on. Without any it waits up to wait for
-	// the first. The error may be a *TrimmedError.
-	Read(ctx context.Context, topic string, part int, from int64, wait time.Duration) (Page, error)
+	// Read returns records from an offset on. The error may be a *TrimmedError.
+	Read(ctx context.Context, topic string, part int, from ReadFrom) (Page, error)
 	// Newest returns the newest record of each key of a keyed topic.
 	Newest(ctx context.Context, topic string) (Snapshot, error)
 }
