An engine's last holder orders for whoever wants a load; joins settle after a start

Now the VM that claimed the engine last orders on a wish in the log. Cause 2: when all daemons start together the first to join ran every partition and lost most again at once (27 runs broken in 0.1 s).

--- a/internal/batchrun/look.go
+++ b/internal/batchrun/look.go
@@ -245,7 +245,7 @@
 		e := r.engineLocked(u.ID)
 		in.Engines = append(in.Engines, loads.Engine{
 			ID: u.ID, Version: u.Models[model], Running: e.running, Slots: u.Slots, Loading: e.loading,
-			Usable: !e.suspect(now) && r.s.orders.barred(u.ID) == 0 && now >= e.orderAfter,
+			Usable: !e.suspect(now) && now >= e.orderAfter,
 		})
 	}
 	plan := loads.Decide(in)
--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -19,26 +19,98 @@
 	options  Options
 	follower *follow.Follower
 
-	mu     sync.Mutex
-	claims *loads.Claims
+	mu      sync.Mutex
+	claims  *loads.Claims
+	loading map[string]bool // engines that this VM loads for another's wish
 }
 
 func newOrders(o Options) *orders {
-	x := &orders{options: o, claims: loads.NewClaims(o.VM, o.OrderLease)}
+	x := &orders{options: o, claims: loads.NewClaims(o.VM, o.OrderLease), loading: map[string]bool{}}
 	x.follower = follow.New(follow.Options{Log: o.Log, Topic: claimsTopic, Sink: x, Logger: o.Logger})
 	return x
 }
 
-// Record applies a claim.
+// Record applies a record of the claims' log.
 func (x *orders) Record(offset int64, data []byte) {
-	claim, err := loads.DecodeClaim(data)
+	r, err := loads.Decode(data)
 	if err != nil {
 		x.options.Logger.Error().Err(err).Int64("offset", offset).Msg("claim skipped")
 		return
 	}
+	switch {
+	case r.Claim != nil:
+		x.mu.Lock()
+		x.claims.Apply(offset, *r.Claim, boottime.Now())
+		x.mu.Unlock()
+	case r.Wish != nil:
+		go x.grant(*r.Wish) // it asks the follower, whose lock is held here
+	case r.Loaded != nil:
+		x.options.View.Upstreams(func(reg *registry.Registry, _ time.Duration) {
+			reg.Loaded(r.Loaded.Engine, r.Loaded.Model, r.Loaded.Version)
+		})
+	}
+}
+
+// grant carries a wish out if this VM claimed the engine last. Wishes that were
+// read while catching up are old: whoever made one asks again.
+func (x *orders) grant(w loads.Wish) {
+	u, alive := x.options.View.Get(w.Engine)
+	if !alive || !x.follower.Loaded() || u.Models[w.Model] >= w.Version {
+		return
+	}
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.claims.Apply(offset, claim, boottime.Now())
+	holder, _, _ := x.claims.Holder(w.Engine)
+	busy := x.loading[w.Engine]
+	mine := holder == x.options.VM && !busy
+	if mine {
+		x.loading[w.Engine] = true
+	}
+	x.mu.Unlock()
+	if !mine {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), loadLimit)
+	defer cancel()
+	began := time.Now()
+	err := x.load(ctx, u, w.Model, w.Version)
+	x.options.Logger.Info().Str("upstream", w.Engine).Str("model", w.Model).Int64("version", w.Version).
+		Dur("took", time.Since(began)).Err(err).Msg("load for another VM ended")
+	x.mu.Lock()
+	delete(x.loading, w.Engine)
+	x.mu.Unlock()
+}
+
+// wishWait is how long the last holder of an engine is waited for: a load takes
+// about half of it. A holder that is gone doesn't answer.
+const wishWait = 2500 * time.Millisecond
+
+// wish asks the engine's last holder for a load and waits until it is done.
+func (x *orders) wish(ctx context.Context, engine, model string, version int64) error {
+	if err := x.tell(ctx, loads.Record{Wish: &loads.Wish{Engine: engine, Model: model, Version: version}}); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wishWait)
+	defer cancel()
+	for {
+		changed := x.options.View.Changed()
+		if u, ok := x.options.View.Get(engine); !ok || u.Models[model] >= version {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errBarred
+		}
+	}
+}
+
+func (x *orders) tell(ctx context.Context, r loads.Record) error {
+	data, err := loads.Encode(r)
+	if err != nil {
+		return err
+	}
+	_, err = x.options.Log.Append(ctx, claimsTopic, 0, [][]byte{data})
+	return err
 }
 
 // Gap: claims that old bar nobody.
@@ -85,7 +157,7 @@
 
 // claim appends a claim on an engine.
 func (x *orders) claim(ctx context.Context, engine string) (permit, error) {
-	data, err := loads.EncodeClaim(loads.Claim{Engine: engine, Holder: x.options.VM})
+	data, err := loads.Encode(loads.Record{Claim: &loads.Claim{Engine: engine, Holder: x.options.VM}})
 	if err != nil {
 		return permit{}, err
 	}
@@ -119,8 +191,20 @@
 	loadLimit = 8 * time.Second
 )
 
-// load makes an engine serve a version. It returns nil once the engine reports it.
+// load makes an engine serve a version, by the VM that may order it now, and tells
+// everybody once the engine reports it.
 func (x *orders) load(ctx context.Context, u registry.Upstream, model string, version int64) error {
+	if x.barred(u.ID) > 0 {
+		return x.wish(ctx, u.ID, model, version)
+	}
+	if err := x.loadNow(ctx, u, model, version); err != nil {
+		return err
+	}
+	x.options.View.Upstreams(func(reg *registry.Registry, _ time.Duration) { reg.Loaded(u.ID, model, version) })
+	return x.tell(ctx, loads.Record{Loaded: &loads.Loaded{Engine: u.ID, Model: model, Version: version}})
+}
+
+func (x *orders) loadNow(ctx context.Context, u registry.Upstream, model string, version int64) error {
 	permit, err := x.claim(ctx, u.ID)
 	if err != nil {
 		return err
@@ -201,7 +285,6 @@
 		} else {
 			loadsDone.Add(1)
 			loadTime.Observe(time.Since(began))
-			r.s.options.View.Upstreams(func(reg *registry.Registry, _ time.Duration) { reg.Loaded(u.ID, model, version) })
 		}
 		line.Str("upstream", u.ID).Str("model", model).Int64("version", version).Dur("took", time.Since(began)).Msg("load ended")
 		r.mu.Lock()
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -19,6 +19,12 @@
 	// joinTimeout leaves time for a second call within the member's TTL when an
 	// answer is lost.
 	joinTimeout = 600 * time.Millisecond
+	// earlyJoins are made faster, and settleTime is waited before the first gained
+	// partition is run: when all daemons start together, the first to join gets every
+	// partition and loses most again at once.
+	earlyJoins        = 10
+	earlyJoinInterval = 100 * time.Millisecond
+	settleTime        = 500 * time.Millisecond
 	// handoverWait bounds the last appends before a partition is handed over.
 	handoverWait = 500 * time.Millisecond
 )
@@ -33,6 +39,7 @@
 	generation int64
 	runners    map[int]*runner
 	contact    time.Duration // boottime of the start of the last join that was answered
+	first      time.Duration // boottime of the first such join
 	draining   bool
 }
 
@@ -41,11 +48,16 @@
 }
 
 func (o *owner) run(ctx context.Context) {
-	for ctx.Err() == nil && !o.isDraining() {
+	for n := 0; ctx.Err() == nil && !o.isDraining(); {
+		interval := joinInterval
+		if n < earlyJoins {
+			interval = earlyJoinInterval
+		}
 		if o.s.Loaded() {
 			o.join(ctx)
+			n++
 		}
-		pause(ctx, joinInterval)
+		pause(ctx, interval)
 	}
 	<-ctx.Done()
 	o.stopAll()
@@ -70,6 +82,9 @@
 	}
 	o.mu.Lock()
 	o.contact = began
+	if o.first == 0 {
+		o.first = began
+	}
 	changed := a.Generation != o.generation
 	o.generation = a.Generation
 	lost := o.takeLostLocked(a)
@@ -109,7 +124,7 @@
 func (o *owner) startGained(ctx context.Context, a store.Assignment) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.draining {
+	if o.draining || boottime.Now()-o.first < settleTime {
 		return
 	}
 	for _, part := range a.Parts {
--- a/internal/loads/claims.go
+++ b/internal/loads/claims.go
@@ -30,25 +30,47 @@
 	ClaimMargin = 300 * time.Millisecond
 )
 
-// Claim is a record of the claims' log.
+// Claim is what a VM writes before it orders an engine.
 type Claim struct {
 	Engine string `cbor:"1,keyasint"` // incarnation
 	Holder string `cbor:"2,keyasint"` // VM
 }
 
+// Wish asks the VM that claimed an engine last to order a load: it may do so at
+// once, while any other VM is barred.
+type Wish struct {
+	Engine  string `cbor:"1,keyasint"`
+	Model   string `cbor:"2,keyasint"`
+	Version int64  `cbor:"3,keyasint"`
+}
+
+// Loaded tells that an engine serves a version, ahead of its own next entry.
+type Loaded struct {
+	Engine  string `cbor:"1,keyasint"`
+	Model   string `cbor:"2,keyasint"`
+	Version int64  `cbor:"3,keyasint"`
+}
+
+// Record is an entry of the claims' log. Exactly one field is set.
+type Record struct {
+	Claim  *Claim  `cbor:"1,keyasint,omitempty"`
+	Wish   *Wish   `cbor:"2,keyasint,omitempty"`
+	Loaded *Loaded `cbor:"3,keyasint,omitempty"`
+}
+
 // ErrMalformed says that a record can't be read.
-var ErrMalformed = errors.New("loads: malformed claim")
+var ErrMalformed = errors.New("loads: malformed record")
 
-// EncodeClaim turns a claim into log data.
-func EncodeClaim(c Claim) ([]byte, error) { return cbor.Marshal(c) }
+// Encode turns a record into log data.
+func Encode(r Record) ([]byte, error) { return cbor.Marshal(r) }
 
-// DecodeClaim reads log data. Error: ErrMalformed.
-func DecodeClaim(data []byte) (Claim, error) {
-	var c Claim
-	if err := cbor.Unmarshal(data, &c); err != nil {
-		return Claim{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+// Decode reads log data. Error: ErrMalformed.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return Record{}, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	return c, nil
+	return r, nil
 }
 
 // Claims is the fold of the claims' log.
--- a/internal/loads/plan.go
+++ b/internal/loads/plan.go
@@ -12,7 +12,7 @@
 	Running int   // samples of the model there
 	Slots   int
 	Loading bool // an order is under way
-	Usable  bool // reachable, not leaving, not barred by another VM's claim
+	Usable  bool // reachable and not leaving
 }
 
 // Input of one look at a model's engines.
