--- a/internal/batchrun/look.go
+++ b/internal/batchrun/look.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
-	"github.com/dogwoodflow/dogwoodflow/internal/boottime"
 	"github.com/dogwoodflow/dogwoodflow/internal/loads"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
@@ -30,7 +29,7 @@
 	if r.stopping {
 		return
 	}
-	now := boottime.Now()
+	now := r.s.options.Now()
 	r.takeRejectedLocked()
 	work := r.models(config)
 	r.collectLocked(ctx, config, work, now)
--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/dogwoodflow/dogwoodflow/internal/boottime"
 	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 	"github.com/dogwoodflow/dogwoodflow/internal/loads"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
@@ -26,7 +25,7 @@
 
 func newOrders(o Options) *orders {
 	x := &orders{options: o, claims: loads.NewClaims(o.VM, o.OrderLease), loading: map[string]bool{}}
-	x.follower = follow.New(follow.Options{Log: o.Log, Topic: claimsTopic, Sink: x, Logger: o.Logger})
+	x.follower = follow.New(follow.Options{Log: o.Log, Topic: claimsTopic, Sink: x, Now: o.Now, Logger: o.Logger})
 	return x
 }
 
@@ -40,7 +39,7 @@
 	switch {
 	case r.Claim != nil:
 		x.mu.Lock()
-		x.claims.Apply(offset, *r.Claim, boottime.Now())
+		x.claims.Apply(offset, *r.Claim, x.options.Now())
 		x.mu.Unlock()
 	case r.Wish != nil:
 		go x.grant(*r.Wish) // it asks the follower, whose lock is held here
@@ -125,13 +124,13 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.claims.Barred(engine, boottime.Now())
+	return x.claims.Barred(engine, x.options.Now())
 }
 
 func (x *orders) forget() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.claims.Forget(func(id string) bool { _, ok := x.options.View.Get(id); return ok }, boottime.Now())
+	x.claims.Forget(func(id string) bool { _, ok := x.options.View.Get(id); return ok }, x.options.Now())
 }
 
 var (
@@ -165,7 +164,7 @@
 		if x.barred(engine) > 0 {
 			return permit{}, errBarred
 		}
-		began := boottime.Now()
+		began := x.options.Now()
 		offset, err := x.options.Log.AppendAt(ctx, claimsTopic, 0, x.follower.Next(), [][]byte{data})
 		if err == nil {
 			// Offsets begin with 0, which engines take for a missing number.
@@ -228,7 +227,7 @@
 // order sends one order. An order without an answer isn't repeated here: the
 // engine's report tells whether it was taken.
 func (x *orders) order(ctx context.Context, u registry.Upstream, model string, version int64, p permit, accepted int64) error {
-	if boottime.Now() >= p.until {
+	if x.options.Now() >= p.until {
 		return errClaimAged
 	}
 	ordersSent.Add(1)
@@ -247,9 +246,9 @@
 // await polls an engine until it serves the version. An order that isn't under way
 // and wasn't taken ends the wait, so that it can be given again.
 func (x *orders) await(ctx context.Context, u registry.Upstream, model string, version, accepted int64) error {
-	limit := boottime.Now() + loadLimit
+	limit := x.options.Now() + loadLimit
 	failures := 0
-	for ctx.Err() == nil && boottime.Now() < limit {
+	for ctx.Err() == nil && x.options.Now() < limit {
 		report, err := x.options.Engines.Report(ctx, u)
 		switch {
 		case err != nil:
@@ -291,7 +290,7 @@
 		e.loading = false
 		e.vacantUntil = 0
 		if err != nil {
-			e.orderAfter = boottime.Now() + orderPause
+			e.orderAfter = r.s.options.Now() + orderPause
 		}
 		r.mu.Unlock()
 		r.wake()
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -8,7 +8,6 @@
 
 	"github.com/google/uuid"
 
-	"github.com/dogwoodflow/dogwoodflow/internal/boottime"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 )
 
@@ -72,7 +71,7 @@
 // join keeps the membership and follows the group's division. Partitions that
 // were taken away are stopped before the join that lets them go.
 func (o *owner) join(ctx context.Context) {
-	began := boottime.Now()
+	began := o.s.options.Now()
 	a, err := o.call(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -124,7 +123,7 @@
 func (o *owner) startGained(ctx context.Context, a store.Assignment) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.draining || boottime.Now()-o.first < settleTime {
+	if o.draining || o.s.options.Now()-o.first < settleTime {
 		return
 	}
 	for _, part := range a.Parts {
@@ -145,7 +144,7 @@
 func (o *owner) inTouch() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return boottime.Now()-o.contact < outOfTouch
+	return o.s.options.Now()-o.contact < outOfTouch
 }
 
 // drain stops the runners, writes down how far they came and leaves the group.
--- a/internal/batchrun/partition.go
+++ b/internal/batchrun/partition.go
@@ -2,11 +2,11 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
-	"github.com/dogwoodflow/dogwoodflow/internal/boottime"
 	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 )
@@ -15,6 +15,7 @@
 type partition struct {
 	number   int
 	follower *follow.Follower
+	now      func() time.Duration
 	log      zerolog.Logger
 
 	mu      sync.Mutex
@@ -25,8 +26,8 @@
 	onIgnored func(sampleKey)
 }
 
-func newPartition(number int, log zerolog.Logger) *partition {
-	return &partition{number: number, log: log, fold: batch.NewFold(), waiters: map[string]chan struct{}{}}
+func newPartition(number int, now func() time.Duration, log zerolog.Logger) *partition {
+	return &partition{number: number, now: now, log: log, fold: batch.NewFold(), waiters: map[string]chan struct{}{}}
 }
 
 // Record applies a record of the log.
@@ -38,7 +39,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := p.fold.Apply(record, boottime.Now())
+	changed := p.fold.Apply(record, p.now())
 	if changed == nil {
 		p.ignoredLocked(record)
 		return
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
-	"github.com/dogwoodflow/dogwoodflow/internal/boottime"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 )
 
@@ -129,11 +128,11 @@
 }
 
 func (r *runner) run(ctx context.Context) {
-	last := boottime.Now()
+	last := r.s.options.Now()
 	for ctx.Err() == nil {
 		changed := r.s.options.View.Changed()
 		r.look(ctx)
-		if now := boottime.Now(); now-last >= checkpointInterval {
+		if now := r.s.options.Now(); now-last >= checkpointInterval {
 			r.mu.Lock()
 			r.checkpointLocked()
 			r.mu.Unlock()
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -11,7 +11,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
-	"github.com/dogwoodflow/dogwoodflow/internal/boottime"
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
@@ -47,11 +46,12 @@
 	Membership  store.Membership
 	Engines     Engines
 	View        *fleet.View
-	Parts       int           // partitions of a topic
-	RecordBytes int           // largest record
-	CallBytes   int           // largest append
-	MemberTTL   time.Duration // silence after which an owner's partitions go to others
-	OrderLease  time.Duration // within which an engine may not hear of two holders
+	Parts       int                  // partitions of a topic
+	RecordBytes int                  // largest record
+	CallBytes   int                  // largest append
+	MemberTTL   time.Duration        // silence after which an owner's partitions go to others
+	OrderLease  time.Duration        // within which an engine may not hear of two holders
+	Now         func() time.Duration // a clock that goes on while the VM is suspended
 	Logger      zerolog.Logger
 }
 
@@ -68,8 +68,8 @@
 func New(o Options) *Service {
 	s := &Service{options: o, blobs: newBlobs(o.Log, o.Parts)}
 	for n := range o.Parts {
-		p := newPartition(n, o.Logger)
-		p.follower = follow.New(follow.Options{Log: o.Log, Topic: batchTopic, Part: n, Sink: p, Logger: o.Logger})
+		p := newPartition(n, o.Now, o.Logger)
+		p.follower = follow.New(follow.Options{Log: o.Log, Topic: batchTopic, Part: n, Sink: p, Now: o.Now, Logger: o.Logger})
 		s.parts = append(s.parts, p)
 	}
 	s.orders = newOrders(o)
@@ -105,7 +105,7 @@
 		pause(ctx, forgetInterval)
 		for _, p := range s.parts {
 			p.mu.Lock()
-			p.fold.Forget(boottime.Now() - keepBatches)
+			p.fold.Forget(s.options.Now() - keepBatches)
 			p.mu.Unlock()
 		}
 		s.orders.forget()
--- a/internal/batchrun/stream.go
+++ b/internal/batchrun/stream.go
@@ -8,7 +8,6 @@
 	"github.com/google/uuid"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
-	"github.com/dogwoodflow/dogwoodflow/internal/boottime"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 )
 
@@ -83,7 +82,7 @@
 	t := r.textLocked(key, &s)
 	r.part.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
-	now := boottime.Now()
+	now := r.s.options.Now()
 	x := &run{ctx: ctx, key: key, id: s.ID, engine: u.ID, model: model, text: t, began: now, cancel: cancel, started: t.had(), lastAt: now}
 	r.runs[key] = x
 	r.engineLocked(u.ID).running++
@@ -103,7 +102,7 @@
 
 // emit takes an event of a run.
 func (r *runner) emit(x *run, head batch.Head, e batch.Event) {
-	now := boottime.Now()
+	now := r.s.options.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stopping || x.ctx.Err() != nil {
@@ -128,7 +127,7 @@
 
 // ended takes a run's end.
 func (r *runner) ended(x *run, head batch.Head, err error) {
-	now := boottime.Now()
+	now := r.s.options.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.wake()
--- /dev/null
+++ b/internal/batchrun/submit_test.go
@@ -0,0 +1,172 @@
+package batchrun
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
+)
+
+// A trainer hands a batch in while the store does writes seconds late and leaves
+// them unanswered. A daemon that answers "not run" makes the trainer give the step
+// up; then the write takes effect, and engines run a batch that nobody reads. The
+// cause is taking no answer for a refusal.
+func TestSubmissionWithoutAnswerIsNoRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 1, "m0")
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		late := false
+		w.vms[0].client.SetFaults(metastore.Faults{Latency: storeAnswer, Late: func() time.Duration {
+			late = !late
+			if late {
+				return 0 // the requests' blobs arrive, the batch itself is late
+			}
+			return 3 * time.Second
+		}})
+		head, items, requests := sampleBatch("m0", "late", 1, 2, 1)
+		err := w.vms[0].current().Submit(context.Background(), "b", head, items, requests)
+		g.Expect(err).To(MatchError(ErrUnknown))
+		g.Expect(errors.Is(err, ErrNotRun)).To(BeFalse())
+		time.Sleep(5 * time.Second)
+		_, err = w.vms[1].current().Results(context.Background(), "b", 0, 0)
+		g.Expect(err).NotTo(HaveOccurred(), "the write took effect after all")
+	})
+}
+
+// The same batch comes through two daemons in one moment, since the trainer's
+// first connection broke. Both find it unknown and write it. It must be run and
+// listed once.
+func TestBatchThroughTwoDaemonsAtOnceIsAcceptedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 2, "m0")
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		head, items, requests := sampleBatch("m0", "twice", 2, 3, 1)
+		errs := make(chan error, 2)
+		for _, v := range w.vms {
+			go func() { errs <- v.current().Submit(context.Background(), "b", head, items, requests) }()
+		}
+		g.Expect(<-errs).To(Succeed())
+		g.Expect(<-errs).To(Succeed())
+		time.Sleep(10 * time.Second)
+		for _, v := range w.vms {
+			page, err := v.current().Results(context.Background(), "b", 0, 0)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(page.Results).To(HaveLen(len(items)))
+		}
+		g.Expect(w.engines.runs).To(HaveLen(len(items)), "each sample ran once")
+	})
+}
+
+// A trainer asks a daemon whose connection to the store fell silent for results
+// that it read elsewhere a second ago. The daemon's view lacks them. It must say
+// that it isn't sure, never that there are none.
+func TestDaemonOutOfTouchIsNotSure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 2, "m0")
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		w.vms[1].client.SetFaults(metastore.Faults{Cut: true})
+		time.Sleep(2 * time.Second)
+		head, items, requests := sampleBatch("m0", "cut", 1, 2, 1)
+		g.Expect(w.vms[0].current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+		_, err := w.vms[1].current().Results(context.Background(), "b", 0, 0)
+		g.Expect(err).To(MatchError(ErrUnsure))
+		g.Expect(errors.Is(err, ErrNotFound)).To(BeFalse())
+		_, err = w.vms[0].current().Results(context.Background(), "none", 0, 0)
+		g.Expect(err).To(MatchError(ErrNotFound))
+	})
+}
+
+// An engine says 500 to a sample again and again. Its trainer must see it given up
+// after the route's attempts, not earlier, and no engine may get it for ever.
+func TestFailingSampleIsGivenUpAfterItsAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 2, "m0")
+		defer w.stop()
+		head, items, requests := sampleBatch("m0", "fails", 1, 3, 1)
+		w.engines.fails[items[0].ID] = 2 // one less than the attempts
+		w.engines.fails[items[1].ID] = 9
+		time.Sleep(2 * time.Second)
+		g.Expect(w.vms[0].current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+		time.Sleep(10 * time.Second)
+		page, err := w.vms[1].current().Results(context.Background(), "b", 0, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Results).To(HaveLen(3))
+		for _, r := range page.Results {
+			want := batch.Completed
+			if r.ID == items[1].ID {
+				want = batch.Dead
+			}
+			g.Expect(r.State).To(Equal(want), r.ID)
+		}
+		g.Expect(w.engines.fails[items[1].ID]).To(Equal(9-head.MaxAttempts), "no more runs than attempts")
+	})
+}
+
+// A step comes while its engines have weights that are too old for it, and the VM
+// that ordered them last isn't the one that runs the step now. Without asking that
+// VM, the new owner waits for the lease before it may order, and the step is late.
+func TestLastHolderOrdersForTheNewOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 1, "m0")
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		w.publish("m0", 2)
+		time.Sleep(2 * time.Second)
+		g.Expect(w.engines.versionsOf("e0")).To(HaveKeyWithValue("m0", int64(2)))
+		w.store.Redeal(ownersGroup)
+		time.Sleep(500 * time.Millisecond)
+		w.publish("m0", 3)
+		head, items, requests := sampleBatch("m0", "new", 1, 1, 3)
+		g.Expect(w.vms[0].current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+		time.Sleep(testLease - 500*time.Millisecond)
+		g.Expect(w.engines.versionsOf("e0")).To(HaveKeyWithValue("m0", int64(3)), "before the lease has run out")
+	})
+}
+
+// A sample of a step that ended too early comes again in the next one. What is
+// kept of its text is used if its weights are new enough there.
+func TestSampleThatComesAgainGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 2, "m0")
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		ctx := context.Background()
+		head, items, _ := sampleBatch("m0", "again", 1, 20, 1)
+		items = slices.DeleteFunc(items, func(i batch.Item) bool { return length(i.ID) < 35 })[:2] // still running then
+		requests := requestsOf(items)
+		g.Expect(w.vms[0].current().Submit(ctx, "b1", head, items, requests)).To(Succeed())
+		time.Sleep(700 * time.Millisecond) // a checkpoint, and no sample done
+		g.Expect(w.vms[0].current().End(ctx, "b1")).To(Succeed())
+		g.Expect(w.vms[0].current().Submit(ctx, "b2", head, items, requests)).To(Succeed())
+		time.Sleep(5 * time.Second)
+		page, err := w.vms[1].current().Results(ctx, "b2", 0, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Results).To(HaveLen(2))
+		for _, r := range page.Results {
+			w.engines.checkText(r.ID, r.Text)
+		}
+		resumed := 0
+		for _, run := range w.engines.runs {
+			if run.after > 0 {
+				resumed++
+			}
+		}
+		g.Expect(resumed).To(Equal(2))
+	})
+}
--- /dev/null
+++ b/internal/batchrun/world_test.go
@@ -0,0 +1,369 @@
+package batchrun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
+	"github.com/dogwoodflow/dogwoodflow/internal/registry"
+	"github.com/dogwoodflow/dogwoodflow/internal/routes"
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
+)
+
+// The tests of this package run several daemons' Services over the stand-in store
+// and these engines, on testing/synctest's clock.
+
+const (
+	testHost    = "h"
+	testPath    = "/b/"
+	testLease   = 3 * time.Second
+	storeAnswer = 4 * time.Millisecond
+	callTimeout = 1500 * time.Millisecond
+	loadTakes   = 900 * time.Millisecond
+	eventTakes  = 30 * time.Millisecond
+)
+
+// fakeEngines are the model engines. They check what they are asked.
+type fakeEngines struct {
+	t     *testing.T
+	start time.Time
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	engines map[string]*fakeEngine
+	runs    map[int]fakeRun // by number
+	fence   map[string]heldOrder
+	broken  float64 // part of the events at which a stream breaks
+	refuses float64 // part of the runs that are refused
+	// buffered is the part of the cancelled streams whose rest had arrived before.
+	buffered float64
+	fails   map[string]int
+}
+
+type fakeEngine struct {
+	versions map[string]int64
+	orders   int64
+	busy     bool
+}
+
+type fakeRun struct {
+	sample string
+	after  int
+}
+
+type heldOrder struct {
+	holder string
+	fence  int64
+	at     time.Time
+}
+
+func newFakeEngines(t *testing.T, seed uint64, n int, models []string) *fakeEngines {
+	f := &fakeEngines{t: t, start: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*fakeEngine{},
+		runs: map[int]fakeRun{}, fence: map[string]heldOrder{}, fails: map[string]int{}}
+	for i := range n {
+		e := &fakeEngine{versions: map[string]int64{}}
+		for _, m := range models {
+			e.versions[m] = 1
+		}
+		f.engines["e"+strconv.Itoa(i)] = e
+	}
+	return f
+}
+
+// length is how many events a sample has.
+func length(sample string) int {
+	n := 0
+	for _, c := range sample {
+		n += int(c)
+	}
+	return 3 + n%40
+}
+
+func modelOf(sample string) string { return sample[:2] }
+
+func (f *fakeEngines) chance(p float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64() < p
+}
+
+func (f *fakeEngines) begin(u registry.Upstream, r SampleRun) (run int, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[u.ID]
+	switch {
+	case e.busy || f.random.Float64() < f.refuses:
+		return 0, ErrRefused
+	case f.fails[r.ID] > 0:
+		f.fails[r.ID]--
+		return 0, ErrFailed
+	}
+	run = len(f.runs) + 1
+	f.runs[run] = fakeRun{r.ID, r.After}
+	return run, nil
+}
+
+// Run streams the rest of a sample. Each event names its run.
+func (f *fakeEngines) Run(ctx context.Context, u registry.Upstream, r SampleRun, emit func(batch.Event)) error {
+	if r.Path != "/run/"+r.ID || string(r.Body) != "body of "+r.ID || r.Header["H"] != r.ID {
+		f.t.Errorf("sample %s came as %+v", r.ID, r.Request)
+	}
+	run, err := f.begin(u, r)
+	if err != nil {
+		return err
+	}
+	for n := r.After + 1; n <= length(r.ID); n++ {
+		select {
+		case <-ctx.Done():
+			if !f.chance(f.buffered) {
+				return ctx.Err()
+			}
+			ctx = context.Background() // the rest had arrived already
+		case <-time.After(eventTakes):
+		}
+		if f.chance(f.broken) {
+			return errors.New("stream broke off")
+		}
+		f.mu.Lock()
+		version := f.engines[u.ID].versions[modelOf(r.ID)]
+		f.mu.Unlock()
+		emit(batch.Event{Data: fmt.Sprintf("%s:%d:%d", r.ID, n, run), Version: version})
+	}
+	return nil
+}
+
+// Report tells an engine's state.
+func (f *fakeEngines) Report(_ context.Context, u registry.Upstream) (Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[u.ID]
+	versions := map[string]int64{}
+	for m, v := range e.versions {
+		versions[m] = v
+	}
+	return Report{Orders: e.orders, Busy: e.busy, Versions: versions}, nil
+}
+
+// Load takes an order, as an engine that checks fencing numbers, and fails the
+// test on what no holder may do.
+func (f *fakeEngines) Load(_ context.Context, u registry.Upstream, o LoadOrder) (LoadOutcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, last, now := f.engines[u.ID], f.fence[u.ID], time.Now()
+	if last.holder != "" && last.holder != o.Holder {
+		if now.Sub(last.at) < testLease {
+			f.t.Errorf("engine %s: %s orders %s after %s", u.ID, o.Holder, now.Sub(last.at), last.holder)
+		}
+		if last.fence == o.Fence {
+			f.t.Errorf("engine %s: %s and %s share fencing number %d", u.ID, o.Holder, last.holder, o.Fence)
+		}
+	}
+	if o.Fence < last.fence {
+		f.t.Errorf("engine %s: fencing number %d after %d", u.ID, o.Fence, last.fence)
+		return LoadFenced, nil
+	}
+	f.fence[u.ID] = heldOrder{o.Holder, o.Fence, now}
+	if e.busy || e.orders != o.Orders {
+		return LoadConflict, nil
+	}
+	if e.versions[o.Model] >= o.Version {
+		return LoadHeld, nil
+	}
+	e.orders++
+	e.busy = true
+	time.AfterFunc(loadTakes, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		e.busy = false
+		e.versions[o.Model] = o.Version
+	})
+	return LoadAccepted, nil
+}
+
+// checkText fails the test unless a text is whole and made of runs each of which
+// was asked to go on where the one before it stops.
+func (f *fakeEngines) checkText(sample, text string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	events := strings.Split(text, "\n")
+	if len(events) != length(sample) {
+		f.t.Errorf("sample %s has %d events, its text has %d", sample, length(sample), len(events))
+		return
+	}
+	before := 0
+	for i, e := range events {
+		parts := strings.Split(e, ":")
+		if len(parts) != 3 || parts[0] != sample || parts[1] != strconv.Itoa(i+1) {
+			f.t.Errorf("sample %s: event %d is %q", sample, i+1, e)
+			return
+		}
+		run, err := strconv.Atoi(parts[2])
+		if err != nil || run != before && f.runs[run].after != i {
+			f.t.Errorf("sample %s: event %d is of run %d, which began after event %d", sample, i+1, run, f.runs[run].after)
+			return
+		}
+		before = run
+	}
+}
+
+// vm is one VM of the world: its way to the store, and its daemon while it runs.
+type vm struct {
+	name    string
+	client  *metastore.Client
+	mu      sync.Mutex
+	service *Service
+	cancel  context.CancelFunc
+	stopped chan struct{}
+}
+
+// current is the daemon that runs now, nil while there is none.
+func (v *vm) current() *Service {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.service
+}
+
+// world is a fleet.
+type world struct {
+	t       *testing.T
+	start   time.Time
+	store   *metastore.Store
+	engines *fakeEngines
+	models  []string
+	vms     []*vm
+
+	mu        sync.Mutex
+	published map[string]int64
+}
+
+func newWorld(t *testing.T, seed uint64, vms, engines int, models ...string) *world {
+	w := &world{t: t, start: time.Now(), store: metastore.New(4), models: models, published: map[string]int64{}}
+	w.engines = newFakeEngines(t, seed, engines, models)
+	for i := range vms {
+		v := &vm{name: "vm" + strconv.Itoa(i), client: metastore.NewClient(w.store, callTimeout)}
+		v.client.SetFaults(metastore.Faults{Latency: storeAnswer})
+		w.vms = append(w.vms, v)
+		w.boot(v)
+	}
+	return w
+}
+
+func (w *world) now() time.Duration { return time.Since(w.start) }
+
+// boot starts a VM's daemon with nothing in memory.
+func (w *world) boot(v *vm) {
+	view := fleet.New(w.now)
+	view.SetConfig(routes.New(1, []routes.Route{{
+		Host: testHost, PathPrefix: testPath, Kind: routes.Batch, Services: []routes.Share{{Service: "engines", Weight: 1}},
+	}}, []routes.Service{{Name: "engines", Engine: &routes.Engine{Slots: 8, Models: w.models}}}, routes.Limits{}))
+	view.Upstreams(func(r *registry.Registry, now time.Duration) {
+		for id := range w.engines.engines {
+			r.Put(registry.Upstream{ID: id, Service: "engines", Address: id, Slots: 8, Models: w.engines.versionsOf(id)})
+		}
+	})
+	w.mu.Lock()
+	for m, version := range w.published {
+		view.Publish(m, version)
+	}
+	w.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	s := New(Options{
+		VM: v.name, Log: v.client, Membership: v.client, Engines: w.engines, View: view, Parts: 4,
+		RecordBytes: 4096, CallBytes: 1 << 20, MemberTTL: 1500 * time.Millisecond, OrderLease: testLease,
+		Now: w.now, Logger: zerolog.Nop(),
+	})
+	v.mu.Lock()
+	v.service, v.cancel, v.stopped = s, cancel, make(chan struct{})
+	stopped := v.stopped
+	v.mu.Unlock()
+	go func() {
+		s.Run(ctx)
+		close(stopped)
+	}()
+}
+
+func (f *fakeEngines) versionsOf(id string) map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[string]int64{}
+	for m, v := range f.engines[id].versions {
+		out[m] = v
+	}
+	return out
+}
+
+// kill ends a VM's daemon without letting it write anything more.
+func (w *world) kill(v *vm) {
+	v.client.SetFaults(metastore.Faults{Cut: true})
+	v.mu.Lock()
+	cancel, stopped := v.cancel, v.stopped
+	v.service = nil
+	v.mu.Unlock()
+	cancel()
+	<-stopped
+}
+
+func (w *world) restart(v *vm) {
+	v.client.SetFaults(metastore.Faults{Latency: storeAnswer})
+	w.boot(v)
+}
+
+// publish names new weights, as trainers do.
+func (w *world) publish(model string, version int64) {
+	w.mu.Lock()
+	w.published[model] = version
+	w.mu.Unlock()
+	for _, v := range w.vms {
+		if s := v.current(); s != nil {
+			s.options.View.Publish(model, version)
+		}
+	}
+}
+
+func (w *world) stop() {
+	for _, v := range w.vms {
+		if v.current() != nil {
+			w.kill(v)
+		}
+	}
+	time.Sleep(20 * time.Second) // what was on its way ends
+}
+
+// sampleBatch makes a batch of samples that no other batch has.
+func sampleBatch(model, id string, groups, size int, minVersion int64) (batch.Head, []batch.Item, []batch.Request) {
+	head := batch.Head{
+		Host: testHost, Path: testPath, Model: model, MinVersion: minVersion, WantedGroups: groups,
+		MaxAttempts: 3, RetentionMS: 40_000, TargetMS: 7500,
+	}
+	var items []batch.Item
+	for g := range groups {
+		for n := range size {
+			items = append(items, batch.Item{ID: fmt.Sprintf("%s-%s-%d-%d", model, id, g, n), Group: strconv.Itoa(g)})
+		}
+	}
+	return head, items, requestsOf(items)
+}
+
+func requestsOf(items []batch.Item) []batch.Request {
+	var out []batch.Request
+	for _, i := range items {
+		out = append(out, batch.Request{Path: "/run/" + i.ID, Header: map[string]string{"H": i.ID}, Body: []byte("body of " + i.ID)})
+	}
+	return out
+}
+
+// dead counts the samples that a batch lists as given up.
+func dead(results []Result) int {
+	return len(slices.DeleteFunc(slices.Clone(results), func(r Result) bool { return r.State != batch.Dead }))
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -11,7 +11,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/dogwoodflow/dogwoodflow/internal/boottime"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 )
 
@@ -48,7 +47,9 @@
 	Sink  Sink
 	// OnContact, if set, hears of the view's dependency lost and regained.
 	OnContact func(up bool)
-	Logger    zerolog.Logger
+	// Now is a clock that goes on while the VM is suspended.
+	Now    func() time.Duration
+	Logger zerolog.Logger
 }
 
 // Follower follows one partition. It is safe for concurrent use.
@@ -161,7 +162,7 @@
 }
 
 func (f *Follower) markCurrentLocked() {
-	f.current = boottime.Now()
+	f.current = f.options.Now()
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
@@ -205,7 +206,7 @@
 	if !f.loaded {
 		return time.Hour
 	}
-	return boottime.Now() - f.current
+	return f.options.Now() - f.current
 }
 
 // Changed is closed at the next read that brings the view up to date.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,7 +9,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/dogwoodflow/dogwoodflow/internal/boottime"
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
@@ -70,12 +69,13 @@
 	view      *fleet.View
 	upstreams Upstreams
 	pool      *pool
+	now       func() time.Duration
 	log       zerolog.Logger
 }
 
-// New returns a Gateway.
-func New(view *fleet.View, upstreams Upstreams, dataCentre string, log zerolog.Logger) *Gateway {
-	return &Gateway{view: view, upstreams: upstreams, pool: newPool(dataCentre), log: log}
+// New returns a Gateway. now is a clock that goes on while the VM is suspended.
+func New(view *fleet.View, upstreams Upstreams, dataCentre string, now func() time.Duration, log zerolog.Logger) *Gateway {
+	return &Gateway{view: view, upstreams: upstreams, pool: newPool(dataCentre), now: now, log: log}
 }
 
 // Do sends a call and returns the upstream's answer or a refusal.
@@ -164,7 +164,7 @@
 
 // send starts a send to another upstream. It reports false if there is none.
 func (a *attempt) send(ctx context.Context) bool {
-	u, ok := a.g.pool.pick(a.g.view.Of(a.service), a.tried, boottime.Now())
+	u, ok := a.g.pool.pick(a.g.view.Of(a.service), a.tried, a.g.now())
 	if !ok {
 		return false
 	}
@@ -182,7 +182,7 @@
 
 // note keeps what a send told of its upstream.
 func (g *Gateway) note(ctx context.Context, u registry.Upstream, answer *Answer, err error) {
-	now := boottime.Now()
+	now := g.now()
 	g.pool.release(u.ID, now)
 	var f *exchange.Failure
 	switch {
@@ -256,4 +256,4 @@
 }
 
 // Trim forgets upstreams that left; call it now and then.
-func (g *Gateway) Trim() { g.pool.trim(boottime.Now()) }
+func (g *Gateway) Trim() { g.pool.trim(g.now()) }
--- /dev/null
+++ b/internal/standin/metastore/client.go
@@ -0,0 +1,153 @@
+package metastore
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/store"
+)
+
+// Faults are what a client suffers at the moment.
+type Faults struct {
+	Latency time.Duration // of each answer
+	Refuse  bool          // every call is refused
+	Cut     bool          // calls hang until their time is up; none arrives
+	// LoseAnswer, LateAnswer: called for each write. A lost write is done and not
+	// answered; a late one is not answered and done after the duration.
+	LoseAnswer func() bool
+	Late       func() time.Duration // 0: not late
+}
+
+// Client is one VM's way to the store. It implements store.Log and
+// store.Membership and is safe for concurrent use.
+type Client struct {
+	store   *Store
+	timeout time.Duration // of a call, beyond the wait it asks for
+
+	mu     sync.Mutex
+	faults Faults
+}
+
+// NewClient returns a client without faults.
+func NewClient(s *Store, timeout time.Duration) *Client { return &Client{store: s, timeout: timeout} }
+
+// SetFaults changes what the client suffers from now on.
+func (c *Client) SetFaults(f Faults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = f
+}
+
+func (c *Client) now() Faults {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.faults
+}
+
+// enter suffers the faults of a call before it arrives.
+func (c *Client) enter(ctx context.Context) (Faults, error) {
+	f := c.now()
+	if f.Cut {
+		wait(ctx, c.timeout)
+		return f, fmt.Errorf("%w: cut off", store.ErrUnknown)
+	}
+	wait(ctx, f.Latency)
+	if f.Refuse {
+		return f, fmt.Errorf("%w: refused", store.ErrNotDone)
+	}
+	if ctx.Err() != nil {
+		return f, fmt.Errorf("%w: %w", store.ErrNotDone, ctx.Err())
+	}
+	return f, nil
+}
+
+func (c *Client) write(ctx context.Context, do func() (int64, error)) (int64, error) {
+	f, err := c.enter(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if f.Late != nil {
+		if d := f.Late(); d > 0 {
+			time.AfterFunc(d, func() { _, _ = do() }) // nobody waits for its answer
+			wait(ctx, c.timeout)
+			return 0, fmt.Errorf("%w: late", store.ErrUnknown)
+		}
+	}
+	offset, err := do()
+	if f.LoseAnswer != nil && f.LoseAnswer() {
+		wait(ctx, c.timeout)
+		return 0, fmt.Errorf("%w: lost", store.ErrUnknown)
+	}
+	return offset, err
+}
+
+// Append adds records.
+func (c *Client) Append(ctx context.Context, topic string, part int, records [][]byte) (int64, error) {
+	return c.write(ctx, func() (int64, error) { return c.store.append(topic, part, anyEnd, records) })
+}
+
+// AppendAt adds records if the partition ends at the offset.
+func (c *Client) AppendAt(ctx context.Context, topic string, part int, at int64, records [][]byte) (int64, error) {
+	return c.write(ctx, func() (int64, error) { return c.store.append(topic, part, at, records) })
+}
+
+// Read returns records from an offset on.
+func (c *Client) Read(ctx context.Context, topic string, part int, from store.ReadFrom) (store.Page, error) {
+	if _, err := c.enter(ctx); err != nil {
+		return store.Page{}, err
+	}
+	limit := time.NewTimer(from.Wait)
+	defer limit.Stop()
+	for {
+		page, changed, err := c.store.read(topic, part, from)
+		if err != nil || len(page.Records) > 0 || from.Wait == 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return page, nil
+		case <-ctx.Done():
+			return store.Page{}, fmt.Errorf("%w: %w", store.ErrUnknown, ctx.Err())
+		}
+	}
+}
+
+// Newest returns the newest record of each key.
+func (c *Client) Newest(ctx context.Context, topic string) (store.Snapshot, error) {
+	if _, err := c.enter(ctx); err != nil {
+		return store.Snapshot{}, err
+	}
+	return c.store.newest(topic), nil
+}
+
+// Join enters or stays in a group.
+func (c *Client) Join(ctx context.Context, group, member, _ string, ttl time.Duration, generation int64) (store.Assignment, error) {
+	if _, err := c.enter(ctx); err != nil {
+		return store.Assignment{}, err
+	}
+	return c.store.join(group, member, ttl, generation, time.Now()), nil
+}
+
+// Leave gives up a member's partitions.
+func (c *Client) Leave(ctx context.Context, group, member string) error {
+	if _, err := c.enter(ctx); err != nil {
+		return err
+	}
+	c.store.leave(group, member)
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
