--- /dev/null
+++ b/internal/batch/fold_test.go
@@ -0,0 +1,268 @@
+package batch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// naiveFold answers questions about a batch from the whole list of records each
+// time, in the plainest way.
+type naiveFold struct{ records []any }
+
+func (n *naiveFold) accepted(id string) (items []Item, at int) {
+	copies := map[string][]Item{}
+	next := map[string]int{}
+	for i, r := range n.records {
+		a, ok := r.(Accepted)
+		if !ok || a.Batch != id {
+			continue
+		}
+		if a.Part == 0 {
+			clear(copies) // a copy that begins before the other is whole replaces it
+			clear(next)
+			copies[a.Copy] = nil
+			next[a.Copy] = 0
+		}
+		if want, begun := next[a.Copy]; !begun || want != a.Part {
+			continue
+		}
+		copies[a.Copy] = append(copies[a.Copy], a.Items...)
+		next[a.Copy]++
+		if next[a.Copy] == a.Parts {
+			return copies[a.Copy], i
+		}
+	}
+	return nil, -1
+}
+
+// sample tells a sample's kept events, state and place in the listing.
+func (n *naiveFold) sample(id string, item int) (events int, writer string, state State) {
+	_, from := n.accepted(id)
+	if from < 0 {
+		return 0, "", Open
+	}
+	follows := func(l Link) bool {
+		return l.From == events && (l.Writer == writer || l.After == writer && l.Base == l.From)
+	}
+	for _, r := range n.records[from+1:] {
+		switch r := r.(type) {
+		case Progress:
+			if r.Batch == id && r.Item == item && follows(r.Link) {
+				events, writer = events+r.Segment.Events, r.Link.Writer
+			}
+		case Result:
+			if r.Batch != id || r.Item != item {
+				continue
+			}
+			if r.State == Dead {
+				return events, writer, Dead
+			}
+			if follows(r.Link) {
+				return events + r.Segment.Events, r.Link.Writer, Completed
+			}
+		}
+	}
+	return events, writer, Open
+}
+
+// session makes a random session of copies, crashes and two owners.
+func session(random *rand.Rand) []any {
+	var out []any
+	writers := []string{"a", "b"}
+	kept := map[string]int{}
+	for range 300 {
+		id := fmt.Sprint("b", random.IntN(3))
+		item := random.IntN(4)
+		writer := writers[random.IntN(2)]
+		link := Link{From: random.IntN(4), Writer: writer}
+		if random.IntN(2) == 0 {
+			link.After, link.Base = writers[random.IntN(2)], link.From
+		}
+		segment := Segment{At: int64(len(out)), Events: random.IntN(3), Versions: []VersionRun{{Version: 1, Events: 1}}}
+		switch random.IntN(9) {
+		case 0, 1:
+			out = append(out, acceptance(random, id)...)
+		case 2, 3, 4, 5:
+			kept[id] += segment.Events
+			out = append(out, Progress{Batch: id, Item: item, Link: link, Segment: segment})
+		case 6:
+			out = append(out, Result{Batch: id, Item: item, State: Completed, Link: link, Segment: segment})
+		case 7:
+			out = append(out, Failed{Batch: id, Item: item, Attempt: fmt.Sprint(random.IntN(5))})
+		case 8:
+			if random.IntN(8) == 0 {
+				out = append(out, Result{Batch: id, Item: item, State: Dead})
+			}
+		}
+	}
+	return out
+}
+
+// acceptance is the append of a batch in two parts, at times broken off as if its
+// log had lost the rest.
+func acceptance(random *rand.Rand, id string) []any {
+	copyID := fmt.Sprint(random.IntN(1000))
+	head := Head{Model: "m", MaxAttempts: 3}
+	items := make([]Item, 4)
+	for i := range items {
+		items[i].ID = fmt.Sprint(id, "-", i)
+	}
+	parts := []any{
+		Accepted{Batch: id, Copy: copyID, Part: 0, Parts: 2, Head: &head, Items: items[:2]},
+		Accepted{Batch: id, Copy: copyID, Part: 1, Parts: 2, Items: items[2:]},
+	}
+	return parts[:1+random.IntN(2)]
+}
+
+// Two daemons run one batch for a while, records come twice, appends stop half way:
+// a trainer must find the same results wherever it asks, so the fold has to make of
+// every session what the plainest reading of the rules makes of it.
+func TestFoldAgainstNaive(t *testing.T) {
+	for seed := range uint64(200) {
+		g := NewWithT(t)
+		naive := &naiveFold{}
+		fold := NewFold()
+		for _, r := range session(rand.New(rand.NewPCG(seed, 0))) {
+			naive.records = append(naive.records, r)
+			fold.Apply(r, 0)
+		}
+		for _, id := range []string{"b0", "b1", "b2"} {
+			items, _ := naive.accepted(id)
+			b := fold.Get(id)
+			g.Expect(b != nil).To(Equal(items != nil), "seed %d batch %s", seed, id)
+			for i := range items {
+				events, writer, state := naive.sample(id, i)
+				s := b.Samples[i]
+				g.Expect([]any{s.Text.Events, s.Text.Writer, s.State}).To(Equal([]any{events, writer, state}), "seed %d %s item %d", seed, id, i)
+				g.Expect(slices.Contains(b.Listed, i)).To(Equal(state != Open))
+			}
+		}
+	}
+}
+
+func accept(f *Fold, id string, h Head, ids ...string) *Batch {
+	var items []Item
+	for _, i := range ids {
+		items = append(items, Item{ID: i})
+	}
+	for _, part := range Split(id, "c", h, items, 4096) {
+		f.Apply(part, 0)
+	}
+	return f.Get(id)
+}
+
+func progress(batch string, item, from, events int, version int64) Progress {
+	return Progress{Batch: batch, Item: item, Link: Link{From: from, Writer: "w"},
+		Segment: Segment{At: int64(from), Events: events, Versions: []VersionRun{{Version: version, Events: events}}}}
+}
+
+// Samples left behind by one step come again in the next: text whose weights have
+// become too old there would be a stale sample.
+func TestReusedTextFitsTheLaterBatch(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFold()
+	accept(f, "one", Head{Model: "m", MinVersion: 1}, "fresh", "old", "done")
+	f.Apply(progress("one", 0, 0, 2, 2), 0)
+	f.Apply(progress("one", 1, 0, 2, 1), 0)
+	f.Apply(Result{Batch: "one", Item: 2, State: Completed, Link: Link{Writer: "w"}, Segment: Segment{At: 9, Events: 3, Versions: []VersionRun{{Version: 2, Events: 3}}}}, 0)
+	b := accept(f, "two", Head{Model: "m", MinVersion: 2}, "fresh", "old", "done")
+	g.Expect(b.Samples[0].Text.Events).To(Equal(2))
+	g.Expect(b.Samples[1].Text.Events).To(BeZero())
+	g.Expect(b.Samples[2].Whole).To(BeTrue())
+	f.Apply(progress("one", 0, 2, 1, 2), 0)
+	g.Expect(b.Samples[0].Text.Events).To(Equal(2), "the earlier batch's text grows on its own")
+	other := accept(f, "three", Head{Model: "other"}, "fresh")
+	g.Expect(other.Samples[0].Text.Events).To(BeZero())
+}
+
+// An engine fails a sample once, and the record of it stands twice in the log, since
+// the first append's answer was lost. Counted twice, the sample would be given up early.
+func TestFailureRecordCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFold()
+	b := accept(f, "b", Head{MaxAttempts: 2}, "s")
+	f.Apply(Failed{Batch: "b", Item: 0, Attempt: "x"}, 0)
+	f.Apply(Failed{Batch: "b", Item: 0, Attempt: "x"}, 0)
+	g.Expect(b.Samples[0].Failures).To(Equal(1))
+	f.Apply(Failed{Batch: "b", Item: 0, Attempt: "y"}, 0)
+	g.Expect(b.Samples[0].Failures).To(Equal(2))
+}
+
+func TestForgetKeepsOpenBatches(t *testing.T) {
+	g := NewWithT(t)
+	f := NewFold()
+	accept(f, "open", Head{}, "s1")
+	accept(f, "over", Head{}, "s2")
+	f.Apply(Ended{Batch: "over"}, 0)
+	f.Forget(time.Second)
+	g.Expect(f.Get("open")).NotTo(BeNil())
+	g.Expect(f.Get("over")).To(BeNil())
+	g.Expect(f.All()).To(HaveLen(1))
+}
+
+func TestRecordsKeepTheirContent(t *testing.T) {
+	for _, r := range []any{
+		Accepted{Batch: "b", Copy: "c", Parts: 1, Head: &Head{Host: "h", Model: "m", RequestCounts: []int{1}}, Items: []Item{{ID: "i", Group: "g", Expected: 3}}},
+		progress("b", 1, 2, 3, 4),
+		Result{Batch: "b", Item: 1, State: Completed, Link: Link{From: 1, Writer: "w", After: "v", Base: 1}, Segment: Segment{At: 2, Events: 1, Versions: []VersionRun{{1, 1}}}},
+		Failed{Batch: "b", Item: 2, Attempt: "a"},
+		Ended{Batch: "b"},
+	} {
+		g := NewWithT(t)
+		data, err := Encode(r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(Decode(data)).To(Equal(r))
+		_, err = Decode(data[:len(data)-1])
+		g.Expect(err).To(MatchError(ErrMalformed))
+	}
+	g := NewWithT(t)
+	_, err := Decode(nil)
+	g.Expect(err).To(MatchError(ErrMalformed))
+	_, err = Decode([]byte{99})
+	g.Expect(err).To(MatchError(ErrMalformed))
+	_, err = Encode("no record")
+	g.Expect(err).To(HaveOccurred())
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(progress("b", 1, 2, 3, 4))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		record, err := Decode(data)
+		if err != nil {
+			return
+		}
+		fold := NewFold()
+		accept(fold, "b", Head{}, "s")
+		fold.Apply(record, 0) // any record that can be read can be applied
+	})
+}
+
+func TestPackRequestsSplitsAndFindsThem(t *testing.T) {
+	g := NewWithT(t)
+	var requests []Request
+	for n := range 20 {
+		requests = append(requests, Request{Path: fmt.Sprint("/", n), Header: map[string]string{"a": "b"}, Body: make([]byte, 300)})
+	}
+	blobs, counts, err := PackRequests(requests, 2000)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(blobs)).To(BeNumerically(">", 3))
+	head := Head{RequestsAt: 7, RequestCounts: counts}
+	for n := range requests {
+		at, index := head.RequestBlob(n)
+		got, err := UnpackRequests(blobs[at-7])
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got[index].Path).To(Equal(fmt.Sprint("/", n)))
+		g.Expect(len(blobs[at-7])).To(BeNumerically("<=", 2000))
+	}
+	_, _, err = PackRequests([]Request{{Body: make([]byte, 3000)}}, 2000)
+	g.Expect(err).To(HaveOccurred())
+}
--- /dev/null
+++ b/internal/batch/plan_test.go
@@ -0,0 +1,58 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestPlan(t *testing.T) {
+	engines := []Engine{{ID: "e1", Version: 2, Slots: 2}, {ID: "e2", Version: 1, Running: 1, Slots: 2}, {ID: "e3", Version: 3, Running: 2, Slots: 2}}
+	for _, c := range []struct {
+		name    string
+		waiting []Waiting
+		want    []string // item and engine
+	}{
+		{"longest first, to the emptiest", []Waiting{{Index: 1, Remaining: 10}, {Index: 2, Remaining: 90}}, []string{"2e1", "1e1"}},
+		{"the earlier step first", []Waiting{{Index: 1, Due: 9 * time.Second, Remaining: 90}, {Index: 2, Due: 2 * time.Second}}, []string{"2e1", "1e1"}},
+		{"no more than there are slots", []Waiting{{Index: 1}, {Index: 2}, {Index: 3}, {Index: 4}}, []string{"1e1", "2e1", "3e2"}},
+		{"weights that are too old don't count", []Waiting{{Index: 1, MinVersion: 2}, {Index: 2, MinVersion: 2}, {Index: 3, MinVersion: 2}}, []string{"1e1", "2e1"}},
+		{"the engine that failed it is the last choice", []Waiting{{Index: 1, Avoid: "e1"}}, []string{"1e2"}},
+		{"but a choice", []Waiting{{Index: 1, Avoid: "e1", MinVersion: 2}}, []string{"1e1"}},
+		{"not before its time", []Waiting{{Index: 1, NotBefore: time.Minute}}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var got []string
+			for _, s := range Plan(c.waiting, engines, time.Second) {
+				got = append(got, string(rune('0'+s.Waiting.Index))+s.Engine)
+			}
+			NewWithT(t).Expect(got).To(Equal(c.want))
+		})
+	}
+	NewWithT(t).Expect(engines[0].Running).To(BeZero(), "the view isn't changed")
+}
+
+func TestSlow(t *testing.T) {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, c := range []struct {
+		name string
+		gaps []time.Duration
+		want []string
+	}{
+		{"alone, nothing to compare", []time.Duration{ms(200)}, nil},
+		{"a full engine isn't slow", []time.Duration{ms(42), ms(30), ms(30)}, nil},
+		{"one of three", []time.Duration{ms(150), ms(40), ms(42)}, []string{"a"}},
+		{"one of two", []time.Duration{ms(40), ms(150)}, []string{"b"}},
+		{"unknown gaps don't count", []time.Duration{0, ms(150), 0}, nil},
+		{"all equally slow", []time.Duration{ms(150), ms(150), ms(150)}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var paces []Pace
+			for i, gap := range c.gaps {
+				paces = append(paces, Pace{Engine: string(rune('a' + i)), Gap: gap})
+			}
+			NewWithT(t).Expect(Slow(paces)).To(Equal(c.want))
+		})
+	}
+}
--- /dev/null
+++ b/internal/loads/loads_test.go
@@ -0,0 +1,104 @@
+package loads
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestDecide(t *testing.T) {
+	e := func(id string, version int64, running int) Engine {
+		return Engine{ID: id, Version: version, Running: running, Slots: 16, Usable: true}
+	}
+	loading := func(e Engine) Engine { e.Loading = true; return e }
+	gone := func(e Engine) Engine { e.Usable = false; return e }
+	for _, c := range []struct {
+		name string
+		in   Input
+		want Plan
+	}{
+		{"nothing published", Input{Engines: []Engine{e("a", 0, 0)}}, Plan{}},
+		{"idle: two at once", Input{Newest: 2, Engines: []Engine{e("a", 1, 0), e("b", 1, 0), e("c", 1, 0)}}, Plan{Load: []string{"a", "b"}}},
+		{"idle: one loads already", Input{Newest: 2, Engines: []Engine{loading(e("a", 1, 0)), e("b", 1, 0), e("c", 1, 0)}}, Plan{Load: []string{"b"}}},
+		{"samples wait: useful engines stay", Input{Newest: 2, Needed: 1, Waiting: 5, Active: true, Engines: []Engine{e("a", 1, 16), e("b", 1, 16)}}, Plan{}},
+		{"samples wait: an engine that is no use loads", Input{Newest: 2, Needed: 2, Waiting: 5, Active: true, Engines: []Engine{e("a", 1, 0), e("b", 2, 16)}}, Plan{Load: []string{"a"}}},
+		{"no engine is of use: two load", Input{Newest: 2, Needed: 2, Waiting: 5, Active: true, Engines: []Engine{e("a", 1, 3), e("b", 1, 0), e("c", 1, 0)}}, Plan{Load: []string{"b", "c"}}},
+		{"the end of a step: the idle one", Input{Newest: 2, Active: true, Engines: []Engine{e("a", 1, 2), e("b", 1, 0)}}, Plan{Load: []string{"b"}}},
+		{"the end of a step: the emptiest is vacated", Input{Newest: 2, Active: true, Engines: []Engine{e("a", 1, 4), e("b", 1, 2), e("c", 1, 3)}}, Plan{Vacate: "b"}},
+		{"no room elsewhere", Input{Newest: 2, Active: true, Engines: []Engine{e("a", 1, 16), e("b", 1, 2)}}, Plan{}},
+		{"one at a time while a step runs", Input{Newest: 2, Active: true, Engines: []Engine{loading(e("a", 1, 0)), e("b", 1, 0)}}, Plan{}},
+		{"an engine out of reach isn't ordered", Input{Newest: 2, Engines: []Engine{gone(e("a", 1, 0))}}, Plan{}},
+		{"all have it", Input{Newest: 2, Engines: []Engine{e("a", 2, 0)}}, Plan{}},
+	} {
+		t.Run(c.name, func(t *testing.T) { NewWithT(t).Expect(Decide(c.in)).To(Equal(c.want)) })
+	}
+}
+
+func TestShare(t *testing.T) {
+	g := NewWithT(t)
+	var engines []string
+	for n := range 10 {
+		engines = append(engines, fmt.Sprint("10.0.0.", n, ":1"))
+	}
+	models := []string{"c", "a", "b"}
+	all := Share(engines, models)
+	seen := map[string]string{}
+	for m, list := range all {
+		g.Expect(len(list)).To(BeNumerically("~", 3.5, 0.5), m)
+		for _, e := range list {
+			g.Expect(seen).NotTo(HaveKey(e))
+			seen[e] = m
+		}
+	}
+	g.Expect(seen).To(HaveLen(10))
+	moved := 0
+	for m, list := range Share(engines[1:], models) {
+		for _, e := range list {
+			if seen[e] != m {
+				moved++
+			}
+		}
+	}
+	g.Expect(moved).To(BeNumerically("<=", 2), "the loss of one engine moves few others")
+	g.Expect(Share(engines, nil)).To(BeEmpty())
+	g.Expect(Share(nil, models)).To(BeEmpty())
+}
+
+// A VM freezes after it claimed an engine, and another claims it. When the first
+// wakes it may order only with a new claim, and that only after the lease: an
+// engine must not hear of two holders in turn.
+func TestClaimsBarOthersForTheLease(t *testing.T) {
+	g := NewWithT(t)
+	const lease = 3 * time.Second
+	c := NewClaims("me", lease)
+	g.Expect(c.Barred("e", 0)).To(BeZero())
+	c.Apply(4, Claim{Engine: "e", Holder: "other"}, time.Second)
+	g.Expect(c.Barred("e", time.Second)).To(Equal(ClaimLife + lease + ClaimMargin))
+	g.Expect(c.Barred("e", time.Second+ClaimLife+lease+ClaimMargin)).To(BeZero())
+	g.Expect(c.Barred("another", time.Second)).To(BeZero())
+	c.Apply(5, Claim{Engine: "e", Holder: "me"}, 2*time.Second)
+	g.Expect(c.Barred("e", 2*time.Second)).To(BeZero())
+	holder, offset, ok := c.Holder("e")
+	g.Expect(holder).To(Equal("me"))
+	g.Expect(offset).To(Equal(int64(5)))
+	g.Expect(ok).To(BeTrue())
+	c.Forget(func(string) bool { return false }, 3*time.Second)
+	_, _, ok = c.Holder("e")
+	g.Expect(ok).To(BeTrue(), "it may still bar others")
+	c.Forget(func(string) bool { return false }, time.Minute)
+	_, _, ok = c.Holder("e")
+	g.Expect(ok).To(BeFalse())
+}
+
+func TestRecordsOfTheClaimsLog(t *testing.T) {
+	g := NewWithT(t)
+	for _, r := range []Record{{Claim: &Claim{"e", "vm"}}, {Wish: &Wish{"e", "m", 3}}, {Loaded: &Loaded{"e", "m", 3}}} {
+		data, err := Encode(r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(Decode(data)).To(Equal(r))
+	}
+	_, err := Decode([]byte{0xff})
+	g.Expect(err).To(MatchError(ErrMalformed))
+}
