--- a/cmd/dogwoodflowctl/change.go
+++ b/cmd/dogwoodflowctl/change.go
@@ -107,7 +107,7 @@
 	}
 	verdict, err := client.Publish(ctx, change)
 	if err != nil {
-		return explain(ctx, client, change, err)
+		return describeFailure(ctx, client, change, err)
 	}
 	return g.show(verdict, func(t table) {
 		t.text("%s%s is in force at version %s", done, change.Branch, verdict.Version)
@@ -127,7 +127,7 @@
 }
 
 // explain says what to do about a change that failed.
-func explain(ctx context.Context, client *adminclient.Client, change httpapi.ChangeRequest, err error) error {
+func describeFailure(ctx context.Context, client *adminclient.Client, change httpapi.ChangeRequest, err error) error {
 	err = fmt.Errorf("change %s: %w", change.ID, err)
 	if adminclient.OutcomeOf(err) == outcome.Unknown {
 		return hinted{err, fmt.Sprintf("It may or may not come into force. Repeating the command with --id %s --base %s is safe:\n"+
--- a/cmd/dogwoodflowd/main.go
+++ b/cmd/dogwoodflowd/main.go
@@ -41,6 +41,9 @@
 	return app.Run(d, newLogger(d))
 }
 
+// millisecondTime lets the lines of several daemons be put into one order.
+const millisecondTime = "2006-01-02T15:04:05.000Z07:00"
+
 // runOnPlatform writes its lines to standard output, where the platform collects
 // them, and never waits for it.
 func runOnPlatform(d *settings.Daemon) int {
@@ -48,6 +51,7 @@
 	if err != nil {
 		level = zerolog.InfoLevel
 	}
+	zerolog.TimeFieldFormat = millisecondTime
 	out := logline.New(os.Stdout)
 	defer out.Close()
 	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
