--- a/internal/batchrun/look.go
+++ b/internal/batchrun/look.go
@@ -31,29 +31,49 @@
 	}
 	now := r.s.options.Now()
 	r.takeRejectedLocked()
-	work := r.models(config)
+	work := r.models(ctx, config)
 	r.collectLocked(ctx, config, work, now)
 	for model, w := range work {
 		r.serveLocked(ctx, config, model, w, now)
 	}
 }
 
-// models returns the models whose batches lie in this partition.
-func (r *runner) models(config *routes.Config) map[string]*modelWork {
+// models returns the models whose batches lie in this partition. The caller holds mu.
+func (r *runner) models(ctx context.Context, config *routes.Config) map[string]*modelWork {
 	out := map[string]*modelWork{}
+	published := r.s.options.View.Published()
 	for _, service := range config.Services {
 		if service.Engine == nil {
 			continue
 		}
 		for _, m := range service.Engine.Models {
-			if r.s.partitionOf(m) == r.part {
+			switch home := r.s.partitionOf(m); {
+			case home == r.part:
 				out[m] = &modelWork{service: service.Name}
+			case home == nil && published[m] > 0 && r.part.number == 0:
+				r.settleLocked(ctx, m)
 			}
 		}
 	}
 	return out
 }
 
+// settleLocked gives a model whose weights were published before its first batch a
+// partition, so that somebody loads them. The owner of partition 0 does it.
+func (r *runner) settleLocked(ctx context.Context, model string) {
+	if r.settling {
+		return
+	}
+	r.settling = true
+	r.work.Go(func() {
+		part, err := r.s.orders.settle(ctx, model)
+		r.log.Info().Str("model", model).Int("home", part).Err(err).Msg("model has weights and no batch yet")
+		r.mu.Lock()
+		r.settling = false
+		r.mu.Unlock()
+	})
+}
+
 // collectLocked finds the samples that wait, and ends the runs that nobody wants
 // any more.
 func (r *runner) collectLocked(ctx context.Context, config *routes.Config, work map[string]*modelWork, now time.Duration) {
--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -20,11 +20,12 @@
 
 	mu      sync.Mutex
 	claims  *loads.Claims
+	homes   *loads.Homes
 	loading map[string]bool // engines that this VM loads for another's wish
 }
 
 func newOrders(o Options) *orders {
-	x := &orders{options: o, claims: loads.NewClaims(o.VM, o.OrderLease), loading: map[string]bool{}}
+	x := &orders{options: o, claims: loads.NewClaims(o.VM, o.OrderLease), homes: loads.NewHomes(o.Parts), loading: map[string]bool{}}
 	x.follower = follow.New(follow.Options{Log: o.Log, Topic: claimsTopic, Sink: x, Now: o.Now, Logger: o.Logger})
 	return x
 }
@@ -41,6 +42,10 @@
 		x.mu.Lock()
 		x.claims.Apply(offset, *r.Claim, x.options.Now())
 		x.mu.Unlock()
+	case r.Home != nil:
+		x.mu.Lock()
+		x.homes.Apply(*r.Home)
+		x.mu.Unlock()
 	case r.Wish != nil:
 		go x.grant(*r.Wish) // it asks the follower, whose lock is held here
 	case r.Loaded != nil:
@@ -154,6 +159,40 @@
 // claimTries bounds the appends of one claim that met other daemons' claims.
 const claimTries = 4
 
+func (x *orders) home(model string) (part int, ok bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.homes.Of(model)
+}
+
+// settle gives a model a partition unless it has one. The append is conditional:
+// two daemons that meet a new model at once agree on one record's partition.
+func (x *orders) settle(ctx context.Context, model string) (int, error) {
+	var err error
+	for range claimTries {
+		if part, ok := x.home(model); ok {
+			return part, nil
+		}
+		next := x.follower.Next()
+		x.mu.Lock()
+		home := x.homes.Next(model)
+		x.mu.Unlock()
+		var data []byte
+		if data, err = loads.Encode(loads.Record{Home: &home}); err != nil {
+			return 0, err
+		}
+		if _, err = x.options.Log.AppendAt(ctx, claimsTopic, 0, next, [][]byte{data}); errors.Is(err, store.ErrNotDone) {
+			return 0, err
+		}
+		if err := x.follower.CatchUp(ctx); err != nil {
+			return 0, err
+		}
+	}
+	return 0, errors.Join(errNoHome, err)
+}
+
+var errNoHome = errors.New("no partition could be assigned to the model")
+
 // claim appends a claim on an engine.
 func (x *orders) claim(ctx context.Context, engine string) (permit, error) {
 	data, err := loads.Encode(loads.Record{Claim: &loads.Claim{Engine: engine, Holder: x.options.VM}})
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -40,10 +41,18 @@
 	contact    time.Duration // boottime of the start of the last join that was answered
 	first      time.Duration // boottime of the first such join
 	draining   bool
+
+	// Of a small VM, used by run alone.
+	asked    bool // it should be in the group
+	askAgain time.Duration
 }
 
 func newOwner(s *Service) *owner {
-	return &owner{s: s, member: s.options.VM + "/" + uuid.NewString(), runners: map[int]*runner{}}
+	member := s.options.VM + "/" + uuid.NewString()
+	if s.options.Small {
+		member += smallMark
+	}
+	return &owner{s: s, member: member, runners: map[int]*runner{}}
 }
 
 func (o *owner) run(ctx context.Context) {
@@ -52,7 +61,7 @@
 		if n < earlyJoins {
 			interval = earlyJoinInterval
 		}
-		if o.s.Loaded() {
+		if o.s.Loaded() && o.wanted(ctx) {
 			o.join(ctx)
 			n++
 		}
@@ -62,6 +71,45 @@
 	o.stopAll()
 }
 
+// smallMark ends the name of a member on a small VM.
+const smallMark = "/small"
+
+// askOwnersEvery is between two looks of a small VM at who owns the partitions.
+const askOwnersEvery = 1 * time.Second
+
+// wanted reports whether this daemon should be in the group. A small VM is too
+// slow to run a model's samples, which shows as steps that all come late; it joins
+// only while no larger one owns a partition, and leaves when one does.
+func (o *owner) wanted(ctx context.Context) bool {
+	if !o.s.options.Small {
+		return true
+	}
+	now := o.s.options.Now()
+	if now < o.askAgain {
+		return o.asked
+	}
+	o.askAgain = now + askOwnersEvery
+	members, err := o.s.options.Membership.Owners(ctx, ownersGroup)
+	if err != nil {
+		return o.asked // as before: nothing is known to have changed
+	}
+	large := slices.ContainsFunc(members, func(m string) bool { return !strings.HasSuffix(m, smallMark) })
+	if o.asked && large {
+		o.stepBack(ctx)
+	}
+	o.asked = !large
+	return o.asked
+}
+
+// stepBack hands everything over to larger VMs.
+func (o *owner) stepBack(ctx context.Context) {
+	o.s.options.Logger.Info().Msg("larger VMs own partitions, leaving the group")
+	o.stopAll()
+	if err := o.s.options.Membership.Leave(ctx, ownersGroup, o.member); err != nil {
+		o.s.options.Logger.Warn().Err(err).Msg("group not left; its timeout will tell")
+	}
+}
+
 func (o *owner) isDraining() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -34,6 +34,7 @@
 
 	mu       sync.Mutex
 	stopping bool
+	settling bool // a model without a partition is being given one
 	runs     map[sampleKey]*run
 	texts    map[sampleKey]*text
 	finished map[sampleKey]bool // a result is on its way to the log
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"time"
 
 	"github.com/google/uuid"
@@ -46,6 +45,7 @@
 	Membership  store.Membership
 	Engines     Engines
 	View        *fleet.View
+	Small       bool                 // this VM owns partitions only if no larger one does
 	Parts       int                  // partitions of a topic
 	RecordBytes int                  // largest record
 	CallBytes   int                  // largest append
@@ -128,15 +128,17 @@
 			return false
 		}
 	}
-	return true
+	return s.orders.follower.Loaded()
 }
 
 // partitionOf is the same for all batches of a model, so that one daemon runs them
-// and reused samples meet their earlier text.
+// and reused samples meet their earlier text. It is nil for a model without batches.
 func (s *Service) partitionOf(model string) *partition {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(model)) // a hash's Write never fails
-	return s.parts[int(h.Sum32()%uint32(len(s.parts)))]
+	part, ok := s.orders.home(model)
+	if !ok {
+		return nil
+	}
+	return s.parts[part]
 }
 
 func (s *Service) find(id string) *partition {
@@ -158,6 +160,8 @@
 	// appendWait bounds the wait for an append's answer; the trainer resends a batch
 	// that gets none.
 	appendWait = 1500 * time.Millisecond
+	// submitWait bounds a whole submission.
+	submitWait = 2 * appendWait
 	// seenWait is how long a batch whose append had no answer is looked for in the log.
 	seenWait = 700 * time.Millisecond
 	// refusedTries and refusedPause: a store that refuses a call may take the next.
@@ -184,11 +188,16 @@
 }
 
 func (s *Service) submit(ctx context.Context, id string, head batch.Head, items []batch.Item, requests []batch.Request) error {
-	p := s.partitionOf(head.Model)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitWait)
+	defer cancel()
+	part, err := s.orders.settle(ctx, head.Model)
+	if err != nil {
+		return errors.Join(ErrNotRun, err)
+	}
+	p := s.parts[part]
 	if p.has(id) {
 		return nil
 	}
-	var err error
 	if head.RequestsAt, head.RequestCounts, err = s.putRequests(ctx, p, requests); err != nil {
 		return err
 	}
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -48,7 +48,7 @@
 	refuses float64 // part of the runs that are refused
 	// buffered is the part of the cancelled streams whose rest had arrived before.
 	buffered float64
-	fails   map[string]int
+	fails    map[string]int
 }
 
 type fakeEngine struct {
--- a/internal/loads/claims.go
+++ b/internal/loads/claims.go
@@ -56,6 +56,7 @@
 	Claim  *Claim  `cbor:"1,keyasint,omitempty"`
 	Wish   *Wish   `cbor:"2,keyasint,omitempty"`
 	Loaded *Loaded `cbor:"3,keyasint,omitempty"`
+	Home   *Home   `cbor:"4,keyasint,omitempty"`
 }
 
 // ErrMalformed says that a record can't be read.
--- /dev/null
+++ b/internal/loads/homes.go
@@ -0,0 +1,51 @@
+package loads
+
+// Home assigns a model to a partition of the batches' topic. The first record of a
+// model counts, so every daemon has the same answer for good, and the samples of
+// two models don't crowd on one owner while other partitions are free.
+type Home struct {
+	Model string `cbor:"1,keyasint"`
+	Part  int    `cbor:"2,keyasint"`
+}
+
+// Homes is the fold of these records.
+type Homes struct {
+	parts   int
+	byModel map[string]int
+}
+
+// NewHomes returns a fold without models, over so many partitions.
+func NewHomes(parts int) *Homes { return &Homes{parts: parts, byModel: map[string]int{}} }
+
+// Apply takes the next record.
+func (h *Homes) Apply(r Home) {
+	if _, known := h.byModel[r.Model]; !known && r.Part >= 0 && r.Part < h.parts {
+		h.byModel[r.Model] = r.Part
+	}
+}
+
+// Of returns a model's partition.
+func (h *Homes) Of(model string) (part int, ok bool) {
+	part, ok = h.byModel[model]
+	return part, ok
+}
+
+// stride spreads the first partitions: owners tend to get neighbouring ones.
+const stride = 4
+
+// Next returns the record to append for a new model: the partition with the fewest
+// models, in an order that keeps the first ones apart.
+func (h *Homes) Next(model string) Home {
+	used := make([]int, h.parts)
+	for _, part := range h.byModel {
+		used[part]++
+	}
+	best := 0
+	for n := range h.parts {
+		part := (n*stride + n*stride/h.parts) % h.parts
+		if n == 0 || used[part] < used[best] {
+			best = part
+		}
+	}
+	return Home{Model: model, Part: best}
+}
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -70,6 +70,6 @@
 		w.Close()
 		lines := bytes.Count(out.data.Bytes(), []byte("\n"))
 		g.Expect(lines).To(BeNumerically("<=", burstLines+10*linesPerSecond))
-		g.Expect(lines + int(dropped.Value()-before)).To(Equal(10_000), "what is dropped is counted")
+		g.Expect(lines+int(dropped.Value()-before)).To(Equal(10_000), "what is dropped is counted")
 	})
 }
--- a/internal/standin/metastore/client.go
+++ b/internal/standin/metastore/client.go
@@ -131,6 +131,14 @@
 	return c.store.join(group, member, ttl, generation, time.Now()), nil
 }
 
+// Owners returns the members that own a partition.
+func (c *Client) Owners(ctx context.Context, group string) ([]string, error) {
+	if _, err := c.enter(ctx); err != nil {
+		return nil, err
+	}
+	return c.store.owners(group), nil
+}
+
 // Leave gives up a member's partitions.
 func (c *Client) Leave(ctx context.Context, group, member string) error {
 	if _, err := c.enter(ctx); err != nil {
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -216,6 +216,17 @@
 	return out
 }
 
+func (s *Store) owners(name string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.groups[name]
+	if g == nil {
+		return nil
+	}
+	g.expire(time.Now())
+	return slices.DeleteFunc(slices.Clone(g.owner), func(id string) bool { _, alive := g.members[id]; return !alive })
+}
+
 func (s *Store) leave(name, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -90,6 +90,8 @@
 	// owner once this member has joined with the generation that took it, or has
 	// been silent for ttl.
 	Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation int64) (Assignment, error)
+	// Owners returns the members that own a partition now.
+	Owners(ctx context.Context, group string) ([]string, error)
 	// Leave gives up all partitions at once.
 	Leave(ctx context.Context, group, member string) error
 }
