A fault soak and a demo with real daemons as processes

platformsoak starts daemons, a store for each over loopback, engines, services, trainers and callers; faults by a seed: kill, stop, pause, all killed, cut, slow, lost and late answers, engines that crash, slow down or break off. Texts, positions, fencing numbers and holders are checked from outside.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 STATICCHECK = go tool -modfile=tools/lint/go.mod staticcheck
 
-.PHONY: build test lint generate demo prove bench bench-quick capacity fuzz
+.PHONY: build test lint generate demo platform-demo soak prove bench bench-quick capacity fuzz
 
 build:
 	mkdir -p bin
@@ -24,6 +24,12 @@
 demo: build
 	scripts/demo.sh
 
+platform-demo: build
+	bin/platformsoak --plan demo
+
+soak: build
+	scripts/soak.sh $(or $(FROM),1) $(or $(TO),10) $(or $(DURATION),12s)
+
 prove: build
 	scripts/prove.sh
 
--- /dev/null
+++ b/cmd/platformsoak/faults.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
+)
+
+// demo kills a daemon and takes the store away for two seconds.
+func (w *world) demo() {
+	time.Sleep(3 * time.Second)
+	w.kill(w.daemons[1:2], syscall.SIGKILL)
+	time.Sleep(2 * time.Second)
+	w.suffer(w.daemons, metastore.Faults{Refuse: true, Latency: storeDelay}, 2*time.Second)
+	time.Sleep(2 * time.Second)
+}
+
+// disturb plays faults until the time is up. Each begins while others still last.
+func (w *world) disturb(lasting time.Duration) {
+	until := time.Now().Add(lasting)
+	var running sync.WaitGroup
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(500+w.random.IntN(1500)) * time.Millisecond)
+		d := w.daemons[w.random.IntN(len(w.daemons))]
+		server := w.servers[w.random.IntN(len(w.servers))]
+		span := time.Duration(500+w.random.IntN(3000)) * time.Millisecond
+		kind := w.random.IntN(11)
+		lossy := w.random.Float64() / 2
+		if kind < 4 {
+			w.process(kind, d, span) // one daemon's process at a time
+			continue
+		}
+		running.Go(func() { w.surrounding(kind, d, func() { w.server(kind, server, span) }, span, lossy) })
+	}
+	running.Wait()
+}
+
+// process ends, stops or pauses daemons.
+func (w *world) process(kind int, d *daemon, span time.Duration) {
+	switch kind {
+	case 0:
+		w.kill([]*daemon{d}, syscall.SIGKILL)
+	case 1:
+		w.kill([]*daemon{d}, syscall.SIGTERM)
+	case 2:
+		d.signal(syscall.SIGSTOP)
+		time.Sleep(span)
+		d.signal(syscall.SIGCONT)
+	case 3:
+		w.kill(w.daemons, syscall.SIGKILL)
+	}
+}
+
+func (w *world) kill(list []*daemon, s syscall.Signal) {
+	var ending sync.WaitGroup
+	for _, d := range list {
+		ending.Go(func() { d.end(s) })
+	}
+	ending.Wait()
+	for _, d := range list {
+		w.restart(d)
+		w.kills++
+	}
+}
+
+// surrounding harms the store, the way to it, or a server.
+func (w *world) surrounding(kind int, d *daemon, server func(), span time.Duration, lossy float64) {
+	switch kind {
+	case 4:
+		w.suffer([]*daemon{d}, metastore.Faults{Cut: true}, span)
+	case 5:
+		w.suffer(w.daemons, metastore.Faults{Latency: 200 * time.Millisecond}, span)
+	case 6:
+		w.suffer(w.daemons, metastore.Faults{Latency: storeDelay, LoseAnswer: w.chance(lossy)}, span)
+	case 7:
+		lose := w.chance(lossy)
+		late := func() time.Duration {
+			if lose() {
+				return 2 * time.Second
+			}
+			return 0
+		}
+		w.suffer(w.daemons, metastore.Faults{Latency: storeDelay, Late: late}, span)
+	default:
+		server()
+	}
+}
+
+func (w *world) server(kind int, s serverHarm, span time.Duration) {
+	switch kind {
+	case 8:
+		if err := s.Crash(span); err != nil {
+			w.fleet.Faults = append(w.fleet.Faults, "stand-in: "+err.Error())
+		}
+	case 9:
+		s.Disturb(4, false, 0)
+	case 10:
+		s.Disturb(1, false, 0.02)
+	}
+	time.Sleep(span)
+	s.Disturb(1, false, 0)
+}
+
+// serverHarm is what can be done to a server.
+type serverHarm interface {
+	Crash(down time.Duration) error
+	Disturb(slow float64, dark bool, breaks float64)
+}
+
+// chance returns a coin of its own seed, safe for concurrent use.
+func (w *world) chance(p float64) func() bool {
+	var mu sync.Mutex
+	state := uint64(p*1e6) + w.options.seed
+	return func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		state = state*6364136223846793005 + 1442695040888963407
+		return float64(state>>40)/(1<<24) < p
+	}
+}
+
+func (w *world) suffer(list []*daemon, f metastore.Faults, span time.Duration) {
+	for _, d := range list {
+		d.store.SetFaults(f)
+	}
+	time.Sleep(span)
+	for _, d := range list {
+		d.store.SetFaults(metastore.Faults{Latency: storeDelay})
+	}
+}
+
+func (w *world) heal() {
+	for _, d := range w.daemons {
+		d.store.SetFaults(metastore.Faults{Latency: storeDelay})
+	}
+	for _, s := range w.servers {
+		s.Disturb(1, false, 0)
+	}
+}
--- /dev/null
+++ b/cmd/platformsoak/main.go
@@ -0,0 +1,99 @@
+// Command platformsoak runs real daemons as processes against a stand-in of the
+// platform on loopback, disturbs them by a seeded plan, and checks what trainers,
+// callers and servers see. Exit code 0: every promise held; 1: one was broken;
+// 2: the command line is wrong.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+)
+
+// options are the command's settings.
+type options struct {
+	daemon   string
+	seed     uint64
+	daemons  int
+	engines  int
+	duration time.Duration
+	plan     string
+	logs     string
+}
+
+const (
+	planDemo   = "demo"   // one daemon killed, the store down for two seconds
+	planRandom = "random" // faults by the seed
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	o := options{}
+	fs := ff.NewFlagSet("platformsoak")
+	fs.StringVar(&o.daemon, 0, "daemon", "bin/dogwoodflowd", "path of the daemon's program")
+	fs.Uint64Var(&o.seed, 0, "seed", 1, "seed of the plan and of what servers do")
+	fs.IntVar(&o.daemons, 0, "daemons", 4, "daemon processes")
+	fs.IntVar(&o.engines, 0, "engines", 4, "model engines")
+	fs.DurationVar(&o.duration, 0, "duration", 20*time.Second, "how long faults and traffic last")
+	fs.StringVar(&o.plan, 0, "plan", planRandom, "demo or random")
+	fs.StringVar(&o.logs, 0, "logs", "", "directory for the daemons' lines (default: a temporary one, kept when a promise breaks)")
+	if err := ff.Parse(fs, args); err != nil {
+		if errors.Is(err, ff.ErrHelp) {
+			fmt.Println(ffhelp.Flags(fs))
+			return 0
+		}
+		fmt.Fprintln(os.Stderr, "platformsoak:", err)
+		return 2
+	}
+	if o.plan != planDemo && o.plan != planRandom || o.daemons < 2 || o.engines < 1 {
+		fmt.Fprintln(os.Stderr, "platformsoak: --plan must be demo or random, with 2 daemons and 1 engine at least")
+		return 2
+	}
+	return soak(context.Background(), o)
+}
+
+// soak plays one seed.
+func soak(ctx context.Context, o options) int {
+	w, err := newWorld(ctx, o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "platformsoak:", err)
+		return 1
+	}
+	defer w.close()
+	traffic := w.startTraffic(ctx)
+	if o.plan == planDemo {
+		w.demo()
+	} else {
+		w.disturb(o.duration)
+	}
+	w.heal()
+	traffic.wait()
+	time.Sleep(settleTime)
+	traffic.check()
+	return w.verdict(traffic)
+}
+
+// verdict prints the line that counts and returns the exit code.
+func (w *world) verdict(t *traffic) int {
+	faults := append(t.faults(), w.fleet.Faults...)
+	for _, f := range faults {
+		fmt.Println("broken:", f)
+	}
+	state := "ok"
+	if len(faults) > 0 {
+		state = "FAILED, lines in " + w.dir
+	}
+	fmt.Printf("platform-%s: %s seed=%d steps=%d samples=%d missing=%d answers=%d failed=%d wrong=%d kills=%d\n",
+		w.options.plan, state, w.options.seed, t.steps, t.samples, t.missing, t.answers, t.failed, len(faults), w.kills)
+	if len(faults) > 0 {
+		w.keep = true
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/platformsoak/world.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
+	"github.com/dogwoodflow/dogwoodflow/platform/platformtest"
+)
+
+const (
+	host       = "soak.example"
+	batchPath  = "/b/"
+	callPath   = "/c/"
+	storeDelay = 4 * time.Millisecond
+	// restartDelay is the pause after a daemon's end.
+	restartDelay = 300 * time.Millisecond
+	// settleTime is left after the last fault before the final checks.
+	settleTime = 8 * time.Second
+	partitions = 12
+)
+
+var models = []string{"m0", "m1"}
+
+// daemon is one VM: its settings, its way to the store, its process.
+type daemon struct {
+	name    string
+	front   string
+	boot    string
+	store   *metastore.Client
+	log     *os.File
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+}
+
+// world is the platform with its daemons.
+type world struct {
+	options options
+	dir     string
+	keep    bool
+	store   *metastore.Store
+	fleet   *platformtest.Fleet
+	servers []*platformtest.Server
+	daemons []*daemon
+	random  *rand.Rand
+	kills   int
+}
+
+func newWorld(ctx context.Context, o options) (*world, error) {
+	w := &world{options: o, store: metastore.New(partitions), random: rand.New(rand.NewPCG(o.seed, 3)), dir: o.logs, keep: o.logs != ""}
+	w.fleet = platformtest.NewFleet(w.store, o.seed)
+	var err error
+	if w.dir == "" {
+		w.dir, err = os.MkdirTemp("", "platformsoak")
+	} else {
+		err = os.MkdirAll(w.dir, 0o755)
+	}
+	if err != nil {
+		return nil, err
+	}
+	for i := range o.engines + 2 {
+		service, served := "engines", models
+		if i >= o.engines {
+			service, served = "calls", nil
+		}
+		s, err := w.fleet.Start(ctx, service, served)
+		if err != nil {
+			return nil, err
+		}
+		w.servers = append(w.servers, s)
+	}
+	if err := w.store.Put("keyed.op", "config", configuration()); err != nil {
+		return nil, err
+	}
+	for i := range o.daemons {
+		d, err := w.newDaemon(fmt.Sprint("vm-", i))
+		if err != nil {
+			return nil, err
+		}
+		w.daemons = append(w.daemons, d)
+		if err := d.start(o.daemon); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// configuration is the operator's document.
+func configuration() []byte {
+	var named []map[string]string
+	for _, m := range models {
+		named = append(named, map[string]string{"name": m})
+	}
+	return encode(map[string]any{
+		"version": 1,
+		"routes": []map[string]any{
+			{"name": "batches", "host": host, "path_prefix": batchPath, "kind": "rollout", "timeout_ms": 10000, "slo_ms": 400, "service": "engines", "max_attempts": 3, "retention_s": 40, "run_target_ms": 7500},
+			{"name": "calls", "host": host, "path_prefix": callPath, "kind": "safe", "timeout_ms": 800, "slo_ms": 150, "service": "calls", "max_attempts": 2},
+		},
+		"services": []map[string]any{
+			{"name": "engines", "max_conns": 100, "engine": map[string]any{"slots": 8, "models": named}},
+			{"name": "calls", "max_conns": 100},
+		},
+		"limits": map[string]int64{"max_body_bytes": 1 << 25},
+	})
+}
+
+func encode(doc any) []byte {
+	data, err := json.Marshal(doc)
+	if err != nil {
+		panic(err) // documents of plain values can be encoded
+	}
+	return data
+}
+
+func (w *world) newDaemon(name string) (*daemon, error) {
+	d := &daemon{name: name, boot: filepath.Join(w.dir, name+".json"), store: metastore.NewClient(w.store, time.Second)}
+	d.store.SetFaults(metastore.Faults{Latency: storeDelay})
+	storeFront, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(storeFront, platformtest.NewStoreHandler(d.store)) }() // until the soak ends
+	ports, err := freePorts(2)
+	if err != nil {
+		return nil, err
+	}
+	d.front = ports[0]
+	boot := encode(map[string]any{
+		"node": name, "zone": "z", "listen": map[string]string{"front": ports[0], "ready": ports[1]},
+		"limits": map[string]any{"memory_mb": 256, "cpu_share": 0.8, "cores": 1}, "heartbeat_ms": platformtest.Heartbeat.Milliseconds(),
+		"bounds":   map[string]any{"grace_s": 8, "lease_ms": 3000, "config_apply_ms": 2000, "drain_ms": 2000, "settle_ms": 1000},
+		"platform": map[string]any{"address": storeFront.Addr().String(), "form": "log", "parts": partitions, "record_bytes": 262144, "call_bytes": 2097152, "min_ttl_ms": 1000},
+	})
+	if err := os.WriteFile(d.boot, boot, 0o644); err != nil {
+		return nil, err
+	}
+	d.log, err = os.Create(filepath.Join(w.dir, name+".log"))
+	return d, err
+}
+
+// freePorts finds loopback addresses that nobody listens on now.
+func freePorts(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+func (d *daemon) start(program string) error {
+	cmd := exec.Command(program, "--boot", d.boot)
+	cmd.Stdout, cmd.Stderr = d.log, d.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	d.mu.Lock()
+	d.process, d.ended = cmd, ended
+	d.mu.Unlock()
+	go func() {
+		_ = cmd.Wait() // killed processes end with an error
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the daemon's own process.
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.process.Process.Signal(s) // it may have ended by itself
+}
+
+// end ends a process by a signal and waits; a graceful end that takes longer than
+// the platform's grace is cut short.
+func (d *daemon) end(s syscall.Signal) {
+	d.signal(s)
+	select {
+	case <-d.ended:
+	case <-time.After(8 * time.Second):
+		d.signal(syscall.SIGKILL)
+		<-d.ended
+	}
+}
+
+func (w *world) restart(d *daemon) {
+	time.Sleep(restartDelay)
+	if err := d.start(w.options.daemon); err != nil {
+		fmt.Fprintln(os.Stderr, "platformsoak: restart:", err)
+	}
+}
+
+func (w *world) close() {
+	for _, d := range w.daemons {
+		d.signal(syscall.SIGCONT)
+		d.end(syscall.SIGKILL)
+		_ = d.log.Close() // nothing more is written
+	}
+	if !w.keep {
+		_ = os.RemoveAll(w.dir) // a temporary directory
+	}
+}
