--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -63,7 +63,7 @@
 		return
 	}
 	x.mu.Lock()
-	holder, _, _ := x.claims.Holder(w.Engine)
+	holder, _, _ := x.claims.Holder(u.Address)
 	busy := x.loading[w.Engine]
 	mine := holder == x.options.VM && !busy
 	if mine {
@@ -113,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = x.options.Log.Append(ctx, claimsTopic, 0, [][]byte{data})
+	_, err = appendWithin(ctx, x.options.Log, claimsTopic, 0, [][]byte{data}, 1)
 	return err
 }
 
@@ -135,7 +135,7 @@
 func (x *orders) forget() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.claims.Forget(func(id string) bool { _, ok := x.options.View.Get(id); return ok }, x.options.Now())
+	x.claims.Forget(x.options.Now())
 }
 
 var (
@@ -203,11 +203,11 @@
 		if x.barred(engine) > 0 {
 			return permit{}, errBarred
 		}
-		began := x.options.Now()
-		offset, err := x.options.Log.AppendAt(ctx, claimsTopic, 0, x.follower.Next(), [][]byte{data})
-		if err == nil {
+		began, at := x.options.Now(), x.follower.Next()
+		err := x.appendClaim(ctx, at, data)
+		if err == nil || errors.Is(err, store.ErrUnknown) && x.holds(ctx, engine, at) {
 			// Offsets begin with 0, which engines take for a missing number.
-			return permit{fence: offset + 1, until: began + loads.ClaimLife}, nil
+			return permit{fence: at + 1, until: began + loads.ClaimLife}, nil
 		}
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) || try == claimTries {
@@ -219,6 +219,24 @@
 	}
 }
 
+func (x *orders) appendClaim(ctx context.Context, at int64, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, firstAnswer)
+	defer cancel()
+	_, err := x.options.Log.AppendAt(ctx, claimsTopic, 0, at, [][]byte{data})
+	return err
+}
+
+// holds looks a claim whose append had no answer up in the log.
+func (x *orders) holds(ctx context.Context, engine string, at int64) bool {
+	if x.follower.CatchUp(ctx) != nil {
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	holder, offset, ok := x.claims.Holder(engine)
+	return ok && holder == x.options.VM && offset == at
+}
+
 const (
 	// loadPoll is between two looks at an engine that loads; reports are some
 	// hundred ms old, so more would tell no more.
@@ -232,7 +250,7 @@
 // load makes an engine serve a version, by the VM that may order it now, and tells
 // everybody once the engine reports it.
 func (x *orders) load(ctx context.Context, u registry.Upstream, model string, version int64) error {
-	if x.barred(u.ID) > 0 {
+	if x.barred(u.Address) > 0 {
 		return x.wish(ctx, u.ID, model, version)
 	}
 	if err := x.loadNow(ctx, u, model, version); err != nil {
@@ -243,7 +261,7 @@
 }
 
 func (x *orders) loadNow(ctx context.Context, u registry.Upstream, model string, version int64) error {
-	permit, err := x.claim(ctx, u.ID)
+	permit, err := x.claim(ctx, u.Address)
 	if err != nil {
 		return err
 	}
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -16,9 +16,9 @@
 	// joinInterval is between two calls that keep this daemon's partitions. A
 	// partition that is dealt anew without notice is run twice for so long.
 	joinInterval = 300 * time.Millisecond
-	// joinTimeout leaves time for a second call within the member's TTL when an
-	// answer is lost.
-	joinTimeout = 600 * time.Millisecond
+	// joinTimeout leaves time for two more calls within the member's TTL when answers
+	// are lost. A slow store answers within 250 ms.
+	joinTimeout = 400 * time.Millisecond
 	// earlyJoins are made faster, and settleTime is waited before the first gained
 	// partition is run: when all daemons start together, the first to join gets every
 	// partition and loses most again at once.
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -157,13 +157,12 @@
 )
 
 const (
-	// appendWait bounds the wait for an append's answer; the trainer resends a batch
-	// that gets none.
-	appendWait = 1500 * time.Millisecond
-	// submitWait bounds a whole submission.
-	submitWait = 2 * appendWait
-	// seenWait is how long a batch whose append had no answer is looked for in the log.
-	seenWait = 700 * time.Millisecond
+	// submitWait bounds a whole submission; the trainer resends a batch that gets no
+	// answer within seconds.
+	submitWait = 3 * time.Second
+	// seenWait is how long a batch whose append had no answer is looked for in the log
+	// before it is appended once more. What was done is read within some ms.
+	seenWait = 100 * time.Millisecond
 	// refusedTries and refusedPause: a store that refuses a call may take the next.
 	refusedTries = 3
 	refusedPause = 60 * time.Millisecond
@@ -218,17 +217,18 @@
 	if total(packed) > s.options.CallBytes {
 		return 0, nil, ErrTooLarge
 	}
-	ctx, cancel := context.WithTimeout(ctx, appendWait)
-	defer cancel()
-	for try := 1; ; try++ {
-		at, err = s.options.Log.Append(ctx, textTopic, p.number, packed)
+	for try, refused := 1, 0; ; try++ {
+		at, err = appendWithin(ctx, s.options.Log, textTopic, p.number, packed, try)
 		if err == nil {
 			break
 		}
-		if try == refusedTries || ctx.Err() != nil || errors.Is(err, store.ErrRejected) {
+		if errors.Is(err, store.ErrNotDone) {
+			refused++
+			pause(ctx, refusedPause)
+		}
+		if refused == refusedTries || ctx.Err() != nil || errors.Is(err, store.ErrRejected) {
 			return 0, nil, errors.Join(ErrNotRun, err)
 		}
-		pause(ctx, refusedPause)
 	}
 	for i, data := range packed {
 		s.blobs.put(p.number, at+int64(i), data)
@@ -262,32 +262,36 @@
 	return records, nil
 }
 
-// appendOnce appends records whose effect shows by seen. When an append's outcome
-// is unknown it isn't a refusal: the records may be in the log, or come seconds
-// later. The log is watched for them; else the caller has to ask again.
+// appendOnce appends records whose effect shows by seen, and which count once
+// however often they stand in the log. When an append's outcome is unknown it isn't
+// a refusal: the records may be in the log, or come seconds later.
 func (s *Service) appendOnce(ctx context.Context, p *partition, records [][]byte, seen func() bool) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), appendWait)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitWait)
 	defer cancel()
-	var err error
+	var last error
 	unknown := false
-	for range refusedTries {
-		_, err = s.options.Log.Append(ctx, batchTopic, p.number, records)
+	for try, refused := 1, 0; ctx.Err() == nil; try++ {
+		_, err := appendWithin(ctx, s.options.Log, batchTopic, p.number, records, try)
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, store.ErrNotDone) {
-			unknown = true
-			break
+		last = err
+		if errors.Is(err, store.ErrNotDone) {
+			if refused++; refused == refusedTries {
+				break
+			}
+			pause(ctx, refusedPause)
+			continue
+		}
+		unknown = true
+		if s.appears(p, seen) {
+			return nil
 		}
-		pause(ctx, refusedPause)
-	}
-	if !unknown {
-		return errors.Join(ErrNotRun, err)
 	}
-	if s.appears(p, seen) {
-		return nil
+	if unknown {
+		return errors.Join(ErrUnknown, last)
 	}
-	return errors.Join(ErrUnknown, err)
+	return errors.Join(ErrNotRun, last)
 }
 
 func (s *Service) appears(p *partition, seen func() bool) bool {
--- a/internal/batchrun/submit_test.go
+++ b/internal/batchrun/submit_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
 )
 
@@ -26,19 +27,18 @@
 		time.Sleep(2 * time.Second)
 		head, items, requests := sampleBatch("m0", "before", 1, 2, 1)
 		g.Expect(w.vms[0].current().Submit(context.Background(), "a", head, items, requests)).To(Succeed())
-		late := false
+		writes := 0
 		w.vms[0].client.SetFaults(metastore.Faults{Latency: storeAnswer, Late: func() time.Duration {
-			late = !late
-			if late {
+			if writes++; writes == 1 {
 				return 0 // the requests' blobs arrive, the batch itself is late
 			}
-			return 3 * time.Second
+			return 5 * time.Second
 		}})
 		head, items, requests = sampleBatch("m0", "late", 1, 2, 1)
 		err := w.vms[0].current().Submit(context.Background(), "b", head, items, requests)
 		g.Expect(err).To(MatchError(ErrUnknown))
 		g.Expect(errors.Is(err, ErrNotRun)).To(BeFalse())
-		time.Sleep(5 * time.Second)
+		time.Sleep(6 * time.Second)
 		_, err = w.vms[1].current().Results(context.Background(), "b", 0, 0)
 		g.Expect(err).NotTo(HaveOccurred(), "the write took effect after all")
 	})
@@ -172,3 +172,21 @@
 		g.Expect(resumed).To(Equal(2))
 	})
 }
+
+// An engine restarts between the orders of two VMs, as another incarnation at the
+// same address. Claims by incarnation let the second VM order it at once, and the
+// engine's machine hears of two holders within the lease.
+func TestClaimBarsTheNextIncarnationToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 1, "m0")
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		before := registry.Upstream{ID: "e0", Address: "e0"}
+		g.Expect(w.vms[0].current().orders.load(context.Background(), before, "m0", 2)).To(Succeed())
+		time.Sleep(100 * time.Millisecond)
+		w.engines.engines["e0-again"] = &fakeEngine{versions: map[string]int64{"m0": 1}}
+		after := registry.Upstream{ID: "e0-again", Address: "e0"}
+		g.Expect(w.vms[1].current().orders.loadNow(context.Background(), after, "m0", 2)).To(MatchError(errBarred))
+	})
+}
--- a/internal/loads/claims.go
+++ b/internal/loads/claims.go
@@ -32,7 +32,9 @@
 
 // Claim is what a VM writes before it orders an engine.
 type Claim struct {
-	Engine string `cbor:"1,keyasint"` // incarnation
+	// Address of the engine, not its incarnation: one that restarts between two VMs'
+	// orders would hear of two holders within the lease.
+	Engine string `cbor:"1,keyasint"`
 	Holder string `cbor:"2,keyasint"` // VM
 }
 
@@ -113,10 +115,10 @@
 	return h.holder, h.offset, ok
 }
 
-// Forget drops claims that bar nobody any more, of engines that are gone.
-func (c *Claims) Forget(alive func(engine string) bool, now time.Duration) {
+// Forget drops the claims that bar nobody any more.
+func (c *Claims) Forget(now time.Duration) {
 	for engine, h := range c.last {
-		if !alive(engine) && now > h.read+ClaimLife+c.lease+ClaimMargin {
+		if now > h.read+ClaimLife+c.lease+ClaimMargin {
 			delete(c.last, engine)
 		}
 	}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -84,10 +84,10 @@
 	g.Expect(holder).To(Equal("me"))
 	g.Expect(offset).To(Equal(int64(5)))
 	g.Expect(ok).To(BeTrue())
-	c.Forget(func(string) bool { return false }, 3*time.Second)
+	c.Forget(3 * time.Second)
 	_, _, ok = c.Holder("e")
 	g.Expect(ok).To(BeTrue(), "it may still bar others")
-	c.Forget(func(string) bool { return false }, time.Minute)
+	c.Forget(time.Minute)
 	_, _, ok = c.Holder("e")
 	g.Expect(ok).To(BeFalse())
 }
