--- a/internal/batchrun/look.go
+++ b/internal/batchrun/look.go
@@ -16,6 +16,7 @@
 	service string
 	waiting []batch.Waiting
 	active  bool
+	next    int64 // oldest version that the next step is expected to use
 }
 
 // look brings the runs in line with the log, the configuration and the engines.
@@ -97,6 +98,11 @@
 		r.samplesLocked(ctx, b, w, now)
 	}
 	r.endUnwantedLocked(wanted)
+	for _, b := range r.part.fold.All() {
+		if w := work[b.Model]; w != nil {
+			w.next = max(w.next, b.MinVersion+1) // each step asks for one version more
+		}
+	}
 }
 
 func (r *runner) abandonLocked(b *batch.Batch, why string) {
@@ -256,7 +262,7 @@
 }
 
 func (r *runner) loadLocked(ctx context.Context, model string, share []registry.Upstream, w *modelWork, now time.Duration) {
-	in := loads.Input{Newest: r.s.options.View.Published()[model], Waiting: len(w.waiting), Active: w.active}
+	in := loads.Input{Newest: r.s.options.View.Published()[model], Next: w.next, Waiting: len(w.waiting), Active: w.active}
 	for _, x := range w.waiting {
 		in.Needed = max(in.Needed, x.MinVersion)
 	}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -30,6 +30,12 @@
 		{"no room elsewhere", Input{Newest: 2, Active: true, Engines: []Engine{e("a", 1, 16), e("b", 1, 2)}}, Plan{}},
 		{"one at a time while a step runs", Input{Newest: 2, Active: true, Engines: []Engine{loading(e("a", 1, 0)), e("b", 1, 0)}}, Plan{}},
 		{"an engine out of reach isn't ordered", Input{Newest: 2, Engines: []Engine{gone(e("a", 1, 0))}}, Plan{}},
+		{"fresh enough for the next step", Input{Newest: 5, Next: 4, Engines: []Engine{e("a", 4, 0), e("b", 5, 0)}}, Plan{}},
+		{"too old for the next step, whose version is there", Input{Newest: 5, Next: 4, Engines: []Engine{e("a", 3, 0), e("b", 4, 0)}}, Plan{Load: []string{"a"}}},
+		{"enough are ready: the last one waits for the next version", Input{Newest: 4, Next: 4, Active: true, Engines: []Engine{e("a", 3, 0), e("b", 4, 2), e("c", 4, 1)}}, Plan{}},
+		{"too few are ready", Input{Newest: 4, Next: 4, Active: true, Engines: []Engine{e("a", 3, 0), e("b", 3, 2), e("c", 4, 1)}}, Plan{Load: []string{"a"}}},
+		{"one of two loads when one is ready", Input{Newest: 4, Next: 4, Engines: []Engine{e("a", 3, 0), e("b", 3, 0), e("c", 4, 0)}}, Plan{Load: []string{"a"}}},
+		{"nothing to vacate when enough are ready", Input{Newest: 4, Next: 4, Active: true, Engines: []Engine{e("a", 3, 3), e("b", 4, 2), e("c", 4, 1)}}, Plan{}},
 		{"all have it", Input{Newest: 2, Engines: []Engine{e("a", 2, 0)}}, Plan{}},
 	} {
 		t.Run(c.name, func(t *testing.T) { NewWithT(t).Expect(Decide(c.in)).To(Equal(c.want)) })
--- a/internal/loads/plan.go
+++ b/internal/loads/plan.go
@@ -21,6 +21,8 @@
 	Newest  int64 // published version, 0: none
 	// Needed is the oldest version that waiting samples may use, 0 if none wait.
 	Needed int64
+	// Next is the oldest version that the next step is expected to use, 0 unknown.
+	Next int64
 	// Waiting counts samples that no engine runs yet.
 	Waiting int
 	// Active: a batch of the model is open.
@@ -69,6 +71,9 @@
 		if e.Running > 0 && !useless || !useless && in.Waiting > 0 {
 			continue
 		}
+		if !useless && in.spared(e, len(plan.Load)) {
+			continue
+		}
 		plan.Load = append(plan.Load, e.ID)
 		room--
 	}
@@ -78,6 +83,37 @@
 	return plan
 }
 
+// spared reports whether an engine may keep its weights for now. A version serves
+// the step that names it and the one before the next, so an engine that is fresh
+// enough for the next step gains nothing by a load; and one that isn't gains more by
+// waiting for the version that comes with that step, as long as enough others are
+// ready. Loading every version everywhere takes all that the weight store gives, and
+// each load then takes several times as long.
+func (in Input) spared(e Engine, chosen int) bool {
+	if in.Next == 0 {
+		return false
+	}
+	if e.Version >= in.Next {
+		return true
+	}
+	return in.Newest == in.Next && in.ready()+chosen >= quorum(len(in.Engines))
+}
+
+// ready counts the engines that are fresh enough for the next step, or will be.
+func (in Input) ready() int {
+	n := 0
+	for _, e := range in.Engines {
+		if e.Loading || e.Version >= in.Next {
+			n++
+		}
+	}
+	return n
+}
+
+// quorum of a model's engines should be ready when its next step comes: the others
+// load during its first second.
+func quorum(engines int) int { return (2*engines + 2) / 3 }
+
 // useful counts the engines that waiting samples can use.
 func useful(in Input) int {
 	n := 0
@@ -111,6 +147,10 @@
 	if len(list) == 0 {
 		return ""
 	}
+	list = slices.DeleteFunc(list, func(e Engine) bool { return in.spared(e, 0) })
+	if len(list) == 0 {
+		return ""
+	}
 	least := slices.MinFunc(list, func(a, b Engine) int { return cmp.Compare(a.Running, b.Running) })
 	room := 0
 	for _, e := range in.Engines {
