--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,82 @@
+package explain
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// recorded reads lines that daemons wrote on a day with an outage of the store, a
+// killed VM and slow engines.
+func recorded(t *testing.T) []Line {
+	file, err := os.Open("testdata/daemons.log")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer file.Close()
+	lines, skipped, err := Read(file)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(skipped).To(BeZero())
+	return lines
+}
+
+// Three complaints as they come at night: a call that got 504, a sample that took many
+// runs, a step that came late. Each story has to name its cause in the last line.
+func TestStoriesOfRecordedLines(t *testing.T) {
+	lines := recorded(t)
+	for _, c := range []struct{ id, kind, cause string }{
+		{"e10917fa8ca53d30", "request", "answered 504 (deadline) after 1 sends"},
+		{"0a4dda9a95d90b56", "sample", "13 runs, 12 broken off; the last: moved to another engine"},
+		{"ca9e74da10120020", "batch", "contact to the store was lost 4 times"},
+	} {
+		t.Run(c.kind, func(t *testing.T) {
+			g := NewWithT(t)
+			story, err := Walk(lines, c.id)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(story.Kind).To(Equal(c.kind))
+			g.Expect(story.Cause).To(ContainSubstring(c.cause))
+			var out bytes.Buffer
+			g.Expect(story.Write(&out)).To(Succeed())
+			golden := filepath.Join("testdata", c.kind+".golden")
+			if *update {
+				g.Expect(os.WriteFile(golden, out.Bytes(), 0o644)).To(Succeed())
+			}
+			want, err := os.ReadFile(golden)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(out.String()).To(Equal(string(want)))
+		})
+	}
+}
+
+func TestUnknownIDAndOtherText(t *testing.T) {
+	g := NewWithT(t)
+	_, err := Walk(recorded(t), "nobody")
+	g.Expect(err).To(MatchError(ErrNotFound))
+	lines, skipped, err := Read(strings.NewReader("plain text\n{\"no\":\"message\"}\nprefix {\"message\":\"m\",\"time\":\"2026-01-01T00:00:00.5Z\"}\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(skipped).To(Equal(2))
+	g.Expect(lines).To(HaveLen(1))
+}
+
+func TestCausesOfRequests(t *testing.T) {
+	for _, c := range []struct{ lines, cause string }{
+		{`{"request":"r","message":"no route","host":"h","path":"/p","config":3,"time":"2026-01-01T00:00:00Z"}`, "no route for h/p in configuration 3"},
+		{`{"request":"r","message":"send failed","upstream":"u1","error":"reset","time":"2026-01-01T00:00:00Z"}
+{"request":"r","message":"upstream refused","upstream":"u2","status":503,"time":"2026-01-01T00:00:01Z"}
+{"request":"r","message":"call refused","status":502,"reason":"no whole answer","sends":2,"time":"2026-01-01T00:00:02Z"}`,
+			"answered 502 (no whole answer) after 2 sends; u1: reset; u2: status 503"},
+		{`{"request":"r","message":"send failed","upstream":"u1","error":"reset","time":"2026-01-01T00:00:00Z"}`, "answered in the end; u1: reset"},
+	} {
+		g := NewWithT(t)
+		lines, _, err := Read(strings.NewReader(c.lines))
+		g.Expect(err).NotTo(HaveOccurred())
+		story, err := Walk(lines, "r")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(story.Cause).To(Equal(c.cause))
+	}
+}
