Views that nobody depends on are read seldom; a momentary refusal is no outage

Refusals (429) counted as an outage, so removals of servers were put off, and views fell a second behind. Ruled out: silent connections, slow VMs (all lines were refusals of log-read).

--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -18,15 +18,17 @@
 	options  Options
 	follower *follow.Follower
 
-	mu      sync.Mutex
-	claims  *loads.Claims
-	homes   *loads.Homes
+	mu     sync.Mutex
+	claims *loads.Claims
+	homes  *loads.Homes
+	// relaxed reports whether this daemon owns no partition, and so orders nothing.
+	relaxed func() bool
 	loading map[string]bool // engines that this VM loads for another's wish
 }
 
 func newOrders(o Options) *orders {
 	x := &orders{options: o, claims: loads.NewClaims(o.VM, o.OrderLease), homes: loads.NewHomes(o.Parts), loading: map[string]bool{}}
-	x.follower = follow.New(follow.Options{Log: o.Log, Topic: claimsTopic, Sink: x, Now: o.Now, Logger: o.Logger})
+	x.follower = follow.New(follow.Options{Log: o.Log, Topic: claimsTopic, Sink: x, Relaxed: func() bool { return x.relaxed() }, Now: o.Now, Logger: o.Logger})
 	return x
 }
 
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -110,6 +110,12 @@
 	}
 }
 
+func (o *owner) idle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.runners) == 0
+}
+
 func (o *owner) isDraining() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/batchrun/partition.go
+++ b/internal/batchrun/partition.go
@@ -74,6 +74,13 @@
 // Reset is never called: the topic has no keys.
 func (p *partition) Reset([]store.Entry) {}
 
+// relaxed: neither an owner nor a reader here depends on the partition.
+func (p *partition) relaxed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.wake == nil && len(p.waiters) == 0
+}
+
 func (p *partition) setOwner(wake func(), onIgnored func(sampleKey)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
-	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 )
 
 // Result is a listed sample.
@@ -33,6 +32,10 @@
 	maxPageResults = 128
 )
 
+// confirmAge is the age of a view from which "no result yet" is confirmed by a read:
+// what another daemon showed a second ago has to be known.
+const confirmAge = 500 * time.Millisecond
+
 // listing is a part of a batch's results as the fold has it.
 type listing struct {
 	total  int
@@ -72,7 +75,7 @@
 // of date, as behind a connection that fell silent, is brought up to date first:
 // another daemon may have shown the position already.
 func (s *Service) confirmEmpty(ctx context.Context, p *partition, id string, after int) (Page, error) {
-	if p.follower.Age() > follow.StaleAfter || after > p.count(id) {
+	if p.follower.Age() > confirmAge || after > p.count(id) {
 		ctx, cancel := context.WithTimeout(ctx, confirmWait)
 		defer cancel()
 		if err := p.follower.CatchUp(ctx); err != nil {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -69,11 +69,12 @@
 	s := &Service{options: o, blobs: newBlobs(o.Log, o.Parts)}
 	for n := range o.Parts {
 		p := newPartition(n, o.Now, o.Logger)
-		p.follower = follow.New(follow.Options{Log: o.Log, Topic: batchTopic, Part: n, Sink: p, Now: o.Now, Logger: o.Logger})
+		p.follower = follow.New(follow.Options{Log: o.Log, Topic: batchTopic, Part: n, Sink: p, Relaxed: p.relaxed, Now: o.Now, Logger: o.Logger})
 		s.parts = append(s.parts, p)
 	}
 	s.orders = newOrders(o)
 	s.owner = newOwner(s)
+	s.orders.relaxed = s.owner.idle
 	return s
 }
 
@@ -112,13 +113,13 @@
 	}
 }
 
-// Age is the age of the oldest view of a partition.
-func (s *Service) Age() time.Duration {
-	oldest := time.Duration(0)
+// Lag is the largest lag of a view of a partition.
+func (s *Service) Lag() time.Duration {
+	largest := time.Duration(0)
 	for _, p := range s.parts {
-		oldest = max(oldest, p.follower.Age())
+		largest = max(largest, p.follower.Lag())
 	}
-	return oldest
+	return largest
 }
 
 // Loaded reports whether every partition was read to its end once.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -18,6 +18,15 @@
 	// PollWait is how long one read waits for a record. It bounds the age that a
 	// healthy view can have, and with it the time until a silent connection shows.
 	PollWait = 900 * time.Millisecond
+	// RelaxedWait is the same for a view that nobody here depends on now. A fleet of 80
+	// daemons with two dozen partitions each would use up the store's reads by waiting.
+	RelaxedWait = 4 * time.Second
+	// RelaxedPause is waited after records before the next read of such a view, so that
+	// a busy partition costs a few reads a second and not one for each append.
+	RelaxedPause = 250 * time.Millisecond
+	// lostAfter is how long reads must fail before the store counts as lost: a refusal
+	// for too many calls at one moment is no outage.
+	lostAfter = 600 * time.Millisecond
 	// StaleAfter is the age from which a view isn't trusted: a healthy one is read
 	// again every PollWait, a slow store answers some hundred ms later.
 	StaleAfter = 1400 * time.Millisecond
@@ -47,6 +56,10 @@
 	Sink  Sink
 	// OnContact, if set, hears of the view's dependency lost and regained.
 	OnContact func(up bool)
+	// Relaxed, if set, reports whether nobody here depends on the view now.
+	Relaxed func() bool
+	// Pause is waited after records before the next read.
+	Pause time.Duration
 	// Now is a clock that goes on while the VM is suspended.
 	Now    func() time.Duration
 	Logger zerolog.Logger
@@ -60,7 +73,9 @@
 	next    int64 // offset of the next record to apply
 	loaded  bool
 	current time.Duration // boottime at which the view was last known to be whole
-	lost    bool          // the last read failed
+	lost    bool          // reads have failed for a while
+	failing time.Duration // since when they fail, 0: they don't
+	wait    time.Duration // of the read under way
 	changed chan struct{} // closed at each change of the view
 }
 
@@ -77,6 +92,7 @@
 		if err == nil {
 			backoff = firstBackoff
 			f.contact(true, nil)
+			f.pause(ctx)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -92,7 +108,40 @@
 	if f.options.Keyed && !f.Loaded() {
 		return f.reload(ctx)
 	}
-	return f.read(ctx, PollWait)
+	return f.read(ctx, f.nextWait())
+}
+
+// nextWait is how long the next read waits for a record. A view that isn't loaded, or
+// wasn't read for a while, is brought up to date at once.
+func (f *Follower) nextWait() time.Duration {
+	relaxed := f.relaxed()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case !f.loaded || f.failing != 0:
+		f.wait = 0
+	case relaxed:
+		f.wait = RelaxedWait
+	default:
+		f.wait = PollWait
+	}
+	return f.wait
+}
+
+func (f *Follower) relaxed() bool { return f.options.Relaxed != nil && f.options.Relaxed() }
+
+// pause spreads the reads of a busy partition.
+func (f *Follower) pause(ctx context.Context) {
+	d := f.options.Pause
+	if !f.Loaded() {
+		return
+	}
+	if f.relaxed() {
+		d = max(d, RelaxedPause)
+	}
+	if d > 0 {
+		sleep(ctx, d)
+	}
 }
 
 // reload takes the newest record of each key.
@@ -168,11 +217,7 @@
 }
 
 func (f *Follower) contact(up bool, err error) {
-	f.mu.Lock()
-	change := f.lost == up
-	f.lost = !up
-	f.mu.Unlock()
-	if !change {
+	if !f.turned(up) {
 		return
 	}
 	event := f.options.Logger.Info()
@@ -185,6 +230,32 @@
 	}
 }
 
+// turned notes a read's success or failure and reports whether the store counts as
+// lost or back since.
+func (f *Follower) turned(up bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Now()
+	if up {
+		f.failing = 0
+	} else if f.failing == 0 {
+		f.failing = now
+	}
+	lost := !up && (f.lost || now-f.failing >= lostAfter)
+	turned := lost != f.lost
+	f.lost = lost
+	return turned
+}
+
+// Lag is the view's age beyond what its waiting reads explain: above zero for long,
+// the store or the way to it doesn't answer.
+func (f *Follower) Lag() time.Duration {
+	age := f.Age()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(0, age-f.wait)
+}
+
 // Next is the offset of the next record to read.
 func (f *Follower) Next() int64 {
 	f.mu.Lock()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -145,3 +145,64 @@
 		g.Expect(s.follower.CatchUp(context.Background())).NotTo(Succeed())
 	})
 }
+
+// Eighty daemons read at once and the store refuses some calls for a moment. Taken
+// for an outage, a server's removal from the registry is put off, and the server gets
+// requests seconds after it said that it leaves.
+func TestRefusalForAMomentIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSetup(false, "busy")
+		s.run(t)
+		time.Sleep(time.Second)
+		for range 5 {
+			s.client.SetFaults(metastore.Faults{Refuse: true})
+			time.Sleep(lostAfter / 2)
+			s.client.SetFaults(metastore.Faults{})
+			time.Sleep(2 * time.Second)
+		}
+		g.Expect(s.contacts).To(BeEmpty())
+		s.client.SetFaults(metastore.Faults{Refuse: true})
+		time.Sleep(PollWait + 2*lostAfter)
+		g.Expect(s.contacts).To(Equal([]bool{false}))
+	})
+}
+
+// A busy partition that nobody here depends on must not cost a read for each append:
+// dozens of daemons would exceed what the store allows, and all views fall behind.
+func TestRelaxedViewReadsSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSetup(false, "busy")
+		relaxed := true
+		s.follower.options.Relaxed = func() bool { return relaxed }
+		counted := &countingLog{Log: s.client}
+		s.follower.options.Log = counted
+		s.run(t)
+		appends := func(n int) {
+			for range n {
+				_, err := s.client.Append(context.Background(), "busy", 0, [][]byte{{1}})
+				g.Expect(err).NotTo(HaveOccurred())
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		appends(200) // in two seconds
+		g.Expect(counted.reads).To(BeNumerically("<=", 2*time.Second/RelaxedPause+3))
+		relaxed = false
+		counted.reads = 0
+		appends(200)
+		g.Expect(counted.reads).To(BeNumerically(">", 100), "whoever depends on it sees each record at once")
+		time.Sleep(time.Second)
+		g.Expect(s.sink.offsets).To(HaveLen(400))
+	})
+}
+
+type countingLog struct {
+	store.Log
+	reads int
+}
+
+func (c *countingLog) Read(ctx context.Context, topic string, part int, from store.ReadFrom) (store.Page, error) {
+	c.reads++
+	return c.Log.Read(ctx, topic, part, from)
+}
