Owners write their models' partitions down again before the log forgets them

Cause: the log keeps records for 300 s; a VM that starts later would assign another partition. The test fails without it.

--- a/internal/batchrun/look.go
+++ b/internal/batchrun/look.go
@@ -52,6 +52,7 @@
 			switch home := r.s.partitionOf(m); {
 			case home == r.part:
 				out[m] = &modelWork{service: service.Name}
+				r.renewHomeLocked(ctx, m)
 			case home == nil && published[m] > 0 && r.part.number == 0:
 				r.settleLocked(ctx, m)
 			}
@@ -60,6 +61,26 @@
 	return out
 }
 
+// homeInterval is between two records of a model's partition by its owner, well below
+// the minutes for which the log keeps records.
+const homeInterval = 45 * time.Second
+
+// renewHomeLocked writes a model's partition down again. A VM that starts when the
+// first record has expired would give the model another one.
+func (r *runner) renewHomeLocked(ctx context.Context, model string) {
+	now := r.s.options.Now()
+	if now < r.renewAt[model] {
+		return
+	}
+	r.renewAt[model] = now + homeInterval
+	home := loads.Home{Model: model, Part: r.part.number}
+	r.work.Go(func() {
+		if err := r.s.orders.tell(ctx, loads.Record{Home: &home}); err != nil {
+			r.log.Warn().Err(err).Str("model", model).Msg("partition of the model not written down again")
+		}
+	})
+}
+
 // settleLocked gives a model whose weights were published before its first batch a
 // partition, so that somebody loads them. The owner of partition 0 does it.
 func (r *runner) settleLocked(ctx context.Context, model string) {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -34,7 +34,8 @@
 
 	mu       sync.Mutex
 	stopping bool
-	settling bool // a model without a partition is being given one
+	settling bool                     // a model without a partition is being given one
+	renewAt  map[string]time.Duration // by model: when its partition is written down again
 	runs     map[sampleKey]*run
 	texts    map[sampleKey]*text
 	finished map[sampleKey]bool // a result is on its way to the log
@@ -95,7 +96,7 @@
 	return &runner{
 		s: s, part: p, outbox: newOutbox(s.options.Log, s.blobs, p.number, log), inTouch: inTouch, log: log,
 		wakes: make(chan struct{}, 1), runs: map[sampleKey]*run{}, texts: map[sampleKey]*text{},
-		requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]retry{}, engines: map[string]*engine{},
+		renewAt: map[string]time.Duration{}, requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]retry{}, engines: map[string]*engine{},
 	}
 }
 
--- a/internal/batchrun/submit_test.go
+++ b/internal/batchrun/submit_test.go
@@ -212,3 +212,29 @@
 		g.Expect(w.engines.runs).To(HaveLen(len(items)), "each sample stays where it runs")
 	})
 }
+
+// The log keeps records for some minutes only. A VM that starts after the record of a
+// model's partition has expired would give the model another one, and the same batch
+// could be accepted in both.
+func TestPartitionOfAModelOutlivesItsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 1, "m0", "m1")
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		for _, model := range w.models {
+			head, items, requests := sampleBatch(model, "old", 1, 1, 1)
+			g.Expect(w.vms[0].current().Submit(context.Background(), model, head, items, requests)).To(Succeed())
+		}
+		want, known := w.vms[0].current().orders.home("m1")
+		g.Expect(known).To(BeTrue())
+		before := w.store.End(claimsTopic, 0)
+		time.Sleep(2 * homeInterval)
+		w.store.Trim(claimsTopic, 0, before)
+		w.killAll(w.vms[1:], 0)
+		time.Sleep(2 * time.Second)
+		got, known := w.vms[1].current().orders.home("m1")
+		g.Expect(known).To(BeTrue())
+		g.Expect(got).To(Equal(want))
+	})
+}
