--- a/cmd/platformsoak/main.go
+++ b/cmd/platformsoak/main.go
@@ -82,6 +82,11 @@
 // verdict prints the line that counts and returns the exit code.
 func (w *world) verdict(t *traffic) int {
 	faults := append(t.faults(), w.fleet.Faults...)
+	for _, d := range w.daemons {
+		d.mu.Lock()
+		faults = append(faults, d.faults...)
+		d.mu.Unlock()
+	}
 	for _, f := range faults {
 		fmt.Println("broken:", f)
 	}
--- a/cmd/platformsoak/world.go
+++ b/cmd/platformsoak/world.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -42,6 +44,8 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
+	ending  bool // by a signal of the soak
+	faults  []string
 }
 
 // world is the platform with its daemons.
@@ -55,6 +59,8 @@
 	daemons []*daemon
 	random  *rand.Rand
 	kills   int
+
+	nextPort int // of those that belong to this process
 }
 
 func newWorld(ctx context.Context, o options) (*world, error) {
@@ -132,7 +138,7 @@
 		return nil, err
 	}
 	go func() { _ = http.Serve(storeFront, platformtest.NewStoreHandler(d.store)) }() // until the soak ends
-	ports, err := freePorts(2)
+	ports, err := w.freePorts(2)
 	if err != nil {
 		return nil, err
 	}
@@ -150,16 +156,35 @@
 	return d, err
 }
 
-// freePorts finds loopback addresses that nobody listens on now.
-func freePorts(n int) ([]string, error) {
+const (
+	// firstPort and portCount lie below the ports that the system gives to outgoing
+	// connections: one of those may take a daemon's port while the daemon is down.
+	firstPort = 12000
+	portCount = 16000
+	// portsOfProcess keeps soaks that run side by side apart.
+	portsOfProcess = 64
+)
+
+var errNoPort = errors.New("no free port")
+
+// freePorts finds loopback addresses that nobody listens on, and that no other soak
+// on this machine will use.
+func (w *world) freePorts(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for ; len(out) < n && w.nextPort < portsOfProcess; w.nextPort++ {
+		port := firstPort + (os.Getpid()*portsOfProcess+w.nextPort)%portCount
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
+			continue
+		}
+		if err := l.Close(); err != nil {
 			return nil, err
 		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
+		out = append(out, address)
+	}
+	if len(out) < n {
+		return nil, errNoPort
 	}
 	return out, nil
 }
@@ -172,10 +197,15 @@
 	}
 	ended := make(chan struct{})
 	d.mu.Lock()
-	d.process, d.ended = cmd, ended
+	d.process, d.ended, d.ending = cmd, ended, false
 	d.mu.Unlock()
 	go func() {
-		_ = cmd.Wait() // killed processes end with an error
+		err := cmd.Wait()
+		d.mu.Lock()
+		if !d.ending {
+			d.faults = append(d.faults, fmt.Sprintf("%s ended by itself: %v", d.name, err))
+		}
+		d.mu.Unlock()
 		close(ended)
 	}()
 	return nil
@@ -191,6 +221,9 @@
 // end ends a process by a signal and waits; a graceful end that takes longer than
 // the platform's grace is cut short.
 func (d *daemon) end(s syscall.Signal) {
+	d.mu.Lock()
+	d.ending = true
+	d.mu.Unlock()
 	d.signal(s)
 	select {
 	case <-d.ended:
