--- a/cmd/platformsoak/faults.go
+++ b/cmd/platformsoak/faults.go
@@ -76,7 +76,7 @@
 		w.suffer(w.daemons, metastore.Faults{Latency: storeDelay, LoseAnswer: w.chance(lossy)}, span)
 	case 7:
 		lose := w.chance(lossy)
-		late := func() time.Duration {
+		late := func(string) time.Duration {
 			if lose() {
 				return 2 * time.Second
 			}
--- a/internal/batchrun/promises_test.go
+++ b/internal/batchrun/promises_test.go
@@ -149,7 +149,7 @@
 		case 5:
 			w.suffer(w.vms, metastore.Faults{Latency: storeAnswer, LoseAnswer: func() bool { return w.engines.chance(0.4) }}, lasting)
 		case 6:
-			late := func() time.Duration {
+			late := func(string) time.Duration {
 				if w.engines.chance(0.35) {
 					return 3 * time.Second
 				}
--- a/internal/batchrun/submit_test.go
+++ b/internal/batchrun/submit_test.go
@@ -27,9 +27,8 @@
 		time.Sleep(2 * time.Second)
 		head, items, requests := sampleBatch("m0", "before", 1, 2, 1)
 		g.Expect(w.vms[0].current().Submit(context.Background(), "a", head, items, requests)).To(Succeed())
-		writes := 0
-		w.vms[0].client.SetFaults(metastore.Faults{Latency: storeAnswer, Late: func() time.Duration {
-			if writes++; writes == 1 {
+		w.vms[0].client.SetFaults(metastore.Faults{Latency: storeAnswer, Late: func(topic string) time.Duration {
+			if topic != batchTopic {
 				return 0 // the requests' blobs arrive, the batch itself is late
 			}
 			return 5 * time.Second
--- a/internal/standin/metastore/client.go
+++ b/internal/standin/metastore/client.go
@@ -17,7 +17,7 @@
 	// LoseAnswer, LateAnswer: called for each write. A lost write is done and not
 	// answered; a late one is not answered and done after the duration.
 	LoseAnswer func() bool
-	Late       func() time.Duration // 0: not late
+	Late       func(topic string) time.Duration // 0: not late
 }
 
 // Client is one VM's way to the store. It implements store.Log and
@@ -63,13 +63,13 @@
 	return f, nil
 }
 
-func (c *Client) write(ctx context.Context, do func() (int64, error)) (int64, error) {
+func (c *Client) write(ctx context.Context, topic string, do func() (int64, error)) (int64, error) {
 	f, err := c.enter(ctx)
 	if err != nil {
 		return 0, err
 	}
 	if f.Late != nil {
-		if d := f.Late(); d > 0 {
+		if d := f.Late(topic); d > 0 {
 			time.AfterFunc(d, func() { _, _ = do() }) // nobody waits for its answer
 			wait(ctx, c.timeout)
 			return 0, fmt.Errorf("%w: late", store.ErrUnknown)
@@ -85,12 +85,12 @@
 
 // Append adds records.
 func (c *Client) Append(ctx context.Context, topic string, part int, records [][]byte) (int64, error) {
-	return c.write(ctx, func() (int64, error) { return c.store.append(topic, part, anyEnd, records) })
+	return c.write(ctx, topic, func() (int64, error) { return c.store.append(topic, part, anyEnd, records) })
 }
 
 // AppendAt adds records if the partition ends at the offset.
 func (c *Client) AppendAt(ctx context.Context, topic string, part int, at int64, records [][]byte) (int64, error) {
-	return c.write(ctx, func() (int64, error) { return c.store.append(topic, part, at, records) })
+	return c.write(ctx, topic, func() (int64, error) { return c.store.append(topic, part, at, records) })
 }
 
 // Read returns records from an offset on.
