--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,8 @@
 	// Call sends a call once, to this incarnation of the upstream or none. once
 	// keeps it off reused connections, for calls that may not run twice.
 	Call(ctx context.Context, u registry.Upstream, c *Call, once bool) (*Answer, error)
+	// Open sends a call on a streaming route. The context bounds the whole stream.
+	Open(ctx context.Context, u registry.Upstream, c *Call, r Resume) (*Stream, error)
 }
 
 // Refusal is a final answer of our own.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -44,6 +44,11 @@
 	return n
 }
 
+// Open isn't used by tests of calls.
+func (f *fakeUpstreams) Open(context.Context, registry.Upstream, *Call, Resume) (*Stream, error) {
+	return nil, &exchange.Failure{Kind: exchange.Dial, Err: errors.New("no streams here")}
+}
+
 type behaviour = func(ctx context.Context) (*Answer, error)
 
 func ok(after time.Duration) behaviour {
