A request that crashes the upstreams that run it is refused by every daemon

Cause: on the platform nothing remembered which request an upstream crashed under; a caller that repeated one took another upstream away each time. Now a send that breaks off is followed by a look at the upstream's address; if nothing listens there, a mark (request's fingerprint, incarnation) goes into a keyed topic of the store, whose newest records outlive its history. Three marks refuse the request at every daemon (503, not run, Retry-After); an answer by any upstream clears it; marks end after ten minutes. Ruled out: marks in the memory of each daemon (ten daemons would lose thirty upstreams), a topic without keys (forgotten after 20 s, so a restarted daemon starts over).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,12 +5,14 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
+	"github.com/dogwoodflow/dogwoodflow/internal/poison"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/exchange"
@@ -26,6 +28,9 @@
 	Body   []byte
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+
+	request   poison.Fingerprint
+	succeeded atomic.Bool // an upstream ran it and answered
 }
 
 // Answer is an upstream's whole answer.
@@ -44,6 +49,8 @@
 	Call(ctx context.Context, u registry.Upstream, c *Call, once bool) (*Answer, error)
 	// Open sends a call on a streaming route. The context bounds the whole stream.
 	Open(ctx context.Context, u registry.Upstream, c *Call, r Resume) (*Stream, error)
+	// Reachable reports whether anything listens at the upstream's address.
+	Reachable(ctx context.Context, u registry.Upstream) bool
 }
 
 // Refusal is a final answer of our own.
@@ -66,27 +73,47 @@
 	comeBack = 50 * time.Millisecond
 )
 
+// Options of a Gateway.
+type Options struct {
+	View       *fleet.View
+	Upstreams  Upstreams
+	Crashes    Crashes
+	DataCentre string // of this VM
+	// Now is a clock that goes on while the VM is suspended.
+	Now    func() time.Duration
+	Logger zerolog.Logger
+}
+
 // Gateway passes calls on. It is safe for concurrent use.
 type Gateway struct {
 	view      *fleet.View
 	upstreams Upstreams
+	crashes   Crashes
 	pool      *pool
 	now       func() time.Duration
 	log       zerolog.Logger
 }
 
-// New returns a Gateway. now is a clock that goes on while the VM is suspended.
-func New(view *fleet.View, upstreams Upstreams, dataCentre string, now func() time.Duration, log zerolog.Logger) *Gateway {
-	return &Gateway{view: view, upstreams: upstreams, pool: newPool(dataCentre), now: now, log: log}
+// New returns a Gateway.
+func New(o Options) *Gateway {
+	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, pool: newPool(o.DataCentre), now: o.Now, log: o.Logger}
 }
 
-// Do sends a call and returns the upstream's answer or a refusal.
-func (g *Gateway) Do(ctx context.Context, route routes.Route, call *Call) (*Answer, *Refusal) {
-	began := time.Now()
+// limitDeadline keeps a call within its route's timeout and leaves time for the way back.
+func limitDeadline(call *Call, route routes.Route, began time.Time) {
 	if route.Timeout > 0 && call.Deadline.After(began.Add(route.Timeout)) {
 		call.Deadline = began.Add(route.Timeout)
 	}
 	call.Deadline = call.Deadline.Add(-deadlineMargin)
+}
+
+// Do sends a call and returns the upstream's answer or a refusal.
+func (g *Gateway) Do(ctx context.Context, route routes.Route, call *Call) (*Answer, *Refusal) {
+	began := time.Now()
+	if refusal := g.admit(call); refusal != nil {
+		return nil, refusal
+	}
+	limitDeadline(call, route, began)
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	a := &attempt{g: g, route: route, call: call, service: route.Pick(rand.Float64()), tried: map[string]bool{}, results: make(chan result, maxSends)}
@@ -176,22 +203,24 @@
 	a.waiting++
 	go func() {
 		answer, err := a.g.upstreams.Call(ctx, u, a.call, a.route.Kind != routes.Safe)
-		a.g.note(ctx, u, answer, err)
+		a.g.note(ctx, u, a.call, answer, err)
 		a.results <- result{u, answer, err}
 	}()
 	return true
 }
 
 // note keeps what a send told of its upstream.
-func (g *Gateway) note(ctx context.Context, u registry.Upstream, answer *Answer, err error) {
+func (g *Gateway) note(ctx context.Context, u registry.Upstream, call *Call, answer *Answer, err error) {
 	now := g.now()
 	g.pool.release(u.ID, now)
 	var f *exchange.Failure
 	switch {
 	case err == nil:
 		g.pool.succeeded(u.ID, answer.Load, now)
+		g.cleared(ctx, call, answer)
 	case ctx.Err() == nil && errors.As(err, &f) && f.Kind != exchange.Malformed:
 		g.pool.failed(u.ID, now)
+		g.suspect(ctx, u, call, f)
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
+	"github.com/dogwoodflow/dogwoodflow/internal/poison"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/exchange"
@@ -44,6 +45,16 @@
 	return n
 }
 
+// Reachable says that an upstream is there.
+func (f *fakeUpstreams) Reachable(context.Context, registry.Upstream) bool { return true }
+
+// noCrashes is a ledger of crashes that stays empty.
+type noCrashes struct{}
+
+func (noCrashes) Blocked(poison.Fingerprint) bool                     { return false }
+func (noCrashes) Crashed(context.Context, poison.Fingerprint, string) {}
+func (noCrashes) Succeeded(context.Context, poison.Fingerprint)       {}
+
 // Open isn't used by tests of calls.
 func (f *fakeUpstreams) Open(context.Context, registry.Upstream, *Call, Resume) (*Stream, error) {
 	return nil, &exchange.Failure{Kind: exchange.Dial, Err: errors.New("no streams here")}
@@ -89,7 +100,7 @@
 			r.Put(registry.Upstream{ID: id, Service: "s", DataCentre: dc})
 		}
 	})
-	return New(view, f, "here", now, zerolog.Nop()), f
+	return New(Options{View: view, Upstreams: f, Crashes: noCrashes{}, DataCentre: "here", Now: now, Logger: zerolog.Nop()}), f
 }
 
 func route(kind routes.Kind, attempts int) routes.Route {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,10 +67,10 @@
 // on, under the weights that made that event.
 func (g *Gateway) Stream(ctx context.Context, route routes.Route, call *Call, after int, out EventWriter) StreamResult {
 	began := time.Now()
-	if route.Timeout > 0 && call.Deadline.After(began.Add(route.Timeout)) {
-		call.Deadline = began.Add(route.Timeout)
+	if refusal := g.admit(call); refusal != nil {
+		return StreamResult{Refusal: refusal}
 	}
-	call.Deadline = call.Deadline.Add(-deadlineMargin)
+	limitDeadline(call, route, began)
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	s := &streamAttempt{
@@ -130,24 +130,24 @@
 func (s *streamAttempt) send(ctx context.Context, u registry.Upstream) (*StreamResult, streamStep) {
 	opened, err := s.g.upstreams.Open(ctx, u, s.call, Resume{Resumable: s.resumable, After: s.after, Version: s.expected()})
 	if err != nil {
-		s.g.note(ctx, u, nil, err)
+		s.g.note(ctx, u, s.call, nil, err)
 		return nil, s.failed(u, err)
 	}
 	if opened.Events == nil {
-		s.g.note(ctx, u, &opened.Answer, nil)
+		s.g.note(ctx, u, s.call, &opened.Answer, nil)
 		return s.whole(u, &opened.Answer)
 	}
 	defer opened.Events.Close()
 	err = s.pass(opened)
 	if err == nil {
-		s.g.note(ctx, u, &opened.Answer, nil)
+		s.g.note(ctx, u, s.call, &opened.Answer, nil)
 		return &StreamResult{}, sendOn
 	}
 	if errors.Is(err, errCallerLeft) {
-		s.g.note(ctx, u, &opened.Answer, nil)
+		s.g.note(ctx, u, s.call, &opened.Answer, nil)
 		return &StreamResult{Err: ErrBrokenOff}, breakOff
 	}
-	s.g.note(ctx, u, nil, err)
+	s.g.note(ctx, u, s.call, nil, err)
 	return nil, s.failed(u, err)
 }
 
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -53,6 +53,8 @@
 	return nil, &exchange.Failure{Kind: exchange.Dial, Err: errors.New("no calls here")}
 }
 
+func (w *streamWorld) Reachable(context.Context, registry.Upstream) bool { return true }
+
 func (w *streamWorld) Open(ctx context.Context, u registry.Upstream, _ *Call, r Resume) (*Stream, error) {
 	w.asked = append(w.asked, opened{u.ID, r})
 	s := w.sources[u.ID]
@@ -123,7 +125,7 @@
 			r.Put(registry.Upstream{ID: id, Service: "s", DataCentre: dc})
 		}
 	})
-	return New(view, w, "here", now, zerolog.Nop()), w
+	return New(Options{View: view, Upstreams: w, Crashes: noCrashes{}, DataCentre: "here", Now: now, Logger: zerolog.Nop()}), w
 }
 
 // What a caller gets of a stream whose first upstream (the nearest) misbehaves, and
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -95,8 +95,11 @@
 // Put appends a record of a keyed topic, as servers and operators do; a nil value
 // drops the key.
 func (s *Store) Put(topic, key string, value []byte) error {
-	record := append([]byte{byte(len(key))}, key...)
-	_, err := s.append(topic, 0, anyEnd, [][]byte{append(record, value...)})
+	record, err := store.EncodeEntry(key, value)
+	if err != nil {
+		return err
+	}
+	_, err = s.append(topic, 0, anyEnd, [][]byte{record})
 	return err
 }
 
@@ -106,9 +109,11 @@
 	l := s.logLocked(topic, 0)
 	byKey := map[string]store.Entry{}
 	for i, r := range l.records {
-		n := 1 + int(r[0])
-		key := string(r[1:n])
-		byKey[key] = store.Entry{Key: key, Value: r[n:], Offset: l.first + int64(i)}
+		key, value, err := store.DecodeEntry(r)
+		if err != nil {
+			continue // no record of a key, and none that a reader would take
+		}
+		byKey[key] = store.Entry{Key: key, Value: value, Offset: l.first + int64(i)}
 	}
 	out := store.Snapshot{End: l.end()}
 	for _, key := range slices.Sorted(maps.Keys(byKey)) {
