The confirmation of an empty answer has a test that fails without it

A reader's waiting read hangs while new calls go through; its view is 1.2 s old. With the bound at the age of a view out of touch (1.4 s) the test gets no result where another daemon has shown one; with 0.5 s it gets it.

--- /dev/null
+++ b/internal/batchrun/read_test.go
@@ -0,0 +1,64 @@
+package batchrun
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/follow"
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
+)
+
+// ownsHomeOf reports whether a daemon runs the batches of a model.
+func (v *vm) ownsHomeOf(model string) bool {
+	s := v.current()
+	home := s.partitionOf(model)
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	return home != nil && s.owner.runners[home.number] != nil
+}
+
+// A trainer reads a result at one daemon and a second later asks another one from
+// the same position. That daemon's waiting read hangs on a connection that fell
+// silent, while new calls go through. Its view is old, though not so old that it
+// counts as out of touch. It must not say that there is no result yet.
+func TestNoResultYetIsConfirmedOnAnOldView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 2, "m0")
+		defer w.stop()
+		w.engines.pace = 400 * time.Millisecond
+		time.Sleep(2 * time.Second)
+		name := "old"
+		for length("m0-"+name+"-0-0") > 3 { // the result is due some 1.2 s after submission
+			name += "y"
+		}
+		head, items, requests := sampleBatch("m0", name, 1, 1, 1)
+		g.Expect(w.vms[0].current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+		time.Sleep(200 * time.Millisecond)
+		owner, reader := w.vms[0], w.vms[1]
+		if reader.ownsHomeOf("m0") {
+			owner, reader = reader, owner
+		}
+		part := reader.current().partitionOf("m0")
+		reader.client.SetFaults(metastore.Faults{Cut: true})
+		time.Sleep(follow.PollWait + 10*time.Millisecond) // reads hang from here on
+		listed := func() int {
+			page, err := owner.current().Results(context.Background(), "b", 0, 0)
+			g.Expect(err).NotTo(HaveOccurred())
+			return len(page.Results)
+		}
+		for listed() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		reader.client.SetFaults(metastore.Faults{Latency: storeAnswer})
+		g.Expect(part.count("b")).To(BeZero(), "the reader's own view lacks the result")
+		g.Expect(part.follower.Age()).To(BeNumerically("<", follow.StaleAfter), "and isn't out of touch")
+		page, err := reader.current().Results(context.Background(), "b", 0, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Results).NotTo(BeEmpty())
+	})
+}
