Loads at once grow with a model's share of the engines

Cause: one engine of a model loaded at a time while a step ran, two otherwise, at any number of engines. Ruled out: owner's processor time (0.07 of a core at most), slow engines (their samples moved within 2 s). Now a fifth of the share loads at once, as the sheets' weight stores serve. Shares of three engines load as before.

--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -42,6 +42,38 @@
 	}
 }
 
+// A model has sixteen engines and its step may use none of their weights any more.
+// With one load at a time, as for three engines, a step meets four fresh engines
+// where it needs sixteen, and half of its samples begin six seconds late.
+func TestLoadsAtOnceGrowWithTheShare(t *testing.T) {
+	engines := func(n int, version int64) []Engine {
+		var out []Engine
+		for i := range n {
+			out = append(out, Engine{ID: fmt.Sprintf("e%02d", i), Version: version, Slots: 8, Usable: true})
+		}
+		return out
+	}
+	fresh := Engine{ID: "fresh", Version: 3, Running: 8, Slots: 8, Usable: true}
+	for _, c := range []struct {
+		name    string
+		in      Input
+		atOnce  int
+		engines int
+	}{
+		{"three, a step waits", Input{Newest: 3, Needed: 3, Waiting: 9, Active: true, Engines: append(engines(2, 1), fresh)}, 1, 3},
+		{"three, idle", Input{Newest: 3, Engines: engines(3, 1)}, 2, 3},
+		{"sixteen, a step waits", Input{Newest: 3, Needed: 3, Waiting: 99, Active: true, Engines: append(engines(15, 1), fresh)}, 3, 16},
+		{"sixteen, idle", Input{Newest: 3, Engines: engines(16, 1)}, 3, 16},
+		{"230, idle", Input{Newest: 3, Engines: engines(230, 1)}, 46, 230},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(c.in.Engines).To(HaveLen(c.engines))
+			g.Expect(Decide(c.in).Load).To(HaveLen(c.atOnce))
+		})
+	}
+}
+
 func TestShare(t *testing.T) {
 	g := NewWithT(t)
 	var engines []string
--- a/internal/loads/plan.go
+++ b/internal/loads/plan.go
@@ -36,13 +36,25 @@
 }
 
 const (
-	// maxLoads is how many engines of a model load at once: the weight store serves
-	// two at full speed.
-	maxLoads = 2
-	// maxLoadsActive is the same while a step runs, which needs the others.
-	maxLoadsActive = 1
+	// loadShare: the weight store serves one in so many engines at full speed at once
+	// (2 of 9, 9 of 45, 10 of 48 on the deployments' sheets). With more, each load
+	// takes longer; with fewer, engines serve old weights while nothing loads.
+	loadShare = 5
+	// leastLoads is how many engines of a model load at once at least, and
+	// leastLoadsActive the same while a step runs, which needs the others.
+	leastLoads       = 2
+	leastLoadsActive = 1
 )
 
+// atOnce is how many engines may load now.
+func (in Input) atOnce() int {
+	share := len(in.Engines) / loadShare
+	if in.Active && (in.Needed == 0 || useful(in) > 0) {
+		return max(leastLoadsActive, share)
+	}
+	return max(leastLoads, share)
+}
+
 // Decide chooses the engines that load the newest version now.
 //
 // An engine that waiting samples can't use loads at once. Any other waits until
@@ -51,13 +63,7 @@
 // is vacated, as long as the others have room for its samples.
 func Decide(in Input) Plan {
 	var plan Plan
-	room := maxLoads
-	if in.Active {
-		room = maxLoadsActive
-	}
-	if in.Needed > 0 && useful(in) == 0 {
-		room = maxLoads
-	}
+	room := in.atOnce()
 	for _, e := range in.Engines {
 		if e.Loading {
 			room--
