dogwoodflowctl looks into daemons on the platform

status (readiness, configuration and its age, age and contact of each view of the store), upstreams by incarnation with the holder of their orders and its fencing number, batches, one batch with its samples, end of a batch. Each daemon answers for itself on its metrics address; the tool asks several and moves on when one is away. Tests: every command over recorded daemons, and the view of a running batch at its owner and at another daemon.

--- a/cmd/dogwoodflowctl/root.go
+++ b/cmd/dogwoodflowctl/root.go
@@ -57,7 +57,7 @@
 		Flags:     fs,
 		Subcommands: []*ff.Command{
 			configCommand(g, fs), jobCommand(g, fs), stepCommand(g, fs),
-			upstreamsCommand(g, fs), daemonsCommand(g, fs), timelineCommand(g, fs), explainCommand(g, fs), keysCommand(g, fs), versionCommand(g, fs),
+			upstreamsCommand(g, fs), daemonsCommand(g, fs), timelineCommand(g, fs), platformCommand(g, fs), explainCommand(g, fs), keysCommand(g, fs), versionCommand(g, fs),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			switch {
--- /dev/null
+++ b/internal/batchrun/inspect_test.go
@@ -0,0 +1,50 @@
+package batchrun
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// What an operator sees of a batch while it runs and when it is whole, at the daemon
+// that runs it and at the other one.
+func TestInspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 2, "m0")
+		defer w.stop()
+		w.engines.pace = 500 * time.Millisecond
+		time.Sleep(2 * time.Second)
+		head, items, requests := sampleBatch("m0", "seen", 1, 2, 1)
+		g.Expect(w.vms[0].current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+		time.Sleep(1200 * time.Millisecond)
+		owner, other := w.vms[0].current(), w.vms[1].current()
+		if w.vms[1].ownsHomeOf("m0") {
+			owner, other = other, owner
+		}
+		detail, ok := owner.InspectBatch("b")
+		g.Expect(ok).To(BeTrue())
+		g.Expect(detail.Owner).To(Equal(owner.options.VM))
+		g.Expect(detail.Running).To(Equal(2))
+		g.Expect(detail.List[0].State).To(Equal("running"))
+		g.Expect(detail.List[0].Upstream).NotTo(BeEmpty())
+		g.Expect(owner.Owns()).To(ContainElement(detail.Part))
+		g.Expect(other.Owns()).NotTo(ContainElement(detail.Part))
+		time.Sleep(30 * time.Second)
+		list := other.Inspect()
+		g.Expect(list).To(HaveLen(1))
+		g.Expect(list[0].Owner).To(BeEmpty())
+		g.Expect(list[0].Completed).To(Equal(2))
+		detail, _ = other.InspectBatch("b")
+		g.Expect(detail.List[0].Position + detail.List[1].Position).To(Equal(1))
+		_, ok = other.InspectBatch("none")
+		g.Expect(ok).To(BeFalse())
+		for _, v := range other.Views() {
+			g.Expect(v.InContact).To(BeTrue())
+			g.Expect(v.AgeMS).To(BeNumerically(">=", 0))
+		}
+	})
+}
--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -125,8 +125,7 @@
 		began, at := x.options.Now(), x.follower.Next()
 		err := x.appendClaim(ctx, at, data)
 		if err == nil || errors.Is(err, store.ErrUnknown) && x.holds(ctx, engine, at) {
-			// Offsets begin with 0, which engines take for a missing number.
-			return permit{fence: at + 1, until: began + loads.ClaimLife}, nil
+			return permit{fence: fenceOf(at), until: began + loads.ClaimLife}, nil
 		}
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) || try == claimTries {
@@ -138,6 +137,10 @@
 	}
 }
 
+// fenceOf is the fencing number of the claim at an offset. Offsets begin with 0, which
+// engines take for a missing number.
+func fenceOf(offset int64) int64 { return offset + 1 }
+
 func (x *orders) appendClaim(ctx context.Context, at int64, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, firstAnswer)
 	defer cancel()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 	mu        sync.Mutex
 	config    *routes.Config
+	configAt  time.Duration // when it came into force
 	published map[string]int64
 	upstreams *registry.Registry
 	changed   chan struct{}
@@ -49,6 +50,21 @@
 	return v.config
 }
 
+// ConfigAge is the time since the configuration came into force here.
+func (v *View) ConfigAge() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.now() - v.configAt
+}
+
+// All returns every upstream, leaving ones included.
+func (v *View) All() []registry.Upstream {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.upstreams.Expire(v.now())
+	return v.upstreams.All()
+}
+
 // SetConfig puts a configuration in force unless it is older than the present
 // one: a view that was read anew may lag behind what this process acted on.
 func (v *View) SetConfig(c *routes.Config) bool {
@@ -56,6 +72,7 @@
 	v.update(func() {
 		if v.config == nil || c.Version > v.config.Version {
 			v.config = c
+			v.configAt = v.now()
 			taken = true
 		}
 	})
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/inspect"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 )
 
@@ -287,6 +288,17 @@
 	return f.changed
 }
 
+// Inspect describes the view for operators.
+func (f *Follower) Inspect() inspect.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := inspect.View{Topic: f.options.Topic, Part: f.options.Part, Next: f.next, AgeMS: -1, InContact: !f.lost}
+	if f.loaded {
+		out.AgeMS = (f.options.Now() - f.current).Milliseconds()
+	}
+	return out
+}
+
 // CatchUp reads to the end once, beside the read that may be waiting.
 func (f *Follower) CatchUp(ctx context.Context) error {
 	if !f.Loaded() {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -139,6 +139,15 @@
 			out = append(out, u)
 		}
 	}
-	slices.SortFunc(out, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	return sorted(out)
+}
+
+// All returns every live upstream, by ID.
+func (r *Registry) All() []Upstream {
+	return sorted(slices.Collect(maps.Values(r.upstreams)))
+}
+
+func sorted(list []Upstream) []Upstream {
+	slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return list
 }
