internal/platform is called internal/infra

One word meant two things: the users' platform (platform/) and the product's own ports to a log, a weight store and a list of VMs (internal/platform). No behaviour changes; error texts name the package.

--- a/internal/app/config.go
+++ b/internal/app/config.go
@@ -6,7 +6,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/confsync"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/settings"
 )
 
@@ -15,7 +15,7 @@
 // snapshotKey is the key whose owner writes the configuration's snapshots.
 const snapshotKey = "config-snapshot"
 
-func newStore(d *settings.Daemon, log platform.Log, logger zerolog.Logger, o *ownership) *confsync.Store {
+func newStore(d *settings.Daemon, log infra.Log, logger zerolog.Logger, o *ownership) *confsync.Store {
 	return confsync.New(log, logger, confsync.Options{
 		StartSpread:      startSpread,
 		Retention:        config.Retention{Age: d.LogRetention},
--- a/internal/app/keyed.go
+++ b/internal/app/keyed.go
@@ -7,15 +7,15 @@
 	"go.uber.org/fx"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/keyed"
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
 	"github.com/dogwoodflow/dogwoodflow/internal/settings"
 )
 
 var keyedModule = fx.Module("keyed", fx.Provide(newKeyed))
 
-func newKeyed(d *settings.Daemon, log platform.Log, logger zerolog.Logger, o *ownership) *keyed.Service {
+func newKeyed(d *settings.Daemon, log infra.Log, logger zerolog.Logger, o *ownership) *keyed.Service {
 	return keyed.New(keyed.Options{
 		Log: log, VM: d.VM, Logger: logger, Daemons: o.Daemons, OutcomeOf: outcomeOf,
 		StartSpread: startSpread,
--- a/internal/app/peer.go
+++ b/internal/app/peer.go
@@ -7,8 +7,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/confsync"
 	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/peer"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
 	"github.com/dogwoodflow/dogwoodflow/internal/settings"
 	"github.com/dogwoodflow/dogwoodflow/internal/timeline"
 	"github.com/dogwoodflow/dogwoodflow/internal/weightsync"
@@ -20,7 +20,7 @@
 const leavingByList = "vm list"
 
 func newPeers(d *settings.Daemon, c *confsync.Store, disp *dispatch.Dispatcher, w *weightsync.Syncer,
-	r *timeline.Recorder, vms platform.VMLister, log zerolog.Logger, o *ownership) *peer.Service {
+	r *timeline.Recorder, vms infra.VMLister, log zerolog.Logger, o *ownership) *peer.Service {
 	p := peer.New(peer.Options{
 		Self: d.VM, DataCentre: d.DataCentre,
 		ListenAddress: d.PeerAddress, AdvertiseAddress: d.PeerAdvertise,
--- a/internal/app/weights.go
+++ b/internal/app/weights.go
@@ -8,7 +8,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/confsync"
 	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/settings"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
 	"github.com/dogwoodflow/dogwoodflow/internal/weightsync"
@@ -16,7 +16,7 @@
 
 var weightsModule = fx.Module("weights", fx.Provide(newSyncer))
 
-func newSyncer(d *settings.Daemon, log platform.Log, store platform.WeightStore, disp *dispatch.Dispatcher,
+func newSyncer(d *settings.Daemon, log infra.Log, store infra.WeightStore, disp *dispatch.Dispatcher,
 	c *upstream.Client, conf *confsync.Store, o *ownership, logger zerolog.Logger) *weightsync.Syncer {
 	return weightsync.New(weightsync.Options{
 		Self: d.VM, Log: log, Store: store, Orderer: c, Owners: o, Daemons: o.Daemons, Logger: logger,
--- a/internal/capacity/data.go
+++ b/internal/capacity/data.go
@@ -8,8 +8,8 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/claims"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/lease"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
 )
 
 // Rates a second.
@@ -98,7 +98,7 @@
 			})
 		}
 		if data, err := claims.EncodeBatch(batch); err == nil {
-			_, _ = w.ownLog.Append(ctx, platform.StreamClaims, [][]byte{data}) // cut off by the window's end
+			_, _ = w.ownLog.Append(ctx, infra.StreamClaims, [][]byte{data}) // cut off by the window's end
 		}
 	})
 }
@@ -116,7 +116,7 @@
 			Duration: 15 * time.Second, Upstreams: names,
 		}
 		if data, err := lease.Encode(record); err == nil {
-			_, _ = w.ownLog.Append(ctx, platform.LeaseStream(dataCentre), [][]byte{data}) // cut off by the window's end
+			_, _ = w.ownLog.Append(ctx, infra.LeaseStream(dataCentre), [][]byte{data}) // cut off by the window's end
 		}
 	})
 }
--- a/internal/capacity/fakes.go
+++ b/internal/capacity/fakes.go
@@ -7,7 +7,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/log"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/vmlist"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/weights"
@@ -34,7 +34,7 @@
 	vms     *vmlist.List
 	servers []*http.Server
 	peers   *peers
-	ownLog  *platform.HTTPLog
+	ownLog  *infra.HTTPLog
 	bases   map[config.Branch]ident.Offset
 }
 
@@ -67,7 +67,7 @@
 		}
 	}
 	var err error
-	w.ownLog, err = platform.NewHTTPLog(o.url(portOwn), platform.Options{})
+	w.ownLog, err = infra.NewHTTPLog(o.url(portOwn), infra.Options{})
 	return w, err
 }
 
--- a/internal/capacity/settings.go
+++ b/internal/capacity/settings.go
@@ -12,7 +12,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 )
 
 const (
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	offset, err := w.ownLog.Append(ctx, platform.StreamConfig, [][]byte{data})
+	offset, err := w.ownLog.Append(ctx, infra.StreamConfig, [][]byte{data})
 	if err != nil {
 		return err
 	}
--- a/internal/confsync/fake_test.go
+++ b/internal/confsync/fake_test.go
@@ -13,13 +13,13 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/confsync"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 )
 
 // fakeLog is the platform's log in memory, with faults.
 type fakeLog struct {
 	mu      sync.Mutex
-	records []platform.Record
+	records []infra.Record
 	first   ident.Offset
 	grown   chan struct{}
 
@@ -49,33 +49,33 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	if l.loseRequests > 0 {
 		l.loseRequests--
-		return 0, platform.ErrUnknown
+		return 0, infra.ErrUnknown
 	}
 	off := ident.Offset(len(l.records) + 1)
 	for _, data := range records {
-		l.records = append(l.records, platform.Record{Offset: ident.Offset(len(l.records) + 1), Time: time.Now(), Data: data})
+		l.records = append(l.records, infra.Record{Offset: ident.Offset(len(l.records) + 1), Time: time.Now(), Data: data})
 	}
 	l.appends++
 	close(l.grown)
 	l.grown = make(chan struct{})
 	if l.loseAnswers > 0 {
 		l.loseAnswers--
-		return 0, platform.ErrUnknown
+		return 0, infra.ErrUnknown
 	}
 	return off, nil
 }
 
-func (l *fakeLog) Read(ctx context.Context, _ string, from ident.Offset, limit int, wait time.Duration) (platform.Page, error) {
+func (l *fakeLog) Read(ctx context.Context, _ string, from ident.Offset, limit int, wait time.Duration) (infra.Page, error) {
 	deadline := time.After(wait)
 	for {
 		page, grown, silent, err := l.look(from, limit)
 		if silent {
 			<-ctx.Done()
-			return platform.Page{}, ctx.Err()
+			return infra.Page{}, ctx.Err()
 		}
 		if err != nil || len(page.Records) > 0 {
 			return page, err
@@ -85,24 +85,24 @@
 		case <-deadline:
 			return page, nil
 		case <-ctx.Done():
-			return platform.Page{}, ctx.Err()
+			return infra.Page{}, ctx.Err()
 		}
 	}
 }
 
-func (l *fakeLog) look(from ident.Offset, limit int) (page platform.Page, grown <-chan struct{}, silent bool, err error) {
+func (l *fakeLog) look(from ident.Offset, limit int) (page infra.Page, grown <-chan struct{}, silent bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	page = platform.Page{First: l.first, Next: ident.Offset(len(l.records) + 1)}
+	page = infra.Page{First: l.first, Next: ident.Offset(len(l.records) + 1)}
 	switch {
 	case l.silentReads > 0:
 		l.silentReads--
 		return page, nil, true, nil
 	case l.down || l.readsDown:
 		l.failedReads++
-		return platform.Page{}, nil, false, platform.ErrUnavailable
+		return infra.Page{}, nil, false, infra.ErrUnavailable
 	case from < l.first:
-		return page, nil, false, platform.ErrExpired
+		return page, nil, false, infra.ErrExpired
 	}
 	for off := from; off < page.Next && len(page.Records) < limit; off++ {
 		page.Records = append(page.Records, l.records[off-1])
@@ -121,7 +121,7 @@
 }
 
 // follower returns a store that follows the log.
-func follower(ctx context.Context, log platform.Log, options confsync.Options) *confsync.Store {
+func follower(ctx context.Context, log infra.Log, options confsync.Options) *confsync.Store {
 	s := confsync.New(log, zerolog.Nop(), options)
 	go s.Follow(ctx)
 	return s
--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -8,7 +8,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 )
 
 // Follow reads the log until the context ends.
@@ -58,10 +58,10 @@
 	defer cancel()
 	from := s.next()
 	countReads.Add(1)
-	page, err := s.log.Read(ctx, platform.StreamConfig, from, pageLimit, wait)
+	page, err := s.log.Read(ctx, infra.StreamConfig, from, pageLimit, wait)
 	switch {
 	case err == nil:
-	case errors.Is(err, platform.ErrExpired) && page.First > from:
+	case errors.Is(err, infra.ErrExpired) && page.First > from:
 		countExpired.Add(1)
 		page.Records = nil
 	default:
@@ -94,7 +94,7 @@
 	}
 }
 
-func toConfigPage(page platform.Page) config.Page {
+func toConfigPage(page infra.Page) config.Page {
 	out := config.Page{First: page.First, Next: page.Next, Records: make([]config.RawRecord, len(page.Records))}
 	for i, record := range page.Records {
 		out.Records[i] = config.RawRecord(record)
--- a/internal/confsync/publish.go
+++ b/internal/confsync/publish.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
 )
 
 // Publish brings a change into the log and returns the fold's verdict on it,
@@ -90,8 +90,8 @@
 	ctx, cancel := context.WithTimeout(ctx, p.store.options.AppendTimeout)
 	defer cancel()
 	countAppends.Add(1)
-	_, err := p.store.log.Append(ctx, platform.StreamConfig, [][]byte{p.data})
-	if errors.Is(err, platform.ErrUnavailable) {
+	_, err := p.store.log.Append(ctx, infra.StreamConfig, [][]byte{p.data})
+	if errors.Is(err, infra.ErrUnavailable) {
 		return fmt.Errorf("%w: %w", ErrLogUnavailable, err)
 	}
 	p.maybeAppended = true
--- a/internal/confsync/restore.go
+++ b/internal/confsync/restore.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
 )
 
 // ErrNotBehind says that this daemon has a configuration that changes can be
@@ -72,7 +72,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.options.AppendTimeout)
 	defer cancel()
-	_, err = s.log.Append(ctx, platform.StreamConfig, [][]byte{data})
+	_, err = s.log.Append(ctx, infra.StreamConfig, [][]byte{data})
 	return err
 }
 
--- a/internal/confsync/snapshot.go
+++ b/internal/confsync/snapshot.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 )
 
 // snapshotWriter appends the fold again before the log drops the records that
@@ -47,7 +47,7 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, w.store.options.AppendTimeout)
 		defer cancel()
-		_, err = w.store.log.Append(ctx, platform.StreamConfig, [][]byte{data})
+		_, err = w.store.log.Append(ctx, infra.StreamConfig, [][]byte{data})
 	}
 	if err != nil {
 		countSnapshotFailures.Add(1)
--- a/internal/confsync/store.go
+++ b/internal/confsync/store.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 )
 
 // Store holds the newest configuration.
@@ -16,7 +16,7 @@
 // Invariant: Current's Through never falls. All states come through the reader,
 // under mu, and the reader keeps to it.
 type Store struct {
-	log     platform.Log
+	log     infra.Log
 	logger  zerolog.Logger
 	options Options
 
@@ -29,7 +29,7 @@
 }
 
 // New returns a store with an empty configuration. Follow fills it.
-func New(log platform.Log, logger zerolog.Logger, options Options) *Store {
+func New(log infra.Log, logger zerolog.Logger, options Options) *Store {
 	s := &Store{
 		log:     log,
 		logger:  logger,
--- a/internal/platform/http.go
+++ b/internal/infra/http.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
@@ -46,10 +46,10 @@
 func newClient(baseURL string, o Options) (*client, error) {
 	u, err := url.Parse(baseURL)
 	if err != nil {
-		return nil, fmt.Errorf("platform: base URL: %w", err)
+		return nil, fmt.Errorf("infra: base URL: %w", err)
 	}
 	if u.Scheme != "http" || u.Host == "" || u.RawQuery != "" || u.Fragment != "" {
-		return nil, fmt.Errorf("platform: base URL %q: want http://host:port, with or without a path", baseURL)
+		return nil, fmt.Errorf("infra: base URL %q: want http://host:port, with or without a path", baseURL)
 	}
 	if o.Timeout <= 0 {
 		o.Timeout = DefaultTimeout
--- a/internal/platform/http_test.go
+++ b/internal/infra/http_test.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"bufio"
@@ -21,9 +21,9 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 )
 
-func TestPlatform(t *testing.T) {
+func TestInfra(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "platform")
+	RunSpecs(t, "infra")
 }
 
 var patient = Options{Timeout: time.Minute, MaxBodyBytes: 4 << 10}
--- a/internal/platform/httpvms.go
+++ b/internal/infra/httpvms.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
--- a/internal/platform/platform.go
+++ b/internal/infra/infra.go
@@ -1,6 +1,7 @@
-// Package platform is the narrow interface to what the platform gives: its
-// log, its weight store and its list of VMs. The HTTP adapters live beside it.
-package platform
+// Package infra is the narrow interface to what the product's own deployments build
+// on: a replicated log, a weight store and a list of VMs. The HTTP adapters live
+// beside it. Daemons on the users' platform use internal/store instead.
+package infra
 
 import (
 	"context"
@@ -22,11 +23,11 @@
 
 var (
 	// ErrUnavailable says that nothing happened: the platform refused or couldn't be reached.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("infra: unavailable")
 	// ErrUnknown says that the call may or may not have taken effect.
-	ErrUnknown = errors.New("platform: answer lost, outcome unknown")
+	ErrUnknown = errors.New("infra: answer lost, outcome unknown")
 	// ErrExpired says that the offset asked for is no longer kept; Page.First is set.
-	ErrExpired = errors.New("platform: offset past retention")
+	ErrExpired = errors.New("infra: offset past retention")
 )
 
 // Record is one record of a stream.
--- a/internal/keyed/fakes_test.go
+++ b/internal/keyed/fakes_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
 )
 
@@ -20,7 +20,7 @@
 type fakeLog struct {
 	mu      sync.Mutex
 	first   ident.Offset
-	records []platform.Record
+	records []infra.Record
 	changed chan struct{}
 	// fault decides on an append: whether it acts, and its error.
 	fault func() (acts bool, err error)
@@ -43,14 +43,14 @@
 	defer l.mu.Unlock()
 	acts, err := !l.down, error(nil)
 	if l.down {
-		err = platform.ErrUnavailable
+		err = infra.ErrUnavailable
 	} else if l.fault != nil {
 		acts, err = l.fault()
 	}
 	offset := ident.Offset(len(l.records) + 1)
 	if acts {
 		for _, d := range data {
-			l.records = append(l.records, platform.Record{Offset: ident.Offset(len(l.records) + 1), Data: d})
+			l.records = append(l.records, infra.Record{Offset: ident.Offset(len(l.records) + 1), Data: d})
 		}
 		close(l.changed)
 		l.changed = make(chan struct{})
@@ -58,12 +58,12 @@
 	return offset, err
 }
 
-func (l *fakeLog) Read(ctx context.Context, _ string, from ident.Offset, limit int, wait time.Duration) (platform.Page, error) {
+func (l *fakeLog) Read(ctx context.Context, _ string, from ident.Offset, limit int, wait time.Duration) (infra.Page, error) {
 	time.Sleep(logDelay)
 	timeout := time.After(wait)
 	for {
 		l.mu.Lock()
-		page := platform.Page{First: l.first, Next: ident.Offset(len(l.records) + 1)}
+		page := infra.Page{First: l.first, Next: ident.Offset(len(l.records) + 1)}
 		down, changed := l.down, l.changed
 		if from >= l.first {
 			page.Records = append(page.Records, l.records[from-1:min(len(l.records), int(from)-1+limit)]...)
@@ -71,9 +71,9 @@
 		l.mu.Unlock()
 		switch {
 		case down:
-			return platform.Page{}, platform.ErrUnavailable
+			return infra.Page{}, infra.ErrUnavailable
 		case from < page.First:
-			return page, platform.ErrExpired
+			return page, infra.ErrExpired
 		case len(page.Records) > 0:
 			return page, nil
 		}
@@ -82,7 +82,7 @@
 		case <-timeout:
 			return page, nil
 		case <-ctx.Done():
-			return platform.Page{}, platform.ErrUnavailable
+			return infra.Page{}, infra.ErrUnavailable
 		}
 	}
 }
@@ -93,7 +93,7 @@
 	delay time.Duration
 }
 
-func (l slowReads) Read(ctx context.Context, stream string, from ident.Offset, limit int, wait time.Duration) (platform.Page, error) {
+func (l slowReads) Read(ctx context.Context, stream string, from ident.Offset, limit int, wait time.Duration) (infra.Page, error) {
 	page, err := l.fakeLog.Read(context.WithoutCancel(ctx), stream, from, limit, wait)
 	time.Sleep(l.delay)
 	return page, err
@@ -158,7 +158,7 @@
 	})
 }
 
-func startDaemon(log platform.Log, vm string, n int) daemon {
+func startDaemon(log infra.Log, vm string, n int) daemon {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := New(Options{Log: log, VM: ident.VM(vm), Daemons: func() int { return n }})
 	ended := make(chan struct{})
--- a/internal/keyed/logloops.go
+++ b/internal/keyed/logloops.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/claims"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
 )
 
 const (
@@ -20,7 +20,7 @@
 	readBackoffMax = 2 * time.Second
 )
 
-func isUnavailable(err error) bool { return errors.Is(err, platform.ErrUnavailable) }
+func isUnavailable(err error) bool { return errors.Is(err, infra.ErrUnavailable) }
 
 // appendLoop writes batches, one at a time.
 func (s *Service) appendLoop(ctx context.Context) error {
@@ -70,7 +70,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.opts.AppendTimeout)
 	defer cancel()
-	_, err = s.opts.Log.Append(ctx, platform.StreamClaims, [][]byte{data})
+	_, err = s.opts.Log.Append(ctx, infra.StreamClaims, [][]byte{data})
 	if err != nil {
 		metrics.Counter("keyed_append_failures").Add(1)
 	}
@@ -122,8 +122,8 @@
 func (s *Service) readPage(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.PollWait+readSlack)
 	defer cancel()
-	page, err := s.opts.Log.Read(ctx, platform.StreamClaims, s.next, readLimit, s.opts.PollWait)
-	if errors.Is(err, platform.ErrExpired) && page.First > s.next {
+	page, err := s.opts.Log.Read(ctx, infra.StreamClaims, s.next, readLimit, s.opts.PollWait)
+	if errors.Is(err, infra.ErrExpired) && page.First > s.next {
 		s.skipTo(page)
 		return nil
 	}
@@ -138,7 +138,7 @@
 // concerned keys whose protection has ended with them, so nothing is lost that
 // still counts: claims, and the releases and done records behind those claims
 // that are kept are all read from First on.
-func (s *Service) skipTo(page platform.Page) {
+func (s *Service) skipTo(page infra.Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next = page.First
@@ -146,7 +146,7 @@
 }
 
 // foldPage folds a page in. Trim comes first, see claims.Fold.Apply.
-func (s *Service) foldPage(page platform.Page) {
+func (s *Service) foldPage(page infra.Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fold.Trim(page.First)
--- a/internal/keyed/once_test.go
+++ b/internal/keyed/once_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/claims"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
 )
 
 var bg = context.Background()
@@ -55,7 +55,7 @@
 }
 
 // naiveDo looks the key up, appends its claim and trusts the append's answer.
-func naiveDo(log platform.Log, up *service, key string) error {
+func naiveDo(log infra.Log, up *service, key string) error {
 	page, err := log.Read(bg, "", 1, 100, 0)
 	if err != nil {
 		return err
@@ -92,7 +92,7 @@
 		g := NewWithT(t)
 		lost := 0
 		log.set(func() {
-			log.fault = func() (bool, error) { lost++; return lost != 2, platform.ErrUnknown }
+			log.fault = func() (bool, error) { lost++; return lost != 2, infra.ErrUnknown }
 		})
 		_, _, err := d[0].Do(bg, "s", "k", 1, up.run("k", nil))
 		g.Expect(err).NotTo(HaveOccurred())
@@ -272,11 +272,11 @@
 func randomFault(rng *rand.Rand) (bool, error) {
 	switch rng.IntN(6) {
 	case 0:
-		return false, platform.ErrUnavailable
+		return false, infra.ErrUnavailable
 	case 1:
-		return true, platform.ErrUnknown
+		return true, infra.ErrUnknown
 	case 2:
-		return false, platform.ErrUnknown
+		return false, infra.ErrUnknown
 	}
 	return true, nil
 }
--- a/internal/keyed/options.go
+++ b/internal/keyed/options.go
@@ -8,15 +8,15 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
 )
 
 // Options configures a Service. Log and VM are required, zero values of the
 // others take the defaults.
 type Options struct {
-	Log    platform.Log
+	Log    infra.Log
 	VM     ident.VM
 	Logger zerolog.Logger
 
--- a/internal/peer/fakes_test.go
+++ b/internal/peer/fakes_test.go
@@ -13,7 +13,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/rollouts"
 	"github.com/dogwoodflow/dogwoodflow/internal/timeline"
 )
@@ -109,9 +109,9 @@
 func (f fakeSteps) CancelLocal(context.Context, ident.Team, ident.Job, ident.Step) error { return nil }
 
 // fakeList is the platform's list of VMs.
-type fakeList []platform.VMEntry
+type fakeList []infra.VMEntry
 
-func (f fakeList) List(context.Context) ([]platform.VMEntry, error) { return f, nil }
+func (f fakeList) List(context.Context) ([]infra.VMEntry, error) { return f, nil }
 
 // daemon is a service under test with its fakes.
 type daemon struct {
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -18,7 +18,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/rollouts"
 	"github.com/dogwoodflow/dogwoodflow/internal/timeline"
 )
@@ -80,7 +80,7 @@
 	Timeline TimelinePort // may be nil
 	Versions VersionPort  // may be nil
 
-	VMs               platform.VMLister // may be nil
+	VMs               infra.VMLister // may be nil
 	OnLeavingUpstream func(ident.Upstream)
 
 	Log zerolog.Logger
--- a/internal/weightsync/fakes_test.go
+++ b/internal/weightsync/fakes_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
 	"github.com/dogwoodflow/dogwoodflow/internal/wire"
 )
@@ -21,8 +21,8 @@
 // world is the log, the weight store and the engines, as all daemons see them.
 type world struct {
 	mu        sync.Mutex
-	records   map[string][]platform.Record // by stream
-	reads     map[ident.VM]map[string]int  // by stream
+	records   map[string][]infra.Record   // by stream
+	reads     map[ident.VM]map[string]int // by stream
 	logDown   bool
 	storeDown bool
 	published []ident.Version
@@ -38,7 +38,7 @@
 // newWorld has two engines that check fencing (e0, e1) and two that don't, all in
 // one data centre.
 func newWorld() *world {
-	w := &world{records: map[string][]platform.Record{}, reads: map[ident.VM]map[string]int{},
+	w := &world{records: map[string][]infra.Record{}, reads: map[ident.VM]map[string]int{},
 		published: []ident.Version{1}, highest: map[ident.Upstream]int64{},
 		failing: map[ident.Upstream]bool{}, orderedBy: map[ident.Upstream]ident.VM{}}
 	for i := range 4 {
@@ -76,33 +76,33 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.logDown {
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	for _, d := range data {
-		w.records[stream] = append(w.records[stream], platform.Record{Offset: ident.Offset(len(w.records[stream]) + 1), Data: d})
+		w.records[stream] = append(w.records[stream], infra.Record{Offset: ident.Offset(len(w.records[stream]) + 1), Data: d})
 	}
 	return ident.Offset(len(w.records[stream])), nil
 }
 
-func (w daemonLog) Read(_ context.Context, stream string, from ident.Offset, _ int, _ time.Duration) (platform.Page, error) {
+func (w daemonLog) Read(_ context.Context, stream string, from ident.Offset, _ int, _ time.Duration) (infra.Page, error) {
 	time.Sleep(20 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.logDown {
-		return platform.Page{}, platform.ErrUnavailable
+		return infra.Page{}, infra.ErrUnavailable
 	}
 	if w.reads[w.vm] == nil {
 		w.reads[w.vm] = map[string]int{}
 	}
 	w.reads[w.vm][stream]++
-	return platform.Page{First: 1, Records: slices.Clone(w.records[stream][from-1:])}, nil
+	return infra.Page{First: 1, Records: slices.Clone(w.records[stream][from-1:])}, nil
 }
 
 func (w *world) Versions(context.Context, ident.Model) ([]ident.Version, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.storeDown {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	return slices.Clone(w.published), nil
 }
--- a/internal/weightsync/leases.go
+++ b/internal/weightsync/leases.go
@@ -8,9 +8,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/lease"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
 )
 
 const (
@@ -38,8 +38,8 @@
 func (s *Syncer) readLeases(ctx context.Context, stream *leaseStream) error {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.PollWait+readSlack)
 	defer cancel()
-	page, err := s.opts.Log.Read(ctx, platform.LeaseStream(stream.dataCentre), stream.next, readLimit, s.opts.PollWait)
-	if errors.Is(err, platform.ErrExpired) && page.First > stream.next {
+	page, err := s.opts.Log.Read(ctx, infra.LeaseStream(stream.dataCentre), stream.next, readLimit, s.opts.PollWait)
+	if errors.Is(err, infra.ErrExpired) && page.First > stream.next {
 		stream.next = page.First // what expired is older than any lease
 		return nil
 	}
@@ -50,7 +50,7 @@
 	return nil
 }
 
-func (s *Syncer) foldLeases(stream *leaseStream, page platform.Page) {
+func (s *Syncer) foldLeases(stream *leaseStream, page infra.Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, rec := range page.Records {
@@ -111,7 +111,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
 	defer cancel()
-	if _, err := s.opts.Log.Append(ctx, platform.LeaseStream(b.stream.dataCentre), data); err != nil {
+	if _, err := s.opts.Log.Append(ctx, infra.LeaseStream(b.stream.dataCentre), data); err != nil {
 		metrics.Counter("lease_append_failures").Add(1)
 	}
 }
--- a/internal/weightsync/options.go
+++ b/internal/weightsync/options.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
-	"github.com/dogwoodflow/dogwoodflow/internal/platform"
+	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
 	"github.com/dogwoodflow/dogwoodflow/internal/weights"
 	"github.com/dogwoodflow/dogwoodflow/internal/wire"
@@ -67,8 +67,8 @@
 // rest take the defaults.
 type Options struct {
 	Self    ident.VM
-	Log     platform.Log
-	Store   platform.WeightStore
+	Log     infra.Log
+	Store   infra.WeightStore
 	Engines Engines
 	Orderer Orderer
 	Owners  Owners
--- a/internal/wire/engine.go
+++ b/internal/wire/engine.go
@@ -1,5 +1,5 @@
 // Package wire holds the JSON forms that the systems around us speak. Only the
-// adapters (internal/upstream, internal/platform) and the stand-ins import it,
+// adapters (internal/upstream, internal/infra) and the stand-ins import it,
 // so another format is one new adapter and no changed decision.
 package wire
 
