--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 build:
 	mkdir -p bin
-	go build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/...
+	go build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/... ./platform/platformsoak
 
 test:
 	go test -count=1 ./...
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -6,15 +6,16 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 if [ "${1:-}" = kept ]; then
-  seeds=$(grep -v '^#' scripts/soak.seeds | awk '{print $1}')
+  seeds=$(grep -v '^#' scripts/soak.seeds | awk '{print $1 ":" $2}')
   duration=20s
 else
-  seeds=$(seq "${1:?from}" "${2:?to}")
+  seeds=$(seq -f "%g:wide" "${1:?from}" "${2:?to}")
   duration=${3:-12s}
 fi
 bad=0
-for seed in $seeds; do
-  bin/platformsoak --seed "$seed" --duration "$duration" --logs ".run/soak/$seed" || bad=$((bad + 1))
+for each in $seeds; do
+  seed=${each%:*}
+  bin/platformsoak --seed "$seed" --plan "${each#*:}" --duration "$duration" --logs ".run/soak/$seed" || bad=$((bad + 1))
 done
 echo "soak: $bad seeds broke a promise"
 [ "$bad" -eq 0 ]
