Long samples keep off slower hardware

Ruled out: load of the engines (17% at eight samples), disturbances (none then). Test: a step's samples leave the slow engine and the next step's keep off it; fails without.

--- a/internal/batch/plan_test.go
+++ b/internal/batch/plan_test.go
@@ -33,6 +33,28 @@
 	NewWithT(t).Expect(engines[0].Running).To(BeZero(), "the view isn't changed")
 }
 
+// One engine of three has slower hardware. A step's longest sample, put there because
+// it runs nothing, ends the step a third later.
+func TestPlanKeepsLongSamplesOffSlowHardware(t *testing.T) {
+	g := NewWithT(t)
+	engines := []Engine{{ID: "slow", Slots: 4, Pace: 1.3}, {ID: "usual", Running: 2, Slots: 4, Pace: 1}, {ID: "new", Running: 3, Slots: 4}}
+	var got []string
+	for _, s := range Plan([]Waiting{{Index: 1, Remaining: 10}, {Index: 2, Remaining: 90}, {Index: 3, Remaining: 50}, {Index: 4, Remaining: 1}}, engines, 0) {
+		got = append(got, string(rune('0'+s.Waiting.Index))+s.Engine)
+	}
+	g.Expect(got).To(Equal([]string{"2usual", "3usual", "1new", "4slow"}))
+}
+
+func TestGapsAtEqualLoad(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(GapAlone(1168*time.Microsecond, 8)).To(BeNumerically("~", time.Millisecond, time.Microsecond))
+	g.Expect(GapAlone(time.Millisecond, 1)).To(Equal(time.Millisecond))
+	g.Expect(GapAlone(time.Millisecond, 0)).To(Equal(time.Millisecond))
+	paces := []Pace{{"a", 40 * time.Millisecond}, {"b", 52 * time.Millisecond}, {"c", 40 * time.Millisecond}, {"d", 0}}
+	g.Expect(Relative(paces)).To(Equal(map[string]float64{"a": 1, "b": 1.3, "c": 1}))
+	g.Expect(Relative([]Pace{{"a", 0}})).To(BeEmpty())
+}
+
 func TestSlow(t *testing.T) {
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	for _, c := range []struct {
--- a/internal/batchrun/pace.go
+++ b/internal/batchrun/pace.go
@@ -8,6 +8,9 @@
 	paceWeight = 0.05
 	// paceLife is how long a pace counts without a new event.
 	paceLife = 2 * time.Second
+	// speedLife is the same for the engine's speed, which is a matter of its hardware or
+	// of a disturbance of several seconds.
+	speedLife = 10 * time.Second
 )
 
 // pace is the mean gap between the events of an engine's samples.
@@ -17,8 +20,9 @@
 	n   int
 }
 
-func (p *pace) observe(gap, now time.Duration) {
-	if now-p.at > paceLife {
+// observe takes the next gap. What was observed longer than life ago is forgotten.
+func (p *pace) observe(gap, now, life time.Duration) {
+	if now-p.at > life {
 		p.gap, p.n = 0, 0
 	}
 	p.at = now
@@ -29,3 +33,11 @@
 	}
 	p.gap += time.Duration(paceWeight * float64(gap-p.gap))
 }
+
+// known returns the mean gap, 0 if too little was observed within life.
+func (p *pace) known(now, life time.Duration) time.Duration {
+	if p.n < minPaceEvents || now-p.at > life {
+		return 0
+	}
+	return p.gap
+}
--- /dev/null
+++ b/internal/batchrun/place.go
@@ -0,0 +1,116 @@
+package batchrun
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/follow"
+	"github.com/dogwoodflow/dogwoodflow/internal/loads"
+	"github.com/dogwoodflow/dogwoodflow/internal/registry"
+	"github.com/dogwoodflow/dogwoodflow/internal/routes"
+)
+
+// serveLocked places a model's waiting samples and looks after its engines' weights.
+func (r *runner) serveLocked(ctx context.Context, config *routes.Config, model string, w *modelWork, now time.Duration) {
+	shape := config.Services[w.service].Engine
+	if shape == nil {
+		return
+	}
+	share := r.shareOf(w.service, model, shape)
+	r.rescueLocked(model, share, now)
+	if len(w.waiting) == 0 {
+		r.hastenLocked(share, now)
+	}
+	if r.inTouch() {
+		r.placeLocked(ctx, model, share, w, now)
+	}
+	r.loadLocked(ctx, model, share, w, now)
+}
+
+// shareOf returns the live engines that serve a model.
+func (r *runner) shareOf(service, model string, shape *routes.Engine) []registry.Upstream {
+	byAddress := map[string]registry.Upstream{}
+	var addresses []string
+	for _, u := range r.s.options.View.Of(service) {
+		if u.Leaving {
+			continue
+		}
+		if _, twice := byAddress[u.Address]; !twice {
+			addresses = append(addresses, u.Address)
+		}
+		byAddress[u.Address] = u
+	}
+	var out []registry.Upstream
+	for _, a := range loads.Share(addresses, shape.Models)[model] {
+		u := byAddress[a]
+		if u.Slots == 0 {
+			u.Slots = shape.Slots
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
+func (r *runner) placeLocked(ctx context.Context, model string, share []registry.Upstream, w *modelWork, now time.Duration) {
+	if len(w.waiting) == 0 {
+		return
+	}
+	speeds := r.speedsLocked(share, now)
+	var engines []batch.Engine
+	for _, u := range share {
+		e := r.engineLocked(u.ID)
+		if e.unusable(now) {
+			continue
+		}
+		engines = append(engines, batch.Engine{ID: u.ID, Version: u.Models[model], Running: e.running, Slots: u.Slots, Pace: speeds[u.ID]})
+	}
+	for _, start := range batch.Plan(w.waiting, engines, now) {
+		at := slices.IndexFunc(share, func(u registry.Upstream) bool { return u.ID == start.Engine })
+		r.startLocked(ctx, model, share[at], start.Waiting)
+	}
+	w.waiting = slices.DeleteFunc(w.waiting, func(x batch.Waiting) bool {
+		return r.runs[sampleKey{x.Batch, x.Index}] != nil
+	})
+}
+
+func (r *runner) loadLocked(ctx context.Context, model string, share []registry.Upstream, w *modelWork, now time.Duration) {
+	if r.s.orders.follower.Age() > follow.StaleAfter {
+		// No claim can be written now. Engines would be vacated for loads that fail, and
+		// their samples move from one to the other until the store is back.
+		return
+	}
+	in := loads.Input{Newest: r.s.options.View.Published()[model], Next: w.next, Waiting: len(w.waiting), Active: w.active}
+	for _, x := range w.waiting {
+		in.Needed = max(in.Needed, x.MinVersion)
+	}
+	for _, u := range share {
+		e := r.engineLocked(u.ID)
+		in.Engines = append(in.Engines, loads.Engine{
+			ID: u.ID, Version: u.Models[model], Running: e.running, Slots: u.Slots, Loading: e.loading,
+			Usable: !e.suspect(now) && now >= e.orderAfter,
+		})
+	}
+	plan := loads.Decide(in)
+	for _, id := range plan.Load {
+		at := slices.IndexFunc(share, func(u registry.Upstream) bool { return u.ID == id })
+		r.orderLocked(ctx, share[at], model, in.Newest)
+	}
+	if plan.Vacate != "" {
+		r.vacateLocked(plan.Vacate, now)
+	}
+}
+
+// vacateTime is how long a vacated engine gets no samples: its load follows as
+// soon as its last run has ended.
+const vacateTime = 500 * time.Millisecond
+
+func (r *runner) vacateLocked(id string, now time.Duration) {
+	r.engineLocked(id).vacantUntil = now + vacateTime
+	for _, x := range r.runs {
+		if x.engine == id {
+			x.cancel(errMoved)
+		}
+	}
+}
--- a/internal/batchrun/rescue.go
+++ b/internal/batchrun/rescue.go
@@ -16,6 +16,51 @@
 // minPaceEvents is how many gaps make a pace.
 const minPaceEvents = 8
 
+const (
+	// tailPace: an engine whose tokens take so many times the usual time loses the
+	// samples that a step waits for in the end.
+	tailPace = 1.15
+	// tailAge is how long a sample has run then: the short ones, most of a step, end
+	// before and aren't worth the move.
+	tailAge = 700 * time.Millisecond
+)
+
+// speedsLocked returns the engines' token times beside the usual one.
+func (r *runner) speedsLocked(share []registry.Upstream, now time.Duration) map[string]float64 {
+	var speeds []batch.Pace
+	for _, u := range share {
+		speeds = append(speeds, batch.Pace{Engine: u.ID, Gap: r.engineLocked(u.ID).speed.known(now, speedLife)})
+	}
+	return batch.Relative(speeds)
+}
+
+// hastenLocked moves the last samples of a step from slower hardware to usual engines
+// that have room, since the step ends with the last of them. A move costs the prompt's
+// prefill, a few events' time; a long sample has dozens of events left.
+func (r *runner) hastenLocked(share []registry.Upstream, now time.Duration) {
+	speeds := r.speedsLocked(share, now)
+	room := 0
+	for _, u := range share {
+		if e := r.engineLocked(u.ID); speeds[u.ID] > 0 && speeds[u.ID] < tailPace && !e.unusable(now) {
+			room += max(0, u.Slots-e.running)
+		}
+	}
+	for _, u := range share {
+		if speeds[u.ID] < tailPace {
+			continue
+		}
+		for _, x := range r.runsOnLocked(u.ID) {
+			if room == 0 {
+				return
+			}
+			if now-x.began >= tailAge {
+				x.cancel(errMoved)
+				room--
+			}
+		}
+	}
+}
+
 // rescueLocked moves samples from engines that are much slower than the others of
 // the share, as many as these have room for, those with the most left first.
 func (r *runner) rescueLocked(model string, share []registry.Upstream, now time.Duration) {
@@ -23,11 +68,7 @@
 	room := 0
 	for _, u := range share {
 		e := r.engineLocked(u.ID)
-		p := batch.Pace{Engine: u.ID}
-		if e.pace.n >= minPaceEvents && now-e.pace.at < paceLife {
-			p.Gap = e.pace.gap
-		}
-		paces = append(paces, p)
+		paces = append(paces, batch.Pace{Engine: u.ID, Gap: e.pace.known(now, paceLife)})
 		if !e.unusable(now) {
 			room += max(0, u.Slots-e.running)
 		}
--- /dev/null
+++ b/internal/batchrun/rescue_test.go
@@ -0,0 +1,41 @@
+package batchrun
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// One engine of three has slower hardware. A step's longest sample that runs there to
+// its end makes the whole step late by a third. It has to begin on another engine once
+// the hardware is known, and to leave the slow one when another has room.
+func TestLongSamplesLeaveSlowerHardware(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 3, "m0")
+		defer w.stop()
+		w.engines.pace = 100 * time.Millisecond
+		w.engines.slower["e0"] = 1.4
+		time.Sleep(2 * time.Second)
+		submit := func(name string, samples int) {
+			head, items, requests := sampleBatch("m0", name, 1, samples, 1)
+			g.Expect(w.vms[0].current().Submit(context.Background(), name, head, items, requests)).To(Succeed())
+			time.Sleep(10 * time.Second)
+		}
+		submit("first", 24) // every engine gets some, and its speed shows
+		w.engines.mu.Lock()
+		before := len(w.engines.runs)
+		w.engines.mu.Unlock()
+		g.Expect(before).To(BeNumerically(">", 24), "some moved from the slow engine at the end")
+		submit("second", 2)
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		g.Expect(w.engines.runs).To(HaveLen(before + 2))
+		for n := before + 1; n <= before+2; n++ {
+			g.Expect(w.engines.runs[n].engine).NotTo(Equal("e0"))
+		}
+	})
+}
--- a/internal/batchrun/stream.go
+++ b/internal/batchrun/stream.go
@@ -45,6 +45,13 @@
 	loading     bool
 	orderAfter  time.Duration // no order before
 	pace        pace
+	speed       pace // as if it ran one sample: its hardware's, whatever the load
+}
+
+// observe takes the gap between two events of one of its samples.
+func (e *engine) observe(gap, now time.Duration) {
+	e.pace.observe(gap, now, paceLife)
+	e.speed.observe(batch.GapAlone(gap, e.running), now, speedLife)
 }
 
 func (r *runner) engineLocked(id string) *engine {
@@ -119,7 +126,7 @@
 	if x.text.had() == x.started {
 		r.s.options.View.Upstreams(func(reg *registry.Registry, _ time.Duration) { reg.Loaded(x.engine, x.model, e.Version) })
 	} else {
-		r.engineLocked(x.engine).pace.observe(now-x.lastAt, now)
+		r.engineLocked(x.engine).observe(now-x.lastAt, now)
 	}
 	x.lastAt = now
 	x.text.events = append(x.text.events, e)
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -48,7 +48,8 @@
 	refuses float64 // part of the runs that are refused
 	// buffered is the part of the cancelled streams whose rest had arrived before.
 	buffered float64
-	pace     time.Duration // between two events
+	pace     time.Duration      // between two events
+	slower   map[string]float64 // by engine, how many times longer its events take
 	fails    map[string]int
 }
 
@@ -61,6 +62,7 @@
 type fakeRun struct {
 	sample string
 	after  int
+	engine string
 }
 
 type heldOrder struct {
@@ -71,7 +73,7 @@
 
 func newFakeEngines(t *testing.T, seed uint64, n int, models []string) *fakeEngines {
 	f := &fakeEngines{t: t, start: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*fakeEngine{},
-		runs: map[int]fakeRun{}, fence: map[string]heldOrder{}, fails: map[string]int{}, pace: eventTakes}
+		runs: map[int]fakeRun{}, fence: map[string]heldOrder{}, fails: map[string]int{}, pace: eventTakes, slower: map[string]float64{}}
 	for i := range n {
 		e := &fakeEngine{versions: map[string]int64{}}
 		for _, m := range models {
@@ -99,6 +101,12 @@
 	return f.random.Float64() < p
 }
 
+func (f *fakeEngines) slowness(engine string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(1, f.slower[engine])
+}
+
 func (f *fakeEngines) begin(u registry.Upstream, r SampleRun) (run int, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -111,7 +119,7 @@
 		return 0, ErrFailed
 	}
 	run = len(f.runs) + 1
-	f.runs[run] = fakeRun{r.ID, r.After}
+	f.runs[run] = fakeRun{r.ID, r.After, u.ID}
 	return run, nil
 }
 
@@ -131,7 +139,7 @@
 				return ctx.Err()
 			}
 			ctx = context.Background() // the rest had arrived already
-		case <-time.After(f.pace):
+		case <-time.After(time.Duration(f.slowness(u.ID) * float64(f.pace))):
 		}
 		if f.chance(f.broken) {
 			return errors.New("stream broke off")
