A large share loads weights while samples wait, a quarter of it at once

Now up to a quarter of a share is vacated and loads meanwhile, its samples first in the queue; vacated engines count as loading, so no more than that stand still. Shares of three engines load as before. Tests: table of Decide for sixteen engines that samples fill.

--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -88,7 +88,7 @@
 	for _, u := range share {
 		e := r.engineLocked(u.ID)
 		in.Engines = append(in.Engines, loads.Engine{
-			ID: u.ID, Version: u.Models[model], Running: e.running, Slots: u.Slots, Loading: e.loading,
+			ID: u.ID, Version: u.Models[model], Running: e.running, Slots: u.Slots, Loading: e.loading, Vacated: now < e.vacantUntil,
 			Usable: !e.suspect(now) && now >= e.orderAfter,
 		})
 	}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -62,9 +62,9 @@
 	}{
 		{"three, a step waits", Input{Newest: 3, Needed: 3, Waiting: 9, Active: true, Engines: append(engines(2, 1), fresh)}, 1, 3},
 		{"three, idle", Input{Newest: 3, Engines: engines(3, 1)}, 2, 3},
-		{"sixteen, a step waits", Input{Newest: 3, Needed: 3, Waiting: 99, Active: true, Engines: append(engines(15, 1), fresh)}, 3, 16},
-		{"sixteen, idle", Input{Newest: 3, Engines: engines(16, 1)}, 3, 16},
-		{"230, idle", Input{Newest: 3, Engines: engines(230, 1)}, 46, 230},
+		{"sixteen, a step waits", Input{Newest: 3, Needed: 3, Waiting: 99, Active: true, Engines: append(engines(15, 1), fresh)}, 4, 16},
+		{"sixteen, idle", Input{Newest: 3, Engines: engines(16, 1)}, 4, 16},
+		{"230, idle", Input{Newest: 3, Engines: engines(230, 1)}, 57, 230},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -74,6 +74,44 @@
 	}
 }
 
+// A version is published at the beginning of a step whose samples fill every engine
+// for seconds. If engines loaded only when nothing waits any more, half of them would
+// serve weights that are too old when the next step comes.
+func TestLargeShareLoadsWhileSamplesWait(t *testing.T) {
+	full := func(n int) []Engine {
+		var out []Engine
+		for i := range n {
+			out = append(out, Engine{ID: fmt.Sprintf("e%02d", i), Version: 2, Running: 8, Slots: 8, Usable: true})
+		}
+		return out
+	}
+	busy := func(engines []Engine, n int, change func(*Engine)) []Engine {
+		for i := range n {
+			change(&engines[i])
+		}
+		return engines
+	}
+	in := func(engines []Engine) Input {
+		return Input{Newest: 3, Needed: 2, Next: 3, Waiting: 50, Active: true, Engines: engines}
+	}
+	vacated := func(e *Engine) { e.Vacated = true }
+	loading := func(e *Engine) { e.Loading, e.Running = true, 0 }
+	for _, c := range []struct {
+		name string
+		in   Input
+		want Plan
+	}{
+		{"the first one is vacated", in(full(16)), Plan{Vacate: "e00"}},
+		{"the next one", in(busy(full(16), 2, vacated)), Plan{Vacate: "e02"}},
+		{"a quarter is enough", in(busy(full(16), 4, vacated)), Plan{}},
+		{"a quarter loads", in(busy(full(16), 4, loading)), Plan{}},
+		{"a vacated one that is empty loads", in(busy(full(16), 1, func(e *Engine) { e.Vacated, e.Running = true, 0 })), Plan{Load: []string{"e00"}}},
+		{"a small share has none to spare", in(full(3)), Plan{}},
+	} {
+		t.Run(c.name, func(t *testing.T) { NewWithT(t).Expect(Decide(c.in)).To(Equal(c.want)) })
+	}
+}
+
 func TestShare(t *testing.T) {
 	g := NewWithT(t)
 	var engines []string
--- a/internal/loads/plan.go
+++ b/internal/loads/plan.go
@@ -12,6 +12,7 @@
 	Running int   // samples of the model there
 	Slots   int
 	Loading bool // an order is under way
+	Vacated bool // it gets no samples, so that it can load when its last run has ended
 	Usable  bool // reachable and not leaving
 }
 
@@ -36,10 +37,12 @@
 }
 
 const (
-	// loadShare: the weight store serves one in so many engines at full speed at once
-	// (2 of 9, 9 of 45, 10 of 48 on the deployments' sheets). With more, each load
-	// takes longer; with fewer, engines serve old weights while nothing loads.
-	loadShare = 5
+	// loadShare: one in so many engines of a model loads at once. The weight store
+	// serves a fifth of all engines at full speed (2 of 9, 9 of 45, 10 of 48 on the
+	// deployments' sheets), for 0.9 s of the 1.2 s that a load takes with its claim and
+	// the engine's report. With more, each load takes longer; with fewer, a version
+	// reaches too few engines before the next one comes.
+	loadShare = 4
 	// leastLoads is how many engines of a model load at once at least, and
 	// leastLoadsActive the same while a step runs, which needs the others.
 	leastLoads       = 2
@@ -57,16 +60,19 @@
 
 // Decide chooses the engines that load the newest version now.
 //
-// An engine that waiting samples can't use loads at once. Any other waits until
-// nothing waits for a place: a step's last seconds have few, long samples, so an
-// engine that runs none loads then, and if there is none, the one with the fewest
-// is vacated, as long as the others have room for its samples.
+// An engine that waiting samples can't use loads at once. Any other loads when it
+// runs nothing, and if there is no such engine, the one with the fewest samples is
+// vacated: another engine goes on with them at the price of their prompts. While
+// samples wait for a place, only a large share spares engines for that: without it
+// a version that comes at the beginning of a step isn't loaded before the next one
+// begins, whose samples then find few engines that they may use.
 func Decide(in Input) Plan {
 	var plan Plan
-	room := in.atOnce()
+	room, spare := in.atOnce(), in.spareWhileWaiting()
 	for _, e := range in.Engines {
-		if e.Loading {
+		if e.Loading || e.Vacated && e.Running > 0 {
 			room--
+			spare--
 		}
 	}
 	for _, e := range candidates(in) {
@@ -74,21 +80,27 @@
 			return plan
 		}
 		useless := e.Version < in.Needed
-		if e.Running > 0 && !useless || !useless && in.Waiting > 0 {
-			continue
-		}
-		if !useless && in.spared(e, len(plan.Load)) {
+		if !useless && (e.Running > 0 || spare <= 0 || in.spared(e, len(plan.Load))) {
 			continue
 		}
 		plan.Load = append(plan.Load, e.ID)
 		room--
+		spare--
 	}
-	if room > 0 && in.Active && in.Waiting == 0 && len(plan.Load) == 0 {
+	if room > 0 && spare > 0 && in.Active && len(plan.Load) == 0 {
 		plan.Vacate = vacate(in)
 	}
 	return plan
 }
 
+// spareWhileWaiting is how many engines that samples could use may load now.
+func (in Input) spareWhileWaiting() int {
+	if in.Waiting == 0 {
+		return len(in.Engines)
+	}
+	return len(in.Engines) / loadShare
+}
+
 // spared reports whether an engine may keep its weights for now. A version serves
 // the step that names it and the one before the next, so an engine that is fresh
 // enough for the next step gains nothing by a load; and one that isn't gains more by
@@ -147,24 +159,24 @@
 }
 
 // vacate returns the candidate with the fewest samples if the other engines have
-// room for them.
+// room for them, or if samples wait for room anyway: the longest get it first.
 func vacate(in Input) string {
 	list := candidates(in)
 	if len(list) == 0 {
 		return ""
 	}
-	list = slices.DeleteFunc(list, func(e Engine) bool { return in.spared(e, 0) })
+	list = slices.DeleteFunc(list, func(e Engine) bool { return e.Vacated || in.spared(e, 0) })
 	if len(list) == 0 {
 		return ""
 	}
 	least := slices.MinFunc(list, func(a, b Engine) int { return cmp.Compare(a.Running, b.Running) })
 	room := 0
 	for _, e := range in.Engines {
-		if e.ID != least.ID && e.Usable && !e.Loading {
+		if e.ID != least.ID && e.Usable && !e.Loading && !e.Vacated {
 			room += max(0, e.Slots-e.Running)
 		}
 	}
-	if least.Running == 0 || least.Running > room {
+	if least.Running == 0 || least.Running > room && in.Waiting == 0 {
 		return ""
 	}
 	return least.ID
