Engines that a step can't use lose their samples before they load

And twelve owners that claim at once after the loss of all VMs used up four tries. Tests: three cases of Decide.

--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -75,8 +75,10 @@
 	until time.Duration // boottime until which an order may leave
 }
 
-// claimTries bounds the appends of one claim that met other daemons' claims.
-const claimTries = 4
+// claimTries bounds the appends of one claim that met other daemons' records. After the
+// loss of all VMs every owner claims at once; a try takes two answers of the store, some
+// 10 ms.
+const claimTries = 12
 
 func (x *orders) home(model string) (part int, ok bool) {
 	x.mu.Lock()
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -97,8 +97,8 @@
 		at := slices.IndexFunc(share, func(u registry.Upstream) bool { return u.ID == id })
 		r.orderLocked(ctx, share[at], model, in.Newest)
 	}
-	if plan.Vacate != "" {
-		r.vacateLocked(plan.Vacate, now)
+	for _, id := range plan.Vacate {
+		r.vacateLocked(id, now)
 	}
 }
 
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -26,7 +26,10 @@
 		{"samples wait: an engine that is no use loads", Input{Newest: 2, Needed: 2, Waiting: 5, Active: true, Engines: []Engine{e("a", 1, 0), e("b", 2, 16)}}, Plan{Load: []string{"a"}}},
 		{"no engine is of use: two load", Input{Newest: 2, Needed: 2, Waiting: 5, Active: true, Engines: []Engine{e("a", 1, 3), e("b", 1, 0), e("c", 1, 0)}}, Plan{Load: []string{"b", "c"}}},
 		{"the end of a step: the idle one", Input{Newest: 2, Active: true, Engines: []Engine{e("a", 1, 2), e("b", 1, 0)}}, Plan{Load: []string{"b"}}},
-		{"the end of a step: the emptiest is vacated", Input{Newest: 2, Active: true, Engines: []Engine{e("a", 1, 4), e("b", 1, 2), e("c", 1, 3)}}, Plan{Vacate: "b"}},
+		{"the end of a step: the emptiest is vacated", Input{Newest: 2, Active: true, Engines: []Engine{e("a", 1, 4), e("b", 1, 2), e("c", 1, 3)}}, Plan{Vacate: []string{"b"}}},
+		{"useless with samples of the step before: they go on elsewhere", Input{Newest: 3, Needed: 3, Waiting: 5, Active: true, Engines: []Engine{e("a", 1, 2), e("b", 3, 9), e("c", 3, 9)}}, Plan{Vacate: []string{"a"}}},
+		{"useless with more samples than the others take: they end there", Input{Newest: 3, Needed: 3, Waiting: 5, Active: true, Engines: []Engine{e("a", 1, 2), e("b", 3, 16), e("c", 3, 15)}}, Plan{Load: []string{"a"}}},
+		{"useless, and the others are older still: both load", Input{Newest: 3, Needed: 3, Waiting: 5, Active: true, Engines: []Engine{e("a", 2, 2), e("b", 1, 0)}}, Plan{Load: []string{"b", "a"}}},
 		{"no room elsewhere", Input{Newest: 2, Active: true, Engines: []Engine{e("a", 1, 16), e("b", 1, 2)}}, Plan{}},
 		{"one at a time while a step runs", Input{Newest: 2, Active: true, Engines: []Engine{loading(e("a", 1, 0)), e("b", 1, 0)}}, Plan{}},
 		{"an engine out of reach isn't ordered", Input{Newest: 2, Engines: []Engine{gone(e("a", 1, 0))}}, Plan{}},
@@ -101,8 +104,8 @@
 		in   Input
 		want Plan
 	}{
-		{"the first one is vacated", in(full(16)), Plan{Vacate: "e00"}},
-		{"the next one", in(busy(full(16), 2, vacated)), Plan{Vacate: "e02"}},
+		{"the first one is vacated", in(full(16)), Plan{Vacate: []string{"e00"}}},
+		{"the next one", in(busy(full(16), 2, vacated)), Plan{Vacate: []string{"e02"}}},
 		{"a quarter is enough", in(busy(full(16), 4, vacated)), Plan{}},
 		{"a quarter loads", in(busy(full(16), 4, loading)), Plan{}},
 		{"a vacated one that is empty loads", in(busy(full(16), 1, func(e *Engine) { e.Vacated, e.Running = true, 0 })), Plan{Load: []string{"e00"}}},
--- a/internal/loads/plan.go
+++ b/internal/loads/plan.go
@@ -33,7 +33,7 @@
 // Plan is what to do now.
 type Plan struct {
 	Load   []string // engines to order
-	Vacate string   // engine whose samples should go on elsewhere, "" for none
+	Vacate []string // engines whose samples should go on elsewhere, so that they can load
 }
 
 const (
@@ -60,8 +60,9 @@
 
 // Decide chooses the engines that load the newest version now.
 //
-// An engine that waiting samples can't use loads at once. Any other loads when it
-// runs nothing, and if there is no such engine, the one with the fewest samples is
+// An engine that waiting samples can't use loads at once; its samples, of an earlier
+// step, go on elsewhere if there is room, since a load begins when the last of them
+// has ended. Any other loads when it runs nothing, and if there is no such engine, the one with the fewest samples is
 // vacated: another engine goes on with them at the price of their prompts. While
 // samples wait for a place, only a large share spares engines for that: without it
 // a version that comes at the beginning of a step isn't loaded before the next one
@@ -80,6 +81,12 @@
 			return plan
 		}
 		useless := e.Version < in.Needed
+		if useless && e.Running > 0 && e.Running <= in.roomBeside(e) {
+			plan.Vacate = append(plan.Vacate, e.ID)
+			room--
+			spare--
+			continue
+		}
 		if !useless && (e.Running > 0 || spare <= 0 || in.spared(e, len(plan.Load))) {
 			continue
 		}
@@ -87,7 +94,7 @@
 		room--
 		spare--
 	}
-	if room > 0 && spare > 0 && in.Active && len(plan.Load) == 0 {
+	if room > 0 && spare > 0 && in.Active && len(plan.Load)+len(plan.Vacate) == 0 {
 		plan.Vacate = vacate(in)
 	}
 	return plan
@@ -160,24 +167,25 @@
 
 // vacate returns the candidate with the fewest samples if the other engines have
 // room for them, or if samples wait for room anyway: the longest get it first.
-func vacate(in Input) string {
-	list := candidates(in)
-	if len(list) == 0 {
-		return ""
-	}
-	list = slices.DeleteFunc(list, func(e Engine) bool { return e.Vacated || in.spared(e, 0) })
+func vacate(in Input) []string {
+	list := slices.DeleteFunc(candidates(in), func(e Engine) bool { return e.Vacated || in.spared(e, 0) })
 	if len(list) == 0 {
-		return ""
+		return nil
 	}
 	least := slices.MinFunc(list, func(a, b Engine) int { return cmp.Compare(a.Running, b.Running) })
+	if least.Running == 0 || least.Running > in.roomBeside(least) && in.Waiting == 0 {
+		return nil
+	}
+	return []string{least.ID}
+}
+
+// roomBeside counts the places that an engine's samples could take elsewhere.
+func (in Input) roomBeside(e Engine) int {
 	room := 0
-	for _, e := range in.Engines {
-		if e.ID != least.ID && e.Usable && !e.Loading && !e.Vacated {
-			room += max(0, e.Slots-e.Running)
+	for _, other := range in.Engines {
+		if other.ID != e.ID && other.Usable && !other.Loading && !other.Vacated && other.Version >= e.Version {
+			room += max(0, other.Slots-other.Running)
 		}
 	}
-	if least.Running == 0 || least.Running > room && in.Waiting == 0 {
-		return ""
-	}
-	return least.ID
+	return room
 }
