Engines are divided among the models by their batches' samples

Cause: each model had the same number of engines whatever its steps' size. Now the samples of a batch are noted with the model's partition (changed only by a quarter or more) and each next engine goes to the model with the fewest for its demand.

--- a/internal/batchrun/homes.go
+++ b/internal/batchrun/homes.go
@@ -19,7 +19,7 @@
 		return
 	}
 	r.renewAt[model] = now + homeInterval
-	home := loads.Home{Model: model, Part: r.part.number}
+	home := loads.Home{Model: model, Part: r.part.number, Samples: r.part.batchSize(model)}
 	r.work.Go(func() {
 		if err := r.s.orders.tell(ctx, loads.Record{Home: &home}); err != nil {
 			r.log.Warn().Err(err).Str("model", model).Msg("partition of the model not written down again")
@@ -35,7 +35,7 @@
 	}
 	r.settling = true
 	r.work.Go(func() {
-		part, err := r.s.orders.settle(ctx, model)
+		part, err := r.s.orders.settle(ctx, model, 0)
 		r.log.Info().Str("model", model).Int("home", part).Err(err).Msg("model has weights and no batch yet")
 		r.mu.Lock()
 		r.settling = false
--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -86,9 +86,17 @@
 	return x.homes.Of(model)
 }
 
-// settle gives a model a partition unless it has one. The append is conditional:
+// demand returns the samples of a batch of each model.
+func (x *orders) demand() map[string]int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.homes.Demand()
+}
+
+// settle gives a model a partition unless it has one; samples are those of its batch, 0
+// if it has none yet. The append is conditional:
 // two daemons that meet a new model at once agree on one record's partition.
-func (x *orders) settle(ctx context.Context, model string) (int, error) {
+func (x *orders) settle(ctx context.Context, model string, samples int) (int, error) {
 	var err error
 	for range claimTries {
 		if part, ok := x.home(model); ok {
@@ -97,6 +105,7 @@
 		next := x.follower.Next()
 		x.mu.Lock()
 		home := x.homes.Next(model)
+		home.Samples = samples
 		x.mu.Unlock()
 		var data []byte
 		if data, err = loads.Encode(loads.Record{Home: &home}); err != nil {
--- a/internal/batchrun/partition.go
+++ b/internal/batchrun/partition.go
@@ -95,6 +95,19 @@
 	f(p.fold.Get(id))
 }
 
+// batchSize is the number of samples of the model's last batch, 0 if there was none.
+func (p *partition) batchSize(model string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	size := 0
+	for _, b := range p.fold.All() {
+		if b.Model == model {
+			size = len(b.Samples)
+		}
+	}
+	return size
+}
+
 func (p *partition) has(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -43,7 +43,7 @@
 		byAddress[u.Address] = u
 	}
 	var out []registry.Upstream
-	for _, a := range loads.Share(addresses, shape.Models)[model] {
+	for _, a := range loads.Share(addresses, shape.Models, r.s.orders.demand())[model] {
 		u := byAddress[a]
 		if u.Slots == 0 {
 			u.Slots = shape.Slots
--- a/internal/loads/homes.go
+++ b/internal/loads/homes.go
@@ -1,29 +1,51 @@
 package loads
 
+import (
+	"maps"
+	"math"
+)
+
 // Home assigns a model to a partition of the batches' topic. The first record of a
 // model counts, so every daemon has the same answer for good, and the samples of
 // two models don't crowd on one owner while other partitions are free.
 type Home struct {
 	Model string `cbor:"1,keyasint"`
 	Part  int    `cbor:"2,keyasint"`
+	// Samples of a batch of the model, 0 if none came yet. Engines are divided by it.
+	Samples int `cbor:"3,keyasint,omitempty"`
 }
 
 // Homes is the fold of these records.
 type Homes struct {
 	parts   int
 	byModel map[string]int
+	demand  map[string]int // samples of a batch, by model
 }
 
 // NewHomes returns a fold without models, over so many partitions.
-func NewHomes(parts int) *Homes { return &Homes{parts: parts, byModel: map[string]int{}} }
+func NewHomes(parts int) *Homes {
+	return &Homes{parts: parts, byModel: map[string]int{}, demand: map[string]int{}}
+}
+
+// demandChange is by which part the samples of a batch must differ from those noted
+// before engines are divided anew: a step brings some of the last one's along, and
+// each engine that passes on to another model is of no use for seconds.
+const demandChange = 0.25
 
 // Apply takes the next record.
 func (h *Homes) Apply(r Home) {
 	if _, known := h.byModel[r.Model]; !known && r.Part >= 0 && r.Part < h.parts {
 		h.byModel[r.Model] = r.Part
 	}
+	noted := h.demand[r.Model]
+	if r.Samples > 0 && (noted == 0 || math.Abs(float64(r.Samples-noted)) > demandChange*float64(noted)) {
+		h.demand[r.Model] = r.Samples
+	}
 }
 
+// Demand returns the samples of a batch by model, for those that are known.
+func (h *Homes) Demand() map[string]int { return maps.Clone(h.demand) }
+
 // Of returns a model's partition.
 func (h *Homes) Of(model string) (part int, ok bool) {
 	part, ok = h.byModel[model]
--- a/internal/loads/share.go
+++ b/internal/loads/share.go
@@ -9,16 +9,25 @@
 // Share divides the engines of a service among its models, so that a new version
 // is loaded on its model's engines only and their prompt caches stay warm. Every
 // daemon computes the same division from the same lists. Engines are named by
-// what survives their restart (their address). A model gets len(engines) /
-// len(models), some one more; a change of the engines moves few others.
-func Share(engines, models []string) map[string][]string {
+// what survives their restart (their address). A model gets engines by its demand, in
+// any unit; one of unknown demand counts as the mean of the others. A change of the
+// engines moves few others.
+func Share(engines, models []string, demand map[string]int) map[string][]string {
 	out := map[string][]string{}
 	if len(models) == 0 {
 		return out
 	}
 	models = slices.Clone(models)
 	slices.Sort(models)
-	room := quotas(len(engines), models)
+	if len(engines) < len(models) {
+		// Any engine serves any model. Divided, some models would have none until others
+		// come back; owners that share an engine only see it full more often.
+		for _, m := range models {
+			out[m] = slices.Sorted(slices.Values(engines))
+		}
+		return out
+	}
+	room := quotas(len(engines), models, demand)
 	for _, pair := range ranked(engines, models) {
 		if room[pair.model] == 0 || pair.taken() {
 			continue
@@ -33,12 +42,44 @@
 	return out
 }
 
-func quotas(engines int, models []string) map[string]int {
+// quotas divides the engines by the method of Sainte-Laguë: each next engine goes to
+// the model that has the fewest for its demand. A model without any would never be
+// served, so each gets one first.
+func quotas(engines int, models []string, demand map[string]int) map[string]int {
 	out := map[string]int{}
+	for _, m := range models {
+		out[m] = 1
+	}
+	weights := weightsOf(models, demand)
+	for range engines - len(models) {
+		next, most := "", 0.0
+		for i, m := range models {
+			if claim := weights[i] / float64(2*out[m]+1); claim > most {
+				next, most = m, claim
+			}
+		}
+		out[next]++
+	}
+	return out
+}
+
+func weightsOf(models []string, demand map[string]int) []float64 {
+	known, sum := 0, 0
+	for _, m := range models {
+		if demand[m] > 0 {
+			known++
+			sum += demand[m]
+		}
+	}
+	out := make([]float64, len(models))
 	for i, m := range models {
-		out[m] = engines / len(models)
-		if i < engines%len(models) {
-			out[m]++
+		switch {
+		case demand[m] > 0:
+			out[i] = float64(demand[m])
+		case known > 0:
+			out[i] = float64(sum) / float64(known)
+		default:
+			out[i] = 1
 		}
 	}
 	return out
