--policy naive runs the baseline on the platform

Samples in the order they came, engines in turn, every load at once, equal shares, no moves; calls to upstreams in turn without second copies. It keeps every promise (the promises' test runs with it too) and decides nothing else, so a table of naive against ours measures the decisions alone. The settings that count on the platform are checked at start.

--- a/cmd/dogwoodflowd/main.go
+++ b/cmd/dogwoodflowd/main.go
@@ -55,7 +55,7 @@
 	out := logline.New(os.Stdout)
 	defer out.Close()
 	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
-	return platform.Run(platform.Options{BootPath: d.BootFile, MetricsAddress: d.MetricsAddress, Logger: log})
+	return platform.Run(platform.Options{BootPath: d.BootFile, MetricsAddress: d.MetricsAddress, Logger: log, Naive: d.Policy == settings.PolicyNaive})
 }
 
 func newLogger(d *settings.Daemon) zerolog.Logger {
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -104,3 +104,26 @@
 	}
 	return a.tokenTime() < b.tokenTime()
 }
+
+// PlanInTurn starts samples in the order in which they came, each on the next engine
+// in turn that has room and new enough weights. It is the baseline for Plan.
+func PlanInTurn(waiting []Waiting, engines []Engine, now time.Duration) []Start {
+	free := slices.Clone(engines)
+	var starts []Start
+	next := 0
+	for _, w := range waiting {
+		if w.NotBefore > now {
+			continue
+		}
+		for range free {
+			e := &free[next%len(free)]
+			next++
+			if e.Running < e.Slots && e.Version >= w.MinVersion {
+				e.Running++
+				starts = append(starts, Start{Waiting: w, Engine: e.ID})
+				break
+			}
+		}
+	}
+	return starts
+}
--- a/internal/batch/plan_test.go
+++ b/internal/batch/plan_test.go
@@ -45,6 +45,18 @@
 	g.Expect(got).To(Equal([]string{"2usual", "3usual", "1new", "4slow"}))
 }
 
+func TestPlanInTurn(t *testing.T) {
+	g := NewWithT(t)
+	engines := []Engine{{ID: "a", Version: 1, Slots: 2}, {ID: "b", Version: 2, Slots: 1}}
+	waiting := []Waiting{{Index: 1, Remaining: 1}, {Index: 2, MinVersion: 2, Remaining: 9}, {Index: 3, NotBefore: time.Hour}, {Index: 4}, {Index: 5}}
+	var got []string
+	for _, s := range PlanInTurn(waiting, engines, 0) {
+		got = append(got, string(rune('0'+s.Waiting.Index))+s.Engine)
+	}
+	g.Expect(got).To(Equal([]string{"1a", "2b", "4a"}))
+	g.Expect(PlanInTurn(waiting, nil, 0)).To(BeEmpty())
+}
+
 func TestGapsAtEqualLoad(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(GapAlone(1168*time.Microsecond, 8)).To(BeNumerically("~", time.Millisecond, time.Microsecond))
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -19,9 +19,8 @@
 		return
 	}
 	share := r.shareOf(w.service, model, shape)
-	r.rescueLocked(model, share, now)
-	if len(w.waiting) == 0 {
-		r.hastenLocked(share, now)
+	if r.s.options.Policy.Moves {
+		r.moveLocked(model, share, w, now)
 	}
 	if r.inTouch() {
 		r.placeLocked(ctx, model, share, w, now)
@@ -29,6 +28,14 @@
 	r.loadLocked(ctx, model, share, w, now)
 }
 
+// demand returns by what the engines are divided, nil for equally.
+func (r *runner) demand() map[string]int {
+	if !r.s.options.Policy.ByDemand {
+		return nil
+	}
+	return r.s.orders.demand()
+}
+
 // shareOf returns the live engines that serve a model.
 func (r *runner) shareOf(service, model string, shape *routes.Engine) []registry.Upstream {
 	byAddress := map[string]registry.Upstream{}
@@ -43,7 +50,7 @@
 		byAddress[u.Address] = u
 	}
 	var out []registry.Upstream
-	for _, a := range loads.Share(addresses, shape.Models, r.s.orders.demand())[model] {
+	for _, a := range loads.Share(addresses, shape.Models, r.demand())[model] {
 		u := byAddress[a]
 		if u.Slots == 0 {
 			u.Slots = shape.Slots
@@ -66,7 +73,7 @@
 		}
 		engines = append(engines, batch.Engine{ID: u.ID, Version: u.Models[model], Running: e.running, Slots: u.Slots, Pace: speeds[u.ID]})
 	}
-	for _, start := range batch.Plan(w.waiting, engines, now) {
+	for _, start := range r.s.options.Policy.Plan(w.waiting, engines, now) {
 		at := slices.IndexFunc(share, func(u registry.Upstream) bool { return u.ID == start.Engine })
 		r.startLocked(ctx, model, share[at], start.Waiting)
 	}
@@ -92,7 +99,7 @@
 			Usable: !e.suspect(now) && now >= e.orderAfter,
 		})
 	}
-	plan := loads.Decide(in)
+	plan := r.s.options.Policy.Loads(in)
 	for _, id := range plan.Load {
 		at := slices.IndexFunc(share, func(u registry.Upstream) bool { return u.ID == id })
 		r.orderLocked(ctx, share[at], model, in.Newest)
--- a/internal/batchrun/promises_test.go
+++ b/internal/batchrun/promises_test.go
@@ -196,14 +196,23 @@
 func TestPromisesUnderRandomTrouble(t *testing.T) {
 	for seed := range uint64(16) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playPromises(t, seed) })
+			synctest.Test(t, func(t *testing.T) { playPromises(t, seed, Ours()) })
 		})
 	}
 }
 
-func playPromises(t *testing.T, seed uint64) {
+// The baseline keeps the promises too: a policy only decides who serves sooner.
+func TestPromisesWithNaivePolicy(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playPromises(t, seed, Naive()) })
+		})
+	}
+}
+
+func playPromises(t *testing.T, seed uint64, policy Policy) {
 	g := NewWithT(t)
-	w := newWorld(t, seed, 3, 4, "m0", "m1")
+	w := newWorldWith(t, policy, seed, 3, 4, "m0", "m1")
 	w.engines.broken, w.engines.refuses, w.engines.buffered = 0.01, 0.05, 0.5
 	var trainers sync.WaitGroup
 	var mu sync.Mutex
--- a/internal/batchrun/rescue.go
+++ b/internal/batchrun/rescue.go
@@ -16,6 +16,14 @@
 // minPaceEvents is how many gaps make a pace.
 const minPaceEvents = 8
 
+// moveLocked takes samples away from engines that hold them up.
+func (r *runner) moveLocked(model string, share []registry.Upstream, w *modelWork, now time.Duration) {
+	r.rescueLocked(model, share, now)
+	if len(w.waiting) == 0 {
+		r.hastenLocked(share, now)
+	}
+}
+
 const (
 	// tailPace: an engine whose tokens take so many times the usual time loses the
 	// samples that a step waits for in the end.
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -43,6 +43,7 @@
 	Membership  store.Membership
 	Engines     Engines
 	View        *fleet.View
+	Policy      Policy
 	Small       bool                 // this VM owns partitions only if no larger one does
 	Parts       int                  // partitions of a topic
 	RecordBytes int                  // largest record
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,9 @@
 	Upstreams  Upstreams
 	Crashes    Crashes
 	DataCentre string // of this VM
+	// InTurn takes upstreams in turn and sends no second copies: the baseline for the
+	// choice by load.
+	InTurn bool
 	// Now is a clock that goes on while the VM is suspended.
 	Now    func() time.Duration
 	Logger zerolog.Logger
@@ -90,13 +93,14 @@
 	upstreams Upstreams
 	crashes   Crashes
 	pool      *pool
+	inTurn    bool
 	now       func() time.Duration
 	log       zerolog.Logger
 }
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, pool: newPool(o.DataCentre), now: o.Now, log: o.Logger}
+	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, pool: newPool(o.DataCentre, o.InTurn), inTurn: o.InTurn, now: o.Now, log: o.Logger}
 }
 
 // limitDeadline keeps a call within its route's timeout and leaves time for the way back.
@@ -173,7 +177,7 @@
 }
 
 func (a *attempt) hedgeAfter() time.Duration {
-	if a.route.Target <= 0 {
+	if a.route.Target <= 0 || a.g.inTurn {
 		return time.Hour
 	}
 	return time.Duration(hedgeShare * float64(a.route.Target))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -209,7 +209,7 @@
 
 func TestPoolForgetsWhoLeft(t *testing.T) {
 	g := NewWithT(t)
-	p := newPool("here")
+	p := newPool("here", false)
 	_, found := p.pick([]registry.Upstream{{ID: "u"}}, nil, 0)
 	g.Expect(found).To(BeTrue())
 	p.trim(2 * memberLife)
@@ -220,3 +220,15 @@
 	_, found = p.pick([]registry.Upstream{{ID: "u", Leaving: true}}, nil, 0)
 	g.Expect(found).To(BeFalse())
 }
+
+func TestInTurn(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool("here", true)
+	candidates := []registry.Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	seen := map[string]int{}
+	for range 9 {
+		u, _ := p.pick(candidates, nil, 0)
+		seen[u.ID]++
+	}
+	g.Expect(seen).To(Equal(map[string]int{"a": 3, "b": 3, "c": 3}))
+}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -22,9 +22,11 @@
 
 // pool chooses upstreams of services. It is safe for concurrent use.
 type pool struct {
-	local string // data centre of this VM
-	mu    sync.Mutex
-	byID  map[string]*member
+	local  string // data centre of this VM
+	inTurn bool   // whatever the load
+	turn   int
+	mu     sync.Mutex
+	byID   map[string]*member
 }
 
 type member struct {
@@ -36,8 +38,8 @@
 	seen      time.Duration
 }
 
-func newPool(dataCentre string) *pool {
-	return &pool{local: dataCentre, byID: map[string]*member{}}
+func newPool(dataCentre string, inTurn bool) *pool {
+	return &pool{local: dataCentre, inTurn: inTurn, byID: map[string]*member{}}
 }
 
 func (p *pool) memberLocked(id string, now time.Duration) *member {
@@ -56,11 +58,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, bestCost := -1, 0.0
+	p.turn++
 	for i, u := range candidates {
 		if u.Leaving || tried[u.ID] {
 			continue
 		}
 		cost := p.costLocked(u, now)
+		if p.inTurn {
+			cost = float64((i + p.turn) % len(candidates))
+		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -77,6 +77,13 @@
 	}
 }
 
+func TestDecideAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	in := Input{Newest: 3, Active: true, Waiting: 9, Engines: []Engine{{ID: "a", Version: 2, Usable: true, Running: 4}, {ID: "b", Version: 3, Usable: true},
+		{ID: "c", Version: 1, Usable: true}, {ID: "d", Version: 1, Loading: true, Usable: true}}}
+	g.Expect(DecideAtOnce(in)).To(Equal(Plan{Load: []string{"c", "a"}}))
+}
+
 // A version is published at the beginning of a step whose samples fill every engine
 // for seconds. If engines loaded only when nothing waits any more, half of them would
 // serve weights that are too old when the next step comes.
--- a/internal/loads/plan.go
+++ b/internal/loads/plan.go
@@ -189,3 +189,13 @@
 	}
 	return room
 }
+
+// DecideAtOnce loads the newest version on every engine that lacks it, all at once. It
+// is the baseline for Decide.
+func DecideAtOnce(in Input) Plan {
+	var plan Plan
+	for _, e := range candidates(in) {
+		plan.Load = append(plan.Load, e.ID)
+	}
+	return plan
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,9 +89,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if d.PrintVersion || d.BootFile != "" {
+	if d.PrintVersion {
 		return d, nil
 	}
+	if d.BootFile != "" {
+		return d, d.validateOnPlatform()
+	}
 	d.loadFiles()
 	d.complete()
 	return d, d.Validate()
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -56,6 +56,21 @@
 	c.oneOf("policy", d.Policy, PolicyOurs, PolicyNaive)
 	c.oneOf("log-format", d.LogFormat, "json", "console")
 	c.oneOf("log-level", d.LogLevel, "debug", "info", "warn", "error")
+	return c.result()
+}
+
+// validateOnPlatform checks the settings that count beside the platform's own file.
+func (d *Daemon) validateOnPlatform() error {
+	c := checker{}
+	c.oneOf("policy", d.Policy, PolicyOurs, PolicyNaive)
+	c.oneOf("log-level", d.LogLevel, "debug", "info", "warn", "error")
+	if _, err := netip.ParseAddrPort(d.MetricsAddress); d.MetricsAddress != "" && err != nil {
+		c.add("metrics-address", d.MetricsAddress, addressRule)
+	}
+	return c.result()
+}
+
+func (c *checker) result() error {
 	if len(c.faults) == 0 {
 		return nil
 	}
