--- a/cmd/dogwoodflowctl/ctl_test.go
+++ b/cmd/dogwoodflowctl/ctl_test.go
@@ -27,6 +27,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/rollout"
 	"github.com/dogwoodflow/dogwoodflow/internal/rollouts"
 	"github.com/dogwoodflow/dogwoodflow/internal/timeline"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 // daemon is an administration and trainer API with set answers by "METHOD path".
@@ -141,15 +143,9 @@
 	return strings.ReplaceAll(shown, server.URL, "URL"), code
 }
 
-func golden(name, got string) {
+func expectGolden(name, got string) {
 	GinkgoHelper()
-	file := filepath.Join("testdata", name+".golden")
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		Expect(os.WriteFile(file, []byte(got), 0o644)).To(Succeed())
-	}
-	want, err := os.ReadFile(file)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(got).To(Equal(string(want)))
+	golden.Expect(name+".golden", got)
 }
 
 var _ = Describe("dogwoodflowctl", func() {
@@ -162,7 +158,7 @@
 	DescribeTable("prints what an operator needs",
 		func(name string, code int, args ...string) {
 			shown, got := ctl(newDaemon(), args...)
-			golden(name, shown)
+			expectGolden(name, shown)
 			Expect(got).To(Equal(code))
 		},
 		Entry(nil, "config-get", 0, "config", "get", branch),
@@ -203,7 +199,7 @@
 		d := newDaemon()
 		d.answers[postChange] = []any{conflict}
 		shown, code := ctl(d, "config", "set", branch, "--base=4", "--id=c1", "limits/max_queue", "77")
-		golden("lost-race", shown)
+		expectGolden("lost-race", shown)
 		Expect(code).To(Equal(exitFailed))
 	})
 
--- a/cmd/dogwoodflowctl/keys_test.go
+++ b/cmd/dogwoodflowctl/keys_test.go
@@ -38,7 +38,7 @@
 
 	DescribeTable("prints", func(name string, code int, args ...string) {
 		shown, got := ctl(newDaemon(), args...)
-		golden(name, shown)
+		expectGolden(name, shown)
 		Expect(got).To(Equal(code))
 	},
 		Entry(nil, "keys-hash", 0, "keys", "hash"),
--- a/internal/claims/fold_test.go
+++ b/internal/claims/fold_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 
@@ -12,6 +10,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 // naiveFold keeps every record and works a key's state out from scratch.
@@ -143,18 +143,6 @@
 				fold.Trim(off - 10)
 			}
 		}
-		expectGolden("session.golden", out.String())
+		golden.Expect("session.golden", out.String())
 	})
 })
-
-func expectGolden(name, got string) {
-	GinkgoHelper()
-	path := filepath.Join("testdata", name)
-	if os.Getenv("UPDATE_GOLDEN") == "1" {
-		Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
-		Expect(os.WriteFile(path, []byte(got), 0o644)).To(Succeed())
-	}
-	want, err := os.ReadFile(path)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(got).To(Equal(string(want)))
-}
--- a/internal/config/fold_test.go
+++ b/internal/config/fold_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"strings"
 	"time"
 
@@ -12,6 +11,8 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 var _ = Describe("Fold", func() {
@@ -214,13 +215,6 @@
 		}
 		snap, _ := json.MarshalIndent(s.Snapshot(), "", "  ")
 		out.Write(append(snap, '\n'))
-		const file = "testdata/session.golden"
-		if os.Getenv("UPDATE_GOLDEN") == "1" {
-			Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
-			Expect(os.WriteFile(file, []byte(out.String()), 0o644)).To(Succeed())
-		}
-		want, err := os.ReadFile(file)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(out.String()).To(Equal(string(want)))
+		golden.Expect("session.golden", out.String())
 	})
 })
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 const groupSize = 7
@@ -218,6 +220,6 @@
 				fmt.Fprintf(&out, "  %#v\n", a)
 			}
 		}
-		expectGolden("session.golden", out.String())
+		golden.Expect("session.golden", out.String())
 	})
 })
--- a/internal/lease/table_test.go
+++ b/internal/lease/table_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +11,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 const engine ident.Upstream = "engine-1"
@@ -139,14 +139,7 @@
 				a.Read(off, o, now)
 			}
 		}
-		path := filepath.Join("testdata", "session.golden")
-		if os.Getenv("UPDATE_GOLDEN") == "1" {
-			Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
-			Expect(os.WriteFile(path, []byte(out.String()), 0o644)).To(Succeed())
-		}
-		want, err := os.ReadFile(path)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(out.String()).To(Equal(string(want)))
+		golden.Expect("session.golden", out.String())
 	})
 })
 
--- a/internal/limits/suite_test.go
+++ b/internal/limits/suite_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +13,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/limits"
 	"github.com/dogwoodflow/dogwoodflow/internal/routing"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 func TestLimits(t *testing.T) {
@@ -24,7 +25,6 @@
 const (
 	production = routing.ClassProduction
 	rollout    = routing.ClassRollout
-	goldenFile = "testdata/session.golden"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -98,10 +98,5 @@
 	}
 	got := play()
 	Expect(play()).To(Equal(got))
-	if os.Getenv("UPDATE_GOLDEN") == "1" {
-		Expect(os.WriteFile(goldenFile, []byte(got), 0o644)).To(Succeed())
-	}
-	want, err := os.ReadFile(goldenFile)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(got).To(Equal(string(want)))
+	golden.Expect("session.golden", got)
 })
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"time"
 
@@ -11,6 +10,8 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/membership"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 var start = time.Unix(1000, 0)
@@ -200,12 +201,5 @@
 		owner, self := m.Owner("key")
 		fmt.Fprintf(&out, "\tlive %v owner %s %v\n", m.Live(), owner, self)
 	}
-	const file = "testdata/session.golden"
-	if os.Getenv("UPDATE_GOLDEN") == "1" {
-		Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
-		Expect(os.WriteFile(file, []byte(out.String()), 0o644)).To(Succeed())
-	}
-	want, err := os.ReadFile(file)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(out.String()).To(Equal(string(want)))
+	golden.Expect("session.golden", out.String())
 })
--- a/internal/peer/digest_test.go
+++ b/internal/peer/digest_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -18,6 +17,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/membership"
 	"github.com/dogwoodflow/dogwoodflow/internal/peer/peerpb"
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 func upstreamName(i int) ident.Upstream {
@@ -177,14 +178,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			out += fmt.Sprintf("%v %x\n", news, data)
 		}
-		const file = "testdata/digests.golden"
-		if os.Getenv("UPDATE_GOLDEN") == "1" {
-			Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
-			Expect(os.WriteFile(file, []byte(out), 0o644)).To(Succeed())
-		}
-		want, err := os.ReadFile(file)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(out).To(Equal(string(want)))
+		golden.Expect("digests.golden", out)
 	})
 })
 
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -11,6 +11,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 // naive keeps every event of a daemon and counts anew at each question. It
@@ -221,6 +223,6 @@
 			d := k.Admit(fp, now)
 			fmt.Fprintf(&out, "%v: %d is %v, retry after %v\n", now.Sub(epoch), fp, d.Verdict, d.RetryAfter)
 		}
-		expectGolden("session.golden", out.String())
+		golden.Expect("session.golden", out.String())
 	})
 })
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
 	"github.com/dogwoodflow/dogwoodflow/internal/retry"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 // every calls with each combination of what matters to a decision.
@@ -92,7 +94,7 @@
 			fmt.Fprintf(&b, "%v idempotent=%v resumable=%v sent=%v attempts=%d died=%v -> %v (%v) after %v, %.2f tokens\n",
 				a.Outcome, a.Idempotent, a.Resumable, a.Sent, a.Attempts, a.Died, d.Action, d.Cause, d.After, budget.Tokens(now))
 		})
-		expectGolden("session.golden", b.String())
+		golden.Expect("session.golden", b.String())
 	})
 })
 
--- a/internal/rollout/golden_test.go
+++ b/internal/rollout/golden_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
-)
 
-const goldenFile = "testdata/session.golden"
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
+)
 
 var _ = Describe("a whole session", func() {
 	It("gives the same actions as recorded", func() {
@@ -46,12 +44,7 @@
 		play(460, pullOf(9, 0, 2))
 		play(470, pullOf(9, 0, 1, 2))
 		play(480, Cancel{})
-		if os.Getenv("UPDATE_GOLDEN") == "1" {
-			Expect(os.WriteFile(goldenFile, []byte(log.String()), 0o644)).To(Succeed())
-		}
-		want, err := os.ReadFile(goldenFile)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(log.String()).To(Equal(string(want)))
+		golden.Expect("session.golden", log.String())
 	})
 })
 
--- a/internal/routing/naive_test.go
+++ b/internal/routing/naive_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"time"
 
@@ -11,6 +10,8 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/routing"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 // naive is the same policy with nothing kept but the facts: every question is
@@ -110,12 +111,7 @@
 	It("replays a session to the byte", func() {
 		got := session(11, 9, 400)
 		Expect(session(11, 9, 400)).To(Equal(got))
-		if os.Getenv("UPDATE_GOLDEN") == "1" {
-			Expect(os.WriteFile(goldenFile, []byte(got), 0o644)).To(Succeed())
-		}
-		want, err := os.ReadFile(goldenFile)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(got).To(Equal(string(want)))
+		golden.Expect("session.golden", got)
 	})
 })
 
--- a/internal/routing/suite_test.go
+++ b/internal/routing/suite_test.go
@@ -18,8 +18,6 @@
 	RunSpecs(t, "routing")
 }
 
-const goldenFile = "testdata/session.golden"
-
 var start = time.Unix(1_700_000_000, 0)
 
 func name(i int) ident.Upstream { return ident.Upstream(fmt.Sprintf("u%d", i)) }
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -14,6 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
 var start = time.Unix(1000, 0)
@@ -394,13 +394,6 @@
 		g := newGroup(11, 8, ours(), ours())
 		g.failing = 0.2
 		g.run(func(t time.Duration) ident.Version { return ident.Version(2 + t/(40*time.Second)) }, 2*time.Minute, 0.7)
-		path := filepath.Join("testdata", "session.golden")
-		if os.Getenv("UPDATE_GOLDEN") == "1" {
-			Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
-			Expect(os.WriteFile(path, []byte(g.trace.String()), 0o644)).To(Succeed())
-		}
-		want, err := os.ReadFile(path)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(g.trace.String()).To(Equal(string(want)))
+		golden.Expect("session.golden", g.trace.String())
 	})
 })
