--- a/internal/batchrun/promises_test.go
+++ b/internal/batchrun/promises_test.go
@@ -212,7 +212,7 @@
 
 func playPromises(t *testing.T, seed uint64, policy Policy) {
 	g := NewWithT(t)
-	w := newWorldWith(t, policy, seed, 3, 4, "m0", "m1")
+	w := newWorldWith(t, policy, seed, 4, 3, 4, "m0", "m1")
 	w.engines.broken, w.engines.refuses, w.engines.buffered = 0.01, 0.05, 0.5
 	var trainers sync.WaitGroup
 	var mu sync.Mutex
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -252,17 +252,18 @@
 	models  []string
 	vms     []*vm
 	policy  Policy // of the daemons that start from now on
+	parts   int    // partitions of a topic
 
 	mu        sync.Mutex
 	published map[string]int64
 }
 
 func newWorld(t *testing.T, seed uint64, vms, engines int, models ...string) *world {
-	return newWorldWith(t, Ours(), seed, vms, engines, models...)
+	return newWorldWith(t, Ours(), seed, 4, vms, engines, models...)
 }
 
-func newWorldWith(t *testing.T, policy Policy, seed uint64, vms, engines int, models ...string) *world {
-	w := &world{t: t, policy: policy, start: time.Now(), store: metastore.New(4), models: models, published: map[string]int64{}}
+func newWorldWith(t *testing.T, policy Policy, seed uint64, parts, vms, engines int, models ...string) *world {
+	w := &world{t: t, policy: policy, parts: parts, start: time.Now(), store: metastore.New(parts), models: models, published: map[string]int64{}}
 	w.engines = newFakeEngines(t, seed, engines, models)
 	for i := range vms {
 		v := &vm{name: "vm" + strconv.Itoa(i), client: metastore.NewClient(w.store, callTimeout)}
@@ -293,7 +294,7 @@
 	w.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := New(Options{
-		VM: v.name, Policy: w.policy, Log: v.client, Membership: v.client, Engines: w.engines, View: view, Parts: 4,
+		VM: v.name, Policy: w.policy, Log: v.client, Membership: v.client, Engines: w.engines, View: view, Parts: w.parts,
 		RecordBytes: 4096, CallBytes: 1 << 20, MemberTTL: 1500 * time.Millisecond, OrderLease: testLease,
 		Now: w.now, Logger: zerolog.Nop(),
 	})
--- a/internal/standin/metastore/client.go
+++ b/internal/standin/metastore/client.go
@@ -28,6 +28,29 @@
 
 	mu     sync.Mutex
 	faults Faults
+	calls  Calls
+}
+
+// Calls are what a client has asked of the store, refused calls included.
+type Calls struct {
+	Reads  int // of records and of the newest ones
+	Writes int
+	Joins  int // joins, leaves and lists of owners
+}
+
+// Calls returns the calls so far.
+func (c *Client) Calls() Calls {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+func (c *Client) count(add Calls) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls.Reads += add.Reads
+	c.calls.Writes += add.Writes
+	c.calls.Joins += add.Joins
 }
 
 // NewClient returns a client without faults.
@@ -64,6 +87,7 @@
 }
 
 func (c *Client) write(ctx context.Context, topic string, do func() (int64, error)) (int64, error) {
+	c.count(Calls{Writes: 1})
 	f, err := c.enter(ctx)
 	if err != nil {
 		return 0, err
@@ -95,6 +119,7 @@
 
 // Read returns records from an offset on.
 func (c *Client) Read(ctx context.Context, topic string, part int, from store.ReadFrom) (store.Page, error) {
+	c.count(Calls{Reads: 1})
 	if _, err := c.enter(ctx); err != nil {
 		return store.Page{}, err
 	}
@@ -117,6 +142,7 @@
 
 // Newest returns the newest record of each key.
 func (c *Client) Newest(ctx context.Context, topic string) (store.Snapshot, error) {
+	c.count(Calls{Reads: 1})
 	if _, err := c.enter(ctx); err != nil {
 		return store.Snapshot{}, err
 	}
@@ -125,6 +151,7 @@
 
 // Join enters or stays in a group.
 func (c *Client) Join(ctx context.Context, group, member, _ string, ttl time.Duration, generation int64) (store.Assignment, error) {
+	c.count(Calls{Joins: 1})
 	if _, err := c.enter(ctx); err != nil {
 		return store.Assignment{}, err
 	}
@@ -133,6 +160,7 @@
 
 // Owners returns the members that own a partition.
 func (c *Client) Owners(ctx context.Context, group string) ([]string, error) {
+	c.count(Calls{Joins: 1})
 	if _, err := c.enter(ctx); err != nil {
 		return nil, err
 	}
@@ -141,6 +169,7 @@
 
 // Leave gives up a member's partitions.
 func (c *Client) Leave(ctx context.Context, group, member string) error {
+	c.count(Calls{Joins: 1})
 	if _, err := c.enter(ctx); err != nil {
 		return err
 	}
