Daemons join the owners' group before all views are read

Cause: a daemon joined only when it had read every partition. Now it joins when it can give orders, and runs a partition when that one is read. Also: an engine that is vacated and whose runs are ending isn't vacated again.

--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -61,7 +61,10 @@
 		if n < earlyJoins {
 			interval = earlyJoinInterval
 		}
-		if o.s.Loaded() && o.wanted(ctx) {
+		// Not before orders could be given. Partitions are run one by one as their views
+		// are read: waiting for all of them, daemons that start together join over
+		// seconds, and each that joins moves partitions which others had begun to run.
+		if o.s.orders.follower.Loaded() && o.wanted(ctx) {
 			o.join(ctx)
 			n++
 		}
@@ -181,7 +184,7 @@
 		return
 	}
 	for _, part := range a.Parts {
-		if o.runners[part] != nil || part >= len(o.s.parts) {
+		if o.runners[part] != nil || part >= len(o.s.parts) || !o.s.parts[part].follower.Loaded() {
 			continue
 		}
 		r := newRunner(o.s, o.s.parts[part], o.inTouch)
--- a/internal/loads/plan.go
+++ b/internal/loads/plan.go
@@ -39,7 +39,7 @@
 const (
 	// loadShare: one in so many engines of a model loads at once. The weight store
 	// serves a fifth of all engines at full speed (2 of 9, 9 of 45, 10 of 48 on the
-	// deployments' sheets), for 0.9 s of the 1.2 s that a load takes with its claim and
+	// deployments known), for 0.9 s of the 1.2 s that a load takes with its claim and
 	// the engine's report. With more, each load takes longer; with fewer, a version
 	// reaches too few engines before the next one comes.
 	loadShare = 4
@@ -62,11 +62,11 @@
 //
 // An engine that waiting samples can't use loads at once; its samples, of an earlier
 // step, go on elsewhere if there is room, since a load begins when the last of them
-// has ended. Any other loads when it runs nothing, and if there is no such engine, the one with the fewest samples is
-// vacated: another engine goes on with them at the price of their prompts. While
-// samples wait for a place, only a large share spares engines for that: without it
-// a version that comes at the beginning of a step isn't loaded before the next one
-// begins, whose samples then find few engines that they may use.
+// has ended. Any other loads when it runs nothing, and if there is no such engine, the
+// one with the fewest samples is vacated: another engine goes on with them at the price
+// of their prompts. While samples wait for a place, only a large share spares engines
+// for that: without it a version that comes at the beginning of a step isn't loaded
+// before the next one begins, whose samples then find few engines that they may use.
 func Decide(in Input) Plan {
 	var plan Plan
 	room, spare := in.atOnce(), in.spareWhileWaiting()
@@ -80,6 +80,9 @@
 		if room <= 0 {
 			return plan
 		}
+		if e.Vacated && e.Running > 0 {
+			continue // its last runs are ending
+		}
 		useless := e.Version < in.Needed
 		if useless && e.Running > 0 && e.Running <= in.roomBeside(e) {
 			plan.Vacate = append(plan.Vacate, e.ID)
--- a/internal/standin/metastore/client.go
+++ b/internal/standin/metastore/client.go
@@ -14,6 +14,8 @@
 	Latency time.Duration // of each answer
 	Refuse  bool          // every call is refused
 	Cut     bool          // calls hang until their time is up; none arrives
+	// ReadDelay is waited before a read of a partition, beside the latency.
+	ReadDelay func(topic string, part int) time.Duration
 	// LoseAnswer, LateAnswer: called for each write. A lost write is done and not
 	// answered; a late one is not answered and done after the duration.
 	LoseAnswer func() bool
@@ -120,9 +122,13 @@
 // Read returns records from an offset on.
 func (c *Client) Read(ctx context.Context, topic string, part int, from store.ReadFrom) (store.Page, error) {
 	c.count(Calls{Reads: 1})
-	if _, err := c.enter(ctx); err != nil {
+	f, err := c.enter(ctx)
+	if err != nil {
 		return store.Page{}, err
 	}
+	if f.ReadDelay != nil {
+		wait(ctx, f.ReadDelay(topic, part))
+	}
 	limit := time.NewTimer(from.Wait)
 	defer limit.Stop()
 	for {
