--- a/internal/batchrun/outbox.go
+++ b/internal/batchrun/outbox.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// outboxRetry is the wait after an append that failed. An outage of the store
-	// lasts seconds; its end is felt this much later at most.
+	// outboxRetry is between the beginnings of two tries of an append. An outage of the
+	// store lasts seconds; its end is felt this much later at most. A store that resets
+	// connections fails a try within a ms: without it an owner made 300 calls and as
+	// many log lines a second.
 	outboxRetry = 150 * time.Millisecond
 	// outboxCallBytes bounds one append, well below what the store takes.
 	outboxCallBytes = 1 << 20
@@ -159,18 +161,22 @@
 	}
 	for try := 1; ctx.Err() == nil; try++ {
 		outboxAppends.Add(1)
+		next := time.NewTimer(outboxRetry)
 		at, err := appendWithin(ctx, o.log, topic, o.part, records, try)
 		if err == nil {
+			next.Stop()
 			return at, true
 		}
 		if errors.Is(err, store.ErrRejected) {
+			next.Stop()
 			o.line.Error().Err(err).Int("part", o.part).Int("records", len(records)).Msg("records dropped: the store won't take them")
 			return 0, false
 		}
 		o.line.Warn().Err(err).Str("topic", topic).Int("part", o.part).Int("records", len(records)).Int("try", try).
 			Msg("append failed, trying again")
-		if errors.Is(err, store.ErrNotDone) {
-			pause(ctx, outboxRetry)
+		select {
+		case <-ctx.Done():
+		case <-next.C:
 		}
 	}
 	return 0, false
--- /dev/null
+++ b/internal/batchrun/outbox_test.go
@@ -0,0 +1,36 @@
+package batchrun
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
+)
+
+// The store resets every connection for some seconds while a step runs. Its owner must
+// go on trying to write, but not as fast as it can: hundreds of calls a second cost
+// processor time, and each leaves a log line.
+func TestOwnerDoesNotRushAResettingStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 1, 3, "m0")
+		defer w.stop()
+		w.engines.pace = 100 * time.Millisecond
+		time.Sleep(2 * time.Second)
+		head, items, requests := sampleBatch("m0", "step", 2, 4, 1)
+		g.Expect(w.vms[0].current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+		time.Sleep(time.Second)
+		const outage = 4 * time.Second
+		before := w.vms[0].client.Calls().Writes
+		w.suffer(w.vms, metastore.Faults{Latency: time.Millisecond, Reset: true}, outage)
+		g.Expect(w.vms[0].client.Calls().Writes - before).To(BeNumerically("<=", 1+int(outage/outboxRetry)))
+		time.Sleep(5 * time.Second)
+		page, err := w.vms[0].current().Results(context.Background(), "b", 0, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Results).To(HaveLen(len(items)))
+	})
+}
--- a/internal/standin/metastore/client.go
+++ b/internal/standin/metastore/client.go
@@ -14,6 +14,7 @@
 	Latency time.Duration // of each answer
 	Refuse  bool          // every call is refused
 	Cut     bool          // calls hang until their time is up; none arrives
+	Reset   bool          // calls break off at once; none arrives
 	// ReadDelay is waited before a read of a partition, beside the latency.
 	ReadDelay func(topic string, part int) time.Duration
 	// LoseAnswer, LateAnswer: called for each write. A lost write is done and not
@@ -79,6 +80,9 @@
 		return f, fmt.Errorf("%w: cut off", store.ErrUnknown)
 	}
 	wait(ctx, f.Latency)
+	if f.Reset {
+		return f, fmt.Errorf("%w: connection reset", store.ErrUnknown)
+	}
 	if f.Refuse {
 		return f, fmt.Errorf("%w: refused", store.ErrNotDone)
 	}
