The test that crash marks outlive the log trims the log

It started the second daemon over a log that still had the marks, so it couldn't fail: without the keyed topic it passed. The stand-in now keeps the newest record of each key over a trim, as the platform's store does, and the test trims everything. Shown: with a topic without keys it fails (blocked false, expected true), with it it passes; the other users of the stand-in (follow, batchrun, platform) pass unchanged.

--- a/internal/crashes/crashes_test.go
+++ b/internal/crashes/crashes_test.go
@@ -107,6 +107,7 @@
 		}
 		time.Sleep(time.Second)
 		g.Expect(first.Blocked(7)).To(BeTrue())
+		w.store.Trim(topic, 0, w.store.End(topic, 0))
 		second := w.daemon("second")
 		time.Sleep(time.Second)
 		g.Expect(second.Blocked(7)).To(BeTrue())
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -6,11 +6,11 @@
 type (
 	// Team is a customer of the service and the name of its branch of settings.
 	Team string
-	// VM names a machine of ours or one that an upstream runs on.
+	// VM names one of ours or one that an upstream runs on.
 	VM string
-	// DataCentre names a zone.
+	// DataCentre names where a VM stands.
 	DataCentre string
-	// Upstream names one back end: an engine, a plain service or a scorer.
+	// Upstream names a model engine, a plain service or a scorer.
 	Upstream string
 	// Model names a family of weights; its versions are Version.
 	Model string
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -7,6 +7,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 type log struct {
 	first   int64
 	records [][]byte
+	// kept holds, for a topic with keys, the newest trimmed record of each key: it
+	// outlives the log.
+	kept map[string]store.Entry
 }
 
 func (l *log) end() int64 { return l.first + int64(len(l.records)) }
@@ -107,14 +111,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.logLocked(topic, 0)
-	byKey := map[string]store.Entry{}
-	for i, r := range l.records {
-		key, value, err := store.DecodeEntry(r)
-		if err != nil {
-			continue // no record of a key, and none that a reader would take
-		}
-		byKey[key] = store.Entry{Key: key, Value: value, Offset: l.first + int64(i)}
+	byKey := maps.Clone(l.kept)
+	if byKey == nil {
+		byKey = map[string]store.Entry{}
 	}
+	l.addNewest(byKey, l.records)
 	out := store.Snapshot{End: l.end()}
 	for _, key := range slices.Sorted(maps.Keys(byKey)) {
 		if len(byKey[key].Value) > 0 {
@@ -124,12 +125,29 @@
 	return out
 }
 
+// addNewest adds the newest record of each key; the records begin at l.first.
+func (l *log) addNewest(byKey map[string]store.Entry, records [][]byte) {
+	for i, r := range records {
+		key, value, err := store.DecodeEntry(r)
+		if err != nil {
+			continue // no record of a key, and none that a reader would take
+		}
+		byKey[key] = store.Entry{Key: key, Value: value, Offset: l.first + int64(i)}
+	}
+}
+
 // Trim deletes the records of a partition before an offset.
 func (s *Store) Trim(topic string, part int, before int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.logLocked(topic, part)
 	before = min(max(before, l.first), l.end())
+	if strings.HasPrefix(topic, store.KeyedPrefix) {
+		if l.kept == nil {
+			l.kept = map[string]store.Entry{}
+		}
+		l.addNewest(l.kept, l.records[:before-l.first])
+	}
 	l.records = l.records[before-l.first:]
 	l.first = before
 }
