--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -11,6 +11,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // orders claims engines and gives them orders.
@@ -209,7 +211,7 @@
 		if err := x.order(ctx, u, model, version, permit, report.Orders); err != nil {
 			return err
 		}
-		pause(ctx, loadFirstLook)
+		pause.For(ctx, loadFirstLook)
 	}
 	return x.await(ctx, u, model, version, report.Orders)
 }
@@ -251,7 +253,7 @@
 		case !report.Busy && report.Orders == accepted:
 			return errSlowLoad
 		}
-		pause(ctx, loadPoll)
+		pause.For(ctx, loadPoll)
 	}
 	return errors.Join(errSlowLoad, ctx.Err())
 }
--- a/internal/batchrun/outbox.go
+++ b/internal/batchrun/outbox.go
@@ -11,6 +11,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 const (
@@ -204,15 +206,6 @@
 // flush waits until everything is appended or the context ends.
 func (o *outbox) flush(ctx context.Context) {
 	for !o.empty() && ctx.Err() == nil {
-		pause(ctx, flushPoll)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		pause.For(ctx, flushPoll)
 	}
 }
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -10,6 +10,8 @@
 	"github.com/google/uuid"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 const (
@@ -68,7 +70,7 @@
 			o.join(ctx)
 			n++
 		}
-		pause(ctx, interval)
+		pause.For(ctx, interval)
 	}
 	<-ctx.Done()
 	o.stopAll()
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -12,6 +12,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // Topics of the shared log.
@@ -102,7 +104,7 @@
 
 func (s *Service) forget(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, forgetInterval)
+		pause.For(ctx, forgetInterval)
 		for _, p := range s.parts {
 			p.mu.Lock()
 			p.fold.Forget(s.options.Now() - keepBatches)
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -10,6 +10,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 var (
@@ -86,7 +88,7 @@
 		}
 		if errors.Is(err, store.ErrNotDone) {
 			refused++
-			pause(ctx, refusedPause)
+			pause.For(ctx, refusedPause)
 		}
 		if refused == refusedTries || ctx.Err() != nil || errors.Is(err, store.ErrRejected) {
 			return 0, nil, errors.Join(ErrNotRun, err)
@@ -142,7 +144,7 @@
 			if refused++; refused == refusedTries {
 				break
 			}
-			pause(ctx, refusedPause)
+			pause.For(ctx, refusedPause)
 			continue
 		}
 		unknown = true
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -13,6 +13,8 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/inspect"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 const (
@@ -100,7 +102,7 @@
 			return
 		}
 		f.contact(false, err)
-		sleep(ctx, backoff)
+		pause.For(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -141,7 +143,7 @@
 		d = max(d, RelaxedPause)
 	}
 	if d > 0 {
-		sleep(ctx, d)
+		pause.For(ctx, d)
 	}
 }
 
@@ -313,12 +315,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/keyed/logloops.go
+++ b/internal/keyed/logloops.go
@@ -9,6 +9,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/claims"
 	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 const (
@@ -89,7 +91,7 @@
 // followLoop reads the claims stream from its oldest kept record on.
 func (s *Service) followLoop(ctx context.Context) error {
 	if s.opts.StartSpread > 0 {
-		sleep(ctx, rand.N(s.opts.StartSpread))
+		pause.For(ctx, rand.N(s.opts.StartSpread))
 	}
 	backoff := readBackoffMin
 	down := false
@@ -101,7 +103,7 @@
 			continue
 		}
 		s.logChange(&down, true, err)
-		sleep(ctx, backoff/2+rand.N(backoff/2))
+		pause.For(ctx, backoff/2+rand.N(backoff/2))
 		backoff = min(2*backoff, readBackoffMax)
 	}
 	return nil
@@ -183,12 +185,3 @@
 		s.report(claims.Record{Kind: claims.KindRelease, Scope: v.Scope, Key: v.Key, Nonce: v.Nonce, VM: s.opts.VM})
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/peer/bytes_test.go
+++ b/internal/peer/bytes_test.go
@@ -12,6 +12,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/timeline"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // BenchmarkDigest measures the bytes of one digest: a full one, one after a
@@ -116,6 +118,6 @@
 			}
 			source.set(dispatch.Digest{InFlight: counts, Serving: source.Digest().Serving})
 		}
-		pause(ctx, d/10)
+		pause.For(ctx, d/10)
 	}
 }
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -14,6 +14,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/membership"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/peer/peerpb"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // Redialling waits from the least to the most, doubling, with jitter.
@@ -57,11 +59,11 @@
 	backoff := leastBackoff
 	if vm != "" && vm < s.options.Self {
 		// The lower name's connection is the one kept: give it time to come.
-		pause(ctx, jitter(2*leastBackoff))
+		pause.For(ctx, jitter(2*leastBackoff))
 	}
 	for ctx.Err() == nil {
 		if vm != "" && s.linked(vm) {
-			pause(ctx, jitter(s.options.Interval))
+			pause.For(ctx, jitter(s.options.Interval))
 			continue
 		}
 		began := time.Now()
@@ -76,7 +78,7 @@
 		if time.Since(began) > s.options.SilentAfter {
 			backoff = leastBackoff // it stood for a while
 		}
-		pause(ctx, jitter(backoff))
+		pause.For(ctx, jitter(backoff))
 		backoff = min(2*backoff, mostBackoff)
 	}
 }
@@ -113,12 +115,3 @@
 	err = l.run()
 	return l.contact.VM, err
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/peer/fakes_test.go
+++ b/internal/peer/fakes_test.go
@@ -16,6 +16,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/rollouts"
 	"github.com/dogwoodflow/dogwoodflow/internal/timeline"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // fakeDigests is a dispatcher that remembers what it was told.
@@ -94,7 +96,7 @@
 }
 
 func (f fakeSteps) PullLocal(ctx context.Context, _ ident.Team, job ident.Job, step ident.Step, r rollouts.PullRequest) (*rollouts.PullResponse, error) {
-	pause(ctx, time.Duration(r.WaitMillis)*time.Millisecond)
+	pause.For(ctx, time.Duration(r.WaitMillis)*time.Millisecond)
 	return &rollouts.PullResponse{Job: job + ident.Job(f.completion), Step: step, End: true}, ctx.Err()
 }
 
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -11,6 +11,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/membership"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/peer/peerpb"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 var configFetches = metrics.Counter("peer_config_fetches")
@@ -103,7 +105,7 @@
 	}
 	for ctx.Err() == nil {
 		s.readList(ctx)
-		pause(ctx, jitter(s.options.ListEvery))
+		pause.For(ctx, jitter(s.options.ListEvery))
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,6 +12,8 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/peer/peerpb"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // maxConnections bounds how many connections peers may hold open here.
@@ -37,7 +39,7 @@
 			return
 		}
 		if err != nil { // out of file descriptors, or reset while queued
-			pause(ctx, jitter(leastBackoff))
+			pause.For(ctx, jitter(leastBackoff))
 			continue
 		}
 		select {
--- a/internal/standin/metastore/client.go
+++ b/internal/standin/metastore/client.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // Faults are what a client suffers at the moment.
@@ -76,10 +78,10 @@
 func (c *Client) enter(ctx context.Context) (Faults, error) {
 	f := c.now()
 	if f.Cut {
-		wait(ctx, c.timeout)
+		pause.For(ctx, c.timeout)
 		return f, fmt.Errorf("%w: cut off", store.ErrUnknown)
 	}
-	wait(ctx, f.Latency)
+	pause.For(ctx, f.Latency)
 	if f.Reset {
 		return f, fmt.Errorf("%w: connection reset", store.ErrUnknown)
 	}
@@ -101,13 +103,13 @@
 	if f.Late != nil {
 		if d := f.Late(topic); d > 0 {
 			time.AfterFunc(d, func() { _, _ = do() }) // nobody waits for its answer
-			wait(ctx, c.timeout)
+			pause.For(ctx, c.timeout)
 			return 0, fmt.Errorf("%w: late", store.ErrUnknown)
 		}
 	}
 	offset, err := do()
 	if f.LoseAnswer != nil && f.LoseAnswer() {
-		wait(ctx, c.timeout)
+		pause.For(ctx, c.timeout)
 		return 0, fmt.Errorf("%w: lost", store.ErrUnknown)
 	}
 	return offset, err
@@ -131,7 +133,7 @@
 		return store.Page{}, err
 	}
 	if f.ReadDelay != nil {
-		wait(ctx, f.ReadDelay(topic, part))
+		pause.For(ctx, f.ReadDelay(topic, part))
 	}
 	limit := time.NewTimer(from.Wait)
 	defer limit.Stop()
@@ -186,15 +188,3 @@
 	c.store.leave(group, member)
 	return nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/weightsync/leases.go
+++ b/internal/weightsync/leases.go
@@ -11,6 +11,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/lease"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 const (
@@ -26,7 +28,7 @@
 	for ctx.Err() == nil {
 		if err := s.readLeases(ctx, stream); err != nil {
 			metrics.Counter("lease_read_failures").Add(1)
-			sleep(ctx, jitter(backoff))
+			pause.For(ctx, jitter(backoff))
 			backoff = min(2*backoff, readBackoffMax)
 			continue
 		}
--- a/internal/weightsync/orders.go
+++ b/internal/weightsync/orders.go
@@ -15,6 +15,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
 	"github.com/dogwoodflow/dogwoodflow/internal/weights"
 	"github.com/dogwoodflow/dogwoodflow/internal/wire"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // stepLoop looks at the engines at a steady pace; orders and appends run beside it.
@@ -30,7 +32,7 @@
 		for _, t := range targets {
 			s.step(ctx, g, t, groups[t.Group])
 		}
-		sleep(ctx, s.opts.StepInterval)
+		pause.For(ctx, s.opts.StepInterval)
 	}
 	return nil
 }
--- a/internal/weightsync/streams.go
+++ b/internal/weightsync/streams.go
@@ -11,6 +11,8 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/lease"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // unneededFor is how long a stream is still followed after it stopped to concern
@@ -85,7 +87,7 @@
 	g.Go(func() error {
 		defer stop()
 		if s.opts.StartSpread > 0 {
-			sleep(ctx, rand.N(s.opts.StartSpread))
+			pause.For(ctx, rand.N(s.opts.StartSpread))
 		}
 		return s.followLeases(ctx, stream)
 	})
--- a/internal/weightsync/syncer.go
+++ b/internal/weightsync/syncer.go
@@ -112,13 +112,3 @@
 	}
 	return i
 }
-
-// sleep waits for d, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
