Suspicion is decided once: calls, reward calls and samples' streams share health.Suspects

Cause: an upstream that failed was suspected by gateway/pick.go (500 ms, doubling) and again by batchrun/stream.go (300 ms, doubling), each by itself.

--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -71,7 +71,7 @@
 	var engines []batch.Engine
 	for _, u := range share {
 		e := r.engineLocked(u.Incarnation())
-		if e.unusable(now) {
+		if r.unusableLocked(u.Incarnation(), now) {
 			continue
 		}
 		engines = append(engines, batch.Engine{ID: u.Incarnation(), Version: u.Models[model], Running: e.running, Slots: u.Slots, Pace: speeds[u.Incarnation()]})
@@ -103,7 +103,7 @@
 		e := r.engineLocked(u.Incarnation())
 		in.Engines = append(in.Engines, loads.Engine{
 			ID: u.Incarnation(), Version: u.Models[model], Running: e.running, Slots: u.Slots, Loading: e.loading, Vacated: now < e.vacantUntil,
-			Usable: !e.suspect(now) && now >= e.orderAfter,
+			Usable: !r.suspect(u.Incarnation(), now) && now >= e.orderAfter,
 		})
 	}
 	plan := r.s.options.Policy.Loads(in)
--- a/internal/batchrun/rescue.go
+++ b/internal/batchrun/rescue.go
@@ -52,7 +52,7 @@
 	speeds := r.speedsLocked(share, now)
 	room := 0
 	for _, u := range share {
-		if e, speed := r.engineLocked(u.Incarnation()), speeds[u.Incarnation()]; speed > 0 && speed < tailPace && !e.unusable(now) {
+		if e, speed := r.engineLocked(u.Incarnation()), speeds[u.Incarnation()]; speed > 0 && speed < tailPace && !r.unusableLocked(u.Incarnation(), now) {
 			room += max(0, u.Slots-e.running)
 		}
 	}
@@ -80,7 +80,7 @@
 	for _, u := range share {
 		e := r.engineLocked(u.Incarnation())
 		paces = append(paces, batch.Pace{Engine: u.Incarnation(), Gap: e.pace.known(now, paceLife)})
-		if !e.unusable(now) {
+		if !r.unusableLocked(u.Incarnation(), now) {
 			room += max(0, u.Slots-e.running)
 		}
 	}
--- a/internal/batchrun/rescue_test.go
+++ b/internal/batchrun/rescue_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
@@ -55,7 +56,7 @@
 		g := NewWithT(t)
 		view := fleet.New(func() time.Duration { return time.Minute })
 		config := routes.New(1, nil, []routes.Service{{Name: "engines", Engine: &routes.Engine{Slots: 8, Models: []string{"m0"}}}}, routes.Limits{})
-		o := Options{Parts: 1, Now: func() time.Duration { return time.Minute }, View: view, Policy: Ours(policy.Set{})}
+		o := Options{Parts: 1, Now: func() time.Duration { return time.Minute }, View: view, Suspects: health.NewSuspects(), Policy: Ours(policy.Set{})}
 		r := newRunner(New(o), newPartition(0, o.Now, zerolog.Nop()), func() bool { return inTouch })
 		for i, gap := range []time.Duration{400 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond} {
 			u := registry.Upstream{ID: fmt.Sprint("e", i), Service: "engines", Address: fmt.Sprint("a", i), Slots: 8}
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/follow"
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/pause"
@@ -46,6 +47,7 @@
 	Engines     Engines
 	Scorer      Scorer
 	View        *fleet.View
+	Suspects    *health.Suspects // shared with whatever else sends to upstreams
 	Policy      Policy
 	Small       bool                 // this VM owns partitions only if no larger one does
 	Parts       int                  // partitions of a topic
--- a/internal/batchrun/stream.go
+++ b/internal/batchrun/stream.go
@@ -23,11 +23,6 @@
 )
 
 const (
-	// firstSuspicion and maxSuspicion bound how long an engine that broke a run off
-	// gets no samples. A crashed engine refuses connections at once, so a look at it
-	// is cheap; a dark one costs the sample its silence timeout.
-	firstSuspicion = 300 * time.Millisecond
-	maxSuspicion   = 4 * time.Second
 	// refusedPause: an engine that is full or loading is asked again after it.
 	engineRefusedPause = 150 * time.Millisecond
 	// retryPause is the pause of a sample whose run broke off through no fault of its own.
@@ -39,8 +34,6 @@
 // engine is what the runner knows of one incarnation.
 type engine struct {
 	running     int
-	failures    int // in a row
-	suspectTo   time.Duration
 	fullTo      time.Duration
 	slowTo      time.Duration // slower than its peers
 	vacantUntil time.Duration // it is to load weights as soon as its runs ended
@@ -65,15 +58,18 @@
 	return e
 }
 
-func (e *engine) suspect(now time.Duration) bool { return now < e.suspectTo }
+// suspect reports whether an incarnation gets no work because it failed.
+func (r *runner) suspect(incarnation string, now time.Duration) bool {
+	return r.s.options.Suspects.Holds(incarnation, now)
+}
 
-func (e *engine) unusable(now time.Duration) bool {
-	return e.loading || e.suspect(now) || now < e.fullTo || now < e.vacantUntil || now < e.slowTo
+// unusableLocked reports whether an engine gets no sample now.
+func (r *runner) unusableLocked(incarnation string, now time.Duration) bool {
+	return r.suspect(incarnation, now) || r.engineLocked(incarnation).unusable(now)
 }
 
-func (e *engine) broke(now time.Duration) {
-	e.suspectTo = now + min(firstSuspicion<<min(e.failures, 4), maxSuspicion)
-	e.failures++
+func (e *engine) unusable(now time.Duration) bool {
+	return e.loading || now < e.fullTo || now < e.vacantUntil || now < e.slowTo
 }
 
 // startLocked begins a run.
@@ -150,7 +146,7 @@
 	r.logEnd(x, err, now)
 	sampleTime.Observe(now - x.began)
 	if err == nil {
-		e.failures = 0
+		r.s.options.Suspects.Worked(x.engine)
 		if x.started == 0 {
 			r.estimator.Observe(x.expected, x.text.had(), now-x.began)
 		}
@@ -193,10 +189,10 @@
 	default:
 		samplesBroken.Add(1)
 		if x.text.had() > x.started {
-			e.failures = 0 // it worked until then
+			r.s.options.Suspects.Worked(x.engine) // until then
 		}
 		if r.s.options.Policy.On(policy.Suspicion) {
-			e.broke(now)
+			r.s.options.Suspects.Failed(x.engine, now)
 		}
 	}
 	r.retries[x.key] = again
--- a/internal/batchrun/submit_test.go
+++ b/internal/batchrun/submit_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
 )
@@ -275,16 +276,16 @@
 // process before: with it, a step waits seconds for engines that are ready.
 func TestSuspicionEndsWithTheStart(t *testing.T) {
 	g := NewWithT(t)
-	r := newRunner(New(Options{Parts: 1, Now: func() time.Duration { return 0 }}), newPartition(0, func() time.Duration { return 0 }, zerolog.Nop()), func() bool { return true })
+	r := newRunner(New(Options{Parts: 1, Suspects: health.NewSuspects(), Now: func() time.Duration { return 0 }}), newPartition(0, func() time.Duration { return 0 }, zerolog.Nop()), func() bool { return true })
 	before := registry.Upstream{ID: "e0", Started: 1}
 	after := registry.Upstream{ID: "e0", Started: 2}
 	e := r.engineLocked(before.Incarnation())
 	e.running = 4
-	e.broke(0)
+	r.s.options.Suspects.Failed(before.Incarnation(), 0)
 	e.pace.observe(time.Second, 0, paceLife)
-	g.Expect(e.unusable(0)).To(BeTrue())
+	g.Expect(r.unusableLocked(before.Incarnation(), 0)).To(BeTrue())
 	next := r.engineLocked(after.Incarnation())
-	g.Expect(next.unusable(0)).To(BeFalse())
+	g.Expect(r.unusableLocked(after.Incarnation(), 0)).To(BeFalse())
 	g.Expect(next.running).To(BeZero())
 	g.Expect(next.pace.known(0, paceLife)).To(BeZero())
 }
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
@@ -323,7 +324,7 @@
 	w.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := New(Options{
-		VM: v.name, Policy: w.policy, Log: v.client, Membership: v.client, Engines: w.engines, Scorer: w.scorer, View: view, Parts: w.parts,
+		VM: v.name, Policy: w.policy, Log: v.client, Membership: v.client, Engines: w.engines, Scorer: w.scorer, View: view, Suspects: health.NewSuspects(), Parts: w.parts,
 		RecordBytes: 4096, CallBytes: 1 << 20, MemberTTL: 1500 * time.Millisecond, OrderLease: testLease,
 		Now: w.now, Logger: zerolog.Nop(),
 	})
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/crashes"
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
@@ -75,7 +76,7 @@
 				ledger := crashes.New("vm", metastore.NewClient(metastore.New(1), time.Second), now, zerolog.Nop())
 				go ledger.Run(ctx)
 				f := &fragile{reset: reset, down: map[string]bool{}}
-				gate := New(Options{View: view, Upstreams: f, Crashes: ledger, DataCentre: "here", Now: now, Logger: zerolog.Nop()})
+				gate := New(Options{View: view, Upstreams: f, Crashes: ledger, Suspects: health.NewSuspects(), DataCentre: "here", Now: now, Logger: zerolog.Nop()})
 				r := routes.Route{Kind: routes.Safe, MaxAttempts: 2, Services: []routes.Share{{Service: "s", Weight: 1}}}
 				do := func(body string) (*Answer, *Refusal) {
 					return gate.Do(ctx, r, &Call{ID: "c", Body: []byte(body), Deadline: time.Now().Add(time.Second)})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
@@ -82,7 +83,8 @@
 	View       *fleet.View
 	Upstreams  Upstreams
 	Crashes    Crashes
-	DataCentre string // of this VM
+	Suspects   *health.Suspects // shared with whatever else sends to upstreams
+	DataCentre string           // of this VM
 	// Policy tells which mechanisms work; the zero one has all.
 	Policy policy.Set
 	// Now is a clock that goes on while the VM is suspended.
@@ -103,7 +105,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, pool: newPool(o.DataCentre, o.Policy), policy: o.Policy, now: o.Now, log: o.Logger}
+	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, pool: newPool(o.DataCentre, o.Policy, o.Suspects), policy: o.Policy, now: o.Now, log: o.Logger}
 }
 
 // limitDeadline keeps a call within its route's timeout and leaves time for the way back.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
@@ -102,7 +103,7 @@
 			r.Put(registry.Upstream{ID: id, Service: "s", DataCentre: dc})
 		}
 	})
-	return New(Options{View: view, Upstreams: f, Crashes: noCrashes{}, DataCentre: "here", Now: now, Logger: zerolog.Nop()}), f
+	return New(Options{View: view, Upstreams: f, Crashes: noCrashes{}, Suspects: health.NewSuspects(), DataCentre: "here", Now: now, Logger: zerolog.Nop()}), f
 }
 
 func route(kind routes.Kind, attempts int) routes.Route {
@@ -188,7 +189,7 @@
 			g.Expect(answer).NotTo(BeNil())
 		}
 		g.Expect(f.sent["u0"]).To(Equal(1))
-		time.Sleep(maxSuspicion)
+		time.Sleep(health.MaxSuspicion)
 		gate.Do(context.Background(), route(routes.Safe, 2), call())
 		g.Expect(f.sent["u0"]).To(Equal(2), "it is tried again later")
 	})
@@ -211,7 +212,7 @@
 
 func TestPoolForgetsWhoLeft(t *testing.T) {
 	g := NewWithT(t)
-	p := newPool("here", policy.Set{})
+	p := newPool("here", policy.Set{}, health.NewSuspects())
 	_, found := p.pick([]registry.Upstream{{ID: "u"}}, nil, 0)
 	g.Expect(found).To(BeTrue())
 	p.trim(2 * memberLife)
@@ -225,7 +226,7 @@
 
 func TestInTurn(t *testing.T) {
 	g := NewWithT(t)
-	p := newPool("here", policy.Without(policy.Load))
+	p := newPool("here", policy.Without(policy.Load), health.NewSuspects())
 	candidates := []registry.Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 	seen := map[string]int{}
 	for range 9 {
@@ -291,7 +292,7 @@
 // last keeps its connection open, and is chosen unless it has more to do than another.
 func TestCallsGoWhereAConnectionIsOpen(t *testing.T) {
 	g := NewWithT(t)
-	p := newPool("here", policy.Set{})
+	p := newPool("here", policy.Set{}, health.NewSuspects())
 	var candidates []registry.Upstream
 	for i := range 20 {
 		candidates = append(candidates, registry.Upstream{ID: fmt.Sprint("u", i), DataCentre: "here"})
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -8,42 +8,35 @@
 	"sync"
 	"time"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 )
 
-const (
-	// firstSuspicion is how long an upstream that was silent or unreachable is
-	// avoided after the first such failure; it doubles up to maxSuspicion.
-	firstSuspicion = 500 * time.Millisecond
-	maxSuspicion   = 4 * time.Second
-	// loadLife is how long a reported load counts. Work takes tens of ms.
-	loadLife = 300 * time.Millisecond
-)
+// loadLife is how long a reported load counts. Work takes tens of ms.
+const loadLife = 300 * time.Millisecond
 
 // pool chooses upstreams of services. It is safe for concurrent use.
 type pool struct {
-	local  string // data centre of this VM
-	policy policy.Set
-	turn   int
-	mu     sync.Mutex
-	// members by incarnation: one that started again has no request in flight and no
-	// suspicion against it.
+	local    string // data centre of this VM
+	policy   policy.Set
+	suspects *health.Suspects
+	turn     int
+	mu       sync.Mutex
+	// members by incarnation: one that started again has no request in flight.
 	members map[string]*member
 }
 
 type member struct {
-	inFlight  int
-	reported  int // requests that it runs and queues, by its own word
-	at        time.Duration
-	failures  int // in a row
-	suspectTo time.Duration
-	seen      time.Duration
-	answered  time.Duration // when it last did, 0: never
+	inFlight int
+	reported int // requests that it runs and queues, by its own word
+	at       time.Duration
+	seen     time.Duration
+	answered time.Duration // when it last did, 0: never
 }
 
-func newPool(dataCentre string, set policy.Set) *pool {
-	return &pool{local: dataCentre, policy: set, members: map[string]*member{}}
+func newPool(dataCentre string, set policy.Set, suspects *health.Suspects) *pool {
+	return &pool{local: dataCentre, policy: set, suspects: suspects, members: map[string]*member{}}
 }
 
 func (p *pool) memberLocked(incarnation string, now time.Duration) *member {
@@ -107,7 +100,7 @@
 	if u.DataCentre != p.local {
 		cost += remoteCost
 	}
-	if now < m.suspectTo {
+	if p.suspects.Holds(u.Incarnation(), now) {
 		cost += suspectCost
 	}
 	return cost
@@ -132,29 +125,21 @@
 
 // succeeded clears suspicion; load is what the upstream reported, -1 if nothing.
 func (p *pool) succeeded(incarnation string, load int, now time.Duration) {
+	p.suspects.Worked(incarnation)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.memberLocked(incarnation, now)
-	m.failures = 0
-	m.suspectTo = 0
 	m.answered = now
 	if load >= 0 {
 		m.reported, m.at = load, now
 	}
 }
 
-// failed puts an upstream under suspicion for a time that grows with each
-// failure in a row.
+// failed puts an upstream under suspicion.
 func (p *pool) failed(incarnation string, now time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m := p.memberLocked(incarnation, now)
-	if !p.policy.On(policy.Suspicion) {
-		return
+	if p.policy.On(policy.Suspicion) {
+		p.suspects.Failed(incarnation, now)
 	}
-	d := firstSuspicion << min(m.failures, 3)
-	m.failures++
-	m.suspectTo = now + min(d, maxSuspicion)
 }
 
 // memberLife is how long an upstream that isn't met any more is remembered.
@@ -162,6 +147,7 @@
 
 // trim forgets upstreams that left.
 func (p *pool) trim(now time.Duration) {
+	p.suspects.Trim(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, m := range p.members {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
+	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/exchange"
@@ -125,7 +126,7 @@
 			r.Put(registry.Upstream{ID: id, Service: "s", DataCentre: dc})
 		}
 	})
-	return New(Options{View: view, Upstreams: w, Crashes: noCrashes{}, DataCentre: "here", Now: now, Logger: zerolog.Nop()}), w
+	return New(Options{View: view, Upstreams: w, Crashes: noCrashes{}, Suspects: health.NewSuspects(), DataCentre: "here", Now: now, Logger: zerolog.Nop()}), w
 }
 
 // What a caller gets of a stream whose first upstream (the nearest) misbehaves, and
