Partitions of batches are followed by their owners only; other daemons pass calls on

Cause: 195 daemons followed 24 partitions each. Change: a partition is followed while it is owned, or was needed here in the last 10 s. A call on a batch goes to the owner over drpc (batchpeer), whose address stands in its name in the owners' group; the owner passes the list and the texts at hand, other texts are read by the daemon that was asked. Without an owner for 0.6 s the partition is read here. Pages are 48 KB. The stand-in store has a shared read rate and call rates.

--- /dev/null
+++ b/internal/batchrun/answer_test.go
@@ -0,0 +1,313 @@
+package batchrun
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/locate"
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
+)
+
+// worldPeers carries calls between the daemons of a world. An address is a VM's name.
+type worldPeers struct {
+	w *world
+
+	mu     sync.Mutex
+	silent map[string]bool // calls to them hang
+	calls  int
+}
+
+const peerAnswer = 2 * time.Millisecond
+
+func (p *worldPeers) setSilent(address string, silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent[address] = silent
+}
+
+// reach suffers the way to a daemon.
+func (p *worldPeers) reach(ctx context.Context, address string) (Here, error) {
+	p.mu.Lock()
+	p.calls++
+	silent := p.silent[address]
+	p.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return Here{}, ErrUnreachable
+	}
+	pause.For(ctx, peerAnswer)
+	for _, v := range p.w.vms {
+		if s := v.current(); v.name == address && s != nil {
+			return s.Here(), nil
+		}
+	}
+	return Here{}, ErrUnreachable // the connection is refused
+}
+
+func (p *worldPeers) Locate(ctx context.Context, address, id string, confirm bool) (locate.Answer, error) {
+	h, err := p.reach(ctx, address)
+	if err != nil {
+		return locate.Answer{}, err
+	}
+	return h.Locate(ctx, id, confirm), nil
+}
+
+func (p *worldPeers) List(ctx context.Context, address, id string, after int, wait time.Duration) (Listing, error) {
+	h, err := p.reach(ctx, address)
+	if err != nil {
+		return Listing{}, err
+	}
+	return h.List(ctx, id, after, wait)
+}
+
+func (p *worldPeers) End(ctx context.Context, address, id string) error {
+	h, err := p.reach(ctx, address)
+	if err != nil {
+		return err
+	}
+	return h.End(ctx, id)
+}
+
+func (p *worldPeers) Body(ctx context.Context, address, id, item string) (BodyAt, error) {
+	h, err := p.reach(ctx, address)
+	if err != nil {
+		return BodyAt{}, err
+	}
+	return h.Body(ctx, id, item)
+}
+
+// newPeerWorld is a world whose daemons reach each other.
+func newPeerWorld(t *testing.T, vms int) (*world, *worldPeers) {
+	peers := &worldPeers{silent: map[string]bool{}}
+	w := newWorldOf(t, worldOptions{seed: 1, parts: 4, vms: vms, engines: 2, models: []string{"m0"}, peers: peers})
+	return w, peers
+}
+
+// ownerAndOther returns the VM that runs the model's batches, and another one.
+func ownerAndOther(w *world, model string) (owner, other *vm) {
+	for _, v := range w.vms {
+		if v.current() != nil && v.ownsHomeOf(model) {
+			owner = v
+		} else {
+			other = v
+		}
+	}
+	return owner, other
+}
+
+// A trainer's calls reach daemons that don't follow its batch. Each answers by the owner:
+// the results, a body, the end, and that a batch doesn't exist, without reading the
+// partition itself.
+func TestCallsArePassedToTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, _ := newPeerWorld(t, 3)
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		ctx := context.Background()
+		head, items, requests := sampleBatch("m0", "passed", 2, 2, 1)
+		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		time.Sleep(time.Second)
+		_, other := ownerAndOther(w, "m0")
+		s := other.current()
+		body, err := s.Body(ctx, "b", items[3].ID)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(body)).To(Equal("body of " + items[3].ID))
+		_, err = s.Body(ctx, "b", "none")
+		g.Expect(err).To(MatchError(ErrNotFound))
+		_, err = s.Results(ctx, "none", 0, 0)
+		g.Expect(err).To(MatchError(ErrNotFound))
+		var listed []Result
+		for len(listed) < len(items) {
+			page, err := s.Results(ctx, "b", len(listed), time.Second)
+			g.Expect(err).NotTo(HaveOccurred())
+			listed = append(listed, page.Results...)
+		}
+		for _, r := range listed {
+			w.engines.checkText(r.ID, r.Text)
+		}
+		g.Expect(s.End(ctx, "b")).To(Succeed())
+		g.Expect(s.End(ctx, "none")).To(MatchError(ErrNotFound))
+		g.Expect(s.partitionOf("m0").loaded()).To(BeFalse(), "it has not read the partition")
+	})
+}
+
+// A batch that was accepted comes again at another daemon, as after a lost answer. The
+// daemon asks the owner and spares the log the requests of the whole step.
+func TestResentBatchIsNotWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, _ := newPeerWorld(t, 2)
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		head, items, requests := sampleBatch("m0", "resent", 2, 2, 1)
+		g.Expect(w.vms[0].current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+		time.Sleep(100 * time.Millisecond)
+		_, other := ownerAndOther(w, "m0")
+		writes := other.client.Calls().Writes
+		g.Expect(other.current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+		g.Expect(other.client.Calls().Writes).To(Equal(writes))
+	})
+}
+
+// The owner falls silent while a trainer waits for results at another daemon, which is cut
+// off from it alone. The trainer's read must come back within the 1.5 s that it waits
+// beyond what it asked for, with what the log has, and must never say that there is no
+// such batch.
+func TestSilentOwnerIsReadAroundInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, peers := newPeerWorld(t, 2)
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		ctx := context.Background()
+		head, items, requests := sampleBatch("m0", "silent", 2, 2, 1)
+		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		owner, other := ownerAndOther(w, "m0")
+		for _, silentAfter := range []time.Duration{0, 20 * time.Millisecond} { // before the call, and under it
+			peers.setSilent(owner.name, silentAfter == 0)
+			time.AfterFunc(silentAfter, func() { peers.setSilent(owner.name, true) })
+			began := time.Now()
+			page, err := other.current().Results(ctx, "b", 0, time.Second)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(time.Since(began)).To(BeNumerically("<", 2500*time.Millisecond))
+			g.Expect(page.Total).To(Equal(len(items)))
+			peers.setSilent(owner.name, false)
+			time.Sleep(2*linger + 5*time.Second)
+			g.Expect(other.current().partitionOf("m0").loaded()).To(BeFalse(), "silent after %v: it does not follow the partition for good", silentAfter)
+		}
+	})
+}
+
+// The owner is killed, and a daemon that reaches neither an owner nor the store is asked.
+// It can't know; "no such batch" would make the trainer drop its step.
+func TestUnreachableOwnerAndStoreAreNoAbsence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, _ := newPeerWorld(t, 2)
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		ctx := context.Background()
+		head, items, requests := sampleBatch("m0", "away", 1, 2, 1)
+		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		owner, other := ownerAndOther(w, "m0")
+		w.kill(owner)
+		other.client.SetFaults(metastore.Faults{Cut: true})
+		_, err := other.current().Results(ctx, "b", 0, 0)
+		g.Expect(err).To(MatchError(ErrUnsure))
+		g.Expect(other.current().End(ctx, "b")).To(MatchError(ErrUnsure))
+	})
+}
+
+// All VMs are killed right after a batch was accepted, in a deployment with many
+// partitions and few daemons that follow each. The batch must be there when they are back.
+func TestAcceptedBatchOutlivesAllVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		peers := &worldPeers{silent: map[string]bool{}}
+		w := newWorldOf(t, worldOptions{seed: 2, parts: scaleParts, vms: 30, engines: 6, models: []string{"m0", "m1", "m2"}, peers: peers})
+		defer w.stop()
+		time.Sleep(3 * time.Second)
+		ctx := context.Background()
+		for i, model := range w.models {
+			head, items, requests := sampleBatch(model, "kept", 2, 2, 1)
+			g.Expect(w.vms[i].current().Submit(ctx, "b"+model, head, items, requests)).To(Succeed())
+		}
+		w.killAll(w.vms, 0)
+		time.Sleep(4 * time.Second)
+		for i, v := range w.vms {
+			id := "b" + w.models[i%len(w.models)]
+			page, err := v.current().Results(ctx, id, 0, 20*time.Second)
+			g.Expect(err).NotTo(HaveOccurred(), "%s at %s", id, v.name)
+			g.Expect(page.Total).To(Equal(4))
+			g.Expect(page.Results).NotTo(BeEmpty())
+		}
+	})
+}
+
+// The store is away. Results that are ready must be delivered all the same: the owner, who
+// lives, has the list and the texts that it wrote last, and the daemon that is asked knows
+// the owner from before.
+func TestReadyResultsAreGivenWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, _ := newPeerWorld(t, 2)
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		ctx := context.Background()
+		head, items, requests := sampleBatch("m0", "ready", 2, 2, 1)
+		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		_, other := ownerAndOther(w, "m0")
+		for listed := 0; listed < len(items); {
+			page, err := other.current().Results(ctx, "b", listed, time.Second)
+			g.Expect(err).NotTo(HaveOccurred())
+			listed += len(page.Results)
+		}
+		for _, v := range w.vms {
+			v.client.SetFaults(metastore.Faults{Cut: true})
+		}
+		time.Sleep(2 * ownersLife)
+		began := time.Now()
+		page, err := other.current().Results(ctx, "b", 0, time.Second)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Results).To(HaveLen(len(items)))
+		g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	})
+}
+
+// All batches of a day are read from the start at one moment, long after they were run.
+// Their texts are megabytes in the log. Were the three owners to read them for everybody,
+// their links and processors would be full for seconds and readers give up; each daemon
+// that is asked reads what it needs itself.
+func TestOwnersDoNotReadTextsForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, _ := newPeerWorld(t, 2)
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		ctx := context.Background()
+		head, items, requests := sampleBatch("m0", "late", 2, 2, 1)
+		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		time.Sleep(10 * time.Second)
+		w.killAll(w.vms, 0) // nobody has a text at hand any more
+		time.Sleep(4 * time.Second)
+		owner, other := ownerAndOther(w, "m0")
+		page, err := other.current().Results(ctx, "b", 0, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Results).To(HaveLen(len(items)))
+		_, err = other.current().Body(ctx, "b", items[0].ID)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(owner.current().blobs.byKey).To(BeEmpty())
+	})
+}
+
+// Daemons that reach neither the store nor an owner try to read partitions here. None of
+// them may go on with it when the store is back: dozens that read everything at that moment
+// took a second of the rate that all share.
+func TestViewsThatAreNotWholeAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, peers := newPeerWorld(t, 2)
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		ctx := context.Background()
+		head, items, requests := sampleBatch("m0", "dropped", 2, 2, 1)
+		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		owner, other := ownerAndOther(w, "m0")
+		peers.setSilent(owner.name, true)
+		other.client.SetFaults(metastore.Faults{Cut: true})
+		_, err := other.current().Results(ctx, "b", 0, 0)
+		g.Expect(err).To(MatchError(ErrUnsure))
+		time.Sleep(2 * lingerLook)
+		other.client.SetFaults(metastore.Faults{Latency: storeAnswer})
+		time.Sleep(lingerLook)
+		g.Expect(other.current().partitionOf("m0").isFollowed()).To(BeFalse())
+	})
+}
--- a/internal/batchrun/blobs.go
+++ b/internal/batchrun/blobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -42,13 +43,13 @@
 	fetches []chan struct{} // one read of a partition at a time: it serves the others too
 
 	mu    sync.Mutex
-	kept  map[blobKey][]byte
+	byKey map[blobKey][]byte
 	order []blobKey // oldest first
 	size  int
 }
 
 func newBlobs(log store.Log, parts int) *blobs {
-	b := &blobs{log: log, kept: map[blobKey][]byte{}}
+	b := &blobs{log: log, byKey: map[blobKey][]byte{}}
 	for range parts {
 		b.fetches = append(b.fetches, make(chan struct{}, 1))
 	}
@@ -59,15 +60,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key := blobKey{part, at}
-	if _, ok := b.kept[key]; ok {
+	if _, ok := b.byKey[key]; ok {
 		return
 	}
-	b.kept[key] = data
+	b.byKey[key] = data
 	b.order = append(b.order, key)
 	b.size += len(data)
 	for b.size > cacheBytes && len(b.order) > 1 {
-		b.size -= len(b.kept[b.order[0]])
-		delete(b.kept, b.order[0])
+		b.size -= len(b.byKey[b.order[0]])
+		delete(b.byKey, b.order[0])
 		b.order = b.order[1:]
 	}
 }
@@ -77,7 +78,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, at := range wanted {
-		data, ok := b.kept[blobKey{part, at}]
+		data, ok := b.byKey[blobKey{part, at}]
 		if ok {
 			got[at] = data
 		} else {
@@ -87,10 +88,20 @@
 	return missing
 }
 
-// get returns the blobs at the offsets of a partition.
-func (b *blobs) get(ctx context.Context, part int, offsets []int64) (map[int64][]byte, error) {
+// kept returns those of the wanted blobs that are kept.
+func (b *blobs) kept(part int, wanted []int64) map[int64][]byte {
 	got := map[int64][]byte{}
-	missing := b.take(part, offsets, got)
+	b.take(part, wanted, got)
+	return got
+}
+
+// get returns the blobs at the offsets of a partition. Those that are known already
+// aren't looked for. With an error it returns what was at hand.
+func (b *blobs) get(ctx context.Context, part int, offsets []int64, known map[int64][]byte) (map[int64][]byte, error) {
+	got := map[int64][]byte{}
+	maps.Copy(got, known)
+	missing := slices.DeleteFunc(slices.Clone(offsets), func(at int64) bool { _, ok := known[at]; return ok })
+	missing = b.take(part, missing, got)
 	if len(missing) == 0 {
 		return got, nil
 	}
@@ -100,14 +111,14 @@
 	case b.fetches[part] <- struct{}{}:
 		defer func() { <-b.fetches[part] }()
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return got, ctx.Err()
 	}
 	missing = b.take(part, missing, got)
 	slices.Sort(missing)
 	for len(missing) > 0 {
 		var err error
 		if missing, err = b.fetch(ctx, part, missing, got); err != nil {
-			return nil, err
+			return got, err
 		}
 	}
 	return got, nil
--- a/internal/batchrun/inspect.go
+++ b/internal/batchrun/inspect.go
@@ -113,11 +113,13 @@
 	return out
 }
 
-// Views returns the partitions that this daemon follows for batches and orders.
+// Views returns the partitions that this daemon follows now for batches and orders.
 func (s *Service) Views() []inspect.View {
 	var out []inspect.View
 	for _, p := range s.parts {
-		out = append(out, p.follower.Inspect())
+		if p.isFollowed() {
+			out = append(out, p.follower.Inspect())
+		}
 	}
 	return append(out, s.orders.follower.Inspect())
 }
--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -96,6 +96,13 @@
 	return x.homes.Of(model)
 }
 
+// homeParts returns the partitions that models have, sorted.
+func (x *orders) homeParts() []int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.homes.Parts()
+}
+
 // demand returns the samples of a batch of each model.
 func (x *orders) demand() map[string]int {
 	x.mu.Lock()
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -40,8 +40,9 @@
 	mu         sync.Mutex
 	generation int64
 	runners    map[int]*runner
-	contact    time.Duration // boottime of the start of the last join that was answered
-	first      time.Duration // boottime of the first such join
+	held       map[int]func() // releases of the owned partitions' views
+	contact    time.Duration  // boottime of the start of the last join that was answered
+	first      time.Duration  // boottime of the first such join
 	draining   bool
 
 	// Used by run alone.
@@ -50,15 +51,9 @@
 	askAgain time.Duration
 }
 
-// vmSeparator ends the VM's name in a member's.
-const vmSeparator = "/"
-
 func newOwner(s *Service) *owner {
-	member := s.options.VM + vmSeparator + uuid.NewString()
-	if s.options.Small {
-		member += smallMark
-	}
-	return &owner{s: s, member: member, runners: map[int]*runner{}}
+	member := memberName(s.options.VM, uuid.NewString(), s.options.Address, s.options.Small)
+	return &owner{s: s, member: member, runners: map[int]*runner{}, held: map[int]func(){}}
 }
 
 func (o *owner) run(ctx context.Context) {
@@ -75,7 +70,7 @@
 			o.join(ctx)
 			n++
 		}
-		pause.For(ctx, interval)
+		o.settle(ctx, interval)
 	}
 	<-ctx.Done()
 	o.stopAll()
@@ -90,15 +85,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	members, err := o.s.options.Membership.Owners(ctx, ownersGroup)
+	owned, err := o.s.options.Membership.Owners(ctx, ownersGroup)
 	if err != nil {
 		o.s.options.Logger.Warn().Err(err).Msg("group's members not listed, an earlier process may be one")
 		return
 	}
 	o.cleared = true
-	slices.Sort(members)
-	for _, m := range slices.Compact(members) {
-		if m == o.member || !strings.HasPrefix(m, o.s.options.VM+vmSeparator) {
+	for _, m := range membersOf(owned) {
+		if m == o.member || !strings.HasPrefix(m, o.s.options.VM+memberSeparator) {
 			continue
 		}
 		err := o.s.options.Membership.Leave(ctx, ownersGroup, m)
@@ -106,8 +100,15 @@
 	}
 }
 
-// smallMark ends the name of a member on a small VM.
-const smallMark = "/small"
+// membersOf returns the members that own a partition, each once.
+func membersOf(owned []store.Owned) []string {
+	var members []string
+	for _, o := range owned {
+		members = append(members, o.Member)
+	}
+	slices.Sort(members)
+	return slices.Compact(members)
+}
 
 // askOwnersEvery is between two looks of a small VM at who owns the partitions.
 const askOwnersEvery = 1 * time.Second
@@ -124,11 +125,11 @@
 		return o.asked
 	}
 	o.askAgain = now + askOwnersEvery
-	members, err := o.s.options.Membership.Owners(ctx, ownersGroup)
+	owned, err := o.s.options.Membership.Owners(ctx, ownersGroup)
 	if err != nil {
 		return o.asked // as before: nothing is known to have changed
 	}
-	large := slices.ContainsFunc(members, func(m string) bool { return !strings.HasSuffix(m, smallMark) })
+	large := slices.ContainsFunc(owned, func(x store.Owned) bool { return !strings.HasSuffix(x.Member, smallMark) })
 	if o.asked && large {
 		o.stepBack(ctx)
 	}
@@ -140,6 +141,7 @@
 func (o *owner) stepBack(ctx context.Context) {
 	o.s.options.Logger.Info().Msg("larger VMs own partitions, leaving the group")
 	o.stopAll()
+	o.letGo(nil)
 	if err := o.s.options.Membership.Leave(ctx, ownersGroup, o.member); err != nil {
 		o.s.options.Logger.Warn().Err(err).Msg("group not left; its timeout will tell")
 	}
@@ -180,10 +182,12 @@
 	for _, r := range lost {
 		o.handOver(ctx, r)
 	}
+	o.letGo(a.Parts)
 	if changed {
 		o.s.options.Logger.Info().Int64("generation", a.Generation).Ints("parts", a.Parts).Msg("partitions owned")
 	}
-	o.startGained(ctx, a)
+	o.take(a.Parts)
+	o.startLoaded(ctx)
 }
 
 func (o *owner) call(ctx context.Context) (store.Assignment, error) {
@@ -209,22 +213,63 @@
 	r.stop(ctx)
 }
 
-func (o *owner) startGained(ctx context.Context, a store.Assignment) {
+// take has the views of gained partitions followed from now on.
+func (o *owner) take(parts []int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.draining || o.s.options.Now()-o.first < settleTime {
 		return
 	}
-	for _, part := range a.Parts {
-		if o.runners[part] != nil || part >= len(o.s.parts) || !o.s.parts[part].follower.Loaded() {
-			continue
+	for _, part := range parts {
+		if o.held[part] == nil && part < len(o.s.parts) {
+			o.held[part] = o.s.parts[part].hold()
 		}
-		r := newRunner(o.s, o.s.parts[part], o.inTouch)
-		o.runners[part] = r
-		r.start(ctx)
 	}
 }
 
+// letGo ends the hold on the views of partitions that aren't owned any more.
+func (o *owner) letGo(owned []int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for part, release := range o.held {
+		if !slices.Contains(owned, part) {
+			release()
+			delete(o.held, part)
+		}
+	}
+}
+
+// startLoaded runs the owned partitions whose views are whole. It reports whether others
+// are still being read.
+func (o *owner) startLoaded(ctx context.Context) (waiting bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for part := range o.held {
+		switch {
+		case o.draining || o.runners[part] != nil:
+		case !o.s.parts[part].loaded():
+			waiting = true
+		default:
+			o.runners[part] = newRunner(o.s, o.s.parts[part], o.inTouch)
+			o.runners[part].start(ctx)
+		}
+	}
+	return waiting
+}
+
+// loadedLook is between two looks whether the view of a gained partition is whole.
+const loadedLook = 10 * time.Millisecond
+
+// settle waits between two joins. A partition is run as soon as its view is whole: while
+// nobody runs it, each open step stands still.
+func (o *owner) settle(ctx context.Context, interval time.Duration) {
+	until := o.s.options.Now() + interval
+	for ctx.Err() == nil && o.s.options.Now() < until && o.startLoaded(ctx) {
+		pause.For(ctx, loadedLook)
+	}
+	pause.For(ctx, until-o.s.options.Now())
+}
+
 // outOfTouch is the time without an answer of the group after which another
 // daemon probably runs this one's partitions. In an outage of the whole store
 // nobody does, so runs go on; only new ones aren't started.
--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -53,10 +53,11 @@
 	freshWait = 100 * time.Millisecond
 )
 
-// freshen brings a view up to date before results are taken from it. A store that doesn't
-// answer in time leaves the view as it is: what it has is true.
+// freshen brings a view up to date before results are taken from it. The view of a
+// partition that is owned here has each record within some ms. A store that doesn't answer
+// in time leaves the view as it is: what it has is true.
 func (s *Service) freshen(ctx context.Context, p *partition) {
-	if p.follower.Age() <= freshAge || !p.follower.InContact() || !s.options.Policy.On(policy.Closing) {
+	if !p.relaxed() || p.follower.Age() <= freshAge || !p.follower.InContact() || !s.options.Policy.On(policy.Closing) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, freshWait)
@@ -66,21 +67,36 @@
 	}
 }
 
-// listing is a part of a batch's results as the fold has it.
-type listing struct {
-	total   int
-	listed  []batch.Sample // from the position asked for
-	closing bool           // the last scores that the step waits for are being made
+// Listing is a part of a batch's results as the fold has it: their texts lie in blobs.
+// An owner that read the blobs for everybody took seconds when all batches were read at
+// once, as after a day's work; now each daemon that is asked reads what it needs.
+type Listing struct {
+	Part   int
+	Total  int            // samples of the batch
+	Listed []batch.Sample // from the position asked for
+	// Blobs are those of the texts' that were at hand, by offset.
+	Blobs   map[int64][]byte
+	closing bool // the last scores that the step waits for are being made
 }
 
-// Results returns the results from a position on. Without any it waits for the
-// first. Errors: ErrNotFound, ErrUnsure.
-func (s *Service) Results(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
-	p, err := s.locate(ctx, id)
+// List returns what is listed from a position on. Without any it waits for the first.
+// Error: ErrUnsure.
+func (h Here) List(ctx context.Context, id string, after int, wait time.Duration) (Listing, error) {
+	p, release, err := h.take(id)
 	if err != nil {
-		return Page{}, err
+		return Listing{}, err
 	}
-	s.freshen(ctx, p)
+	defer release()
+	h.s.freshen(ctx, p)
+	l, err := h.s.list(ctx, p, id, after, wait)
+	if err != nil {
+		return Listing{}, err
+	}
+	l.Blobs = h.s.blobs.kept(p.number, blobsOf(l.Listed))
+	return l, nil
+}
+
+func (s *Service) list(ctx context.Context, p *partition, id string, after int, wait time.Duration) (Listing, error) {
 	limit := time.NewTimer(wait)
 	defer limit.Stop()
 	var closing <-chan time.Time
@@ -88,12 +104,12 @@
 		l, changed, ok := p.list(id, after)
 		switch {
 		case !ok:
-			return Page{}, ErrUnsure // forgotten since it was located
-		case len(l.listed) > 0 && !(hold && waiting && l.closing):
-			return s.page(ctx, p, l, after)
-		case len(l.listed) > 0 && closing == nil:
+			return Listing{}, ErrUnsure // forgotten since it was located
+		case len(l.Listed) > 0 && !(hold && waiting && l.closing):
+			return l, nil
+		case len(l.Listed) > 0 && closing == nil:
 			closing = time.After(closingWait)
-		case len(l.listed) == 0 && (!waiting || after >= l.total):
+		case len(l.Listed) == 0 && (!waiting || after >= l.Total):
 			return s.confirmEmpty(ctx, p, id, after)
 		}
 		p.follower.Hurry()
@@ -104,7 +120,7 @@
 		case <-closing:
 			hold = false
 		case <-ctx.Done():
-			return Page{}, errors.Join(ErrUnsure, ctx.Err())
+			return Listing{}, errors.Join(ErrUnsure, ctx.Err())
 		}
 	}
 }
@@ -112,19 +128,19 @@
 // confirmEmpty answers that a position has no result yet. A view that may be out
 // of date, as behind a connection that fell silent, is brought up to date first:
 // another daemon may have shown the position already.
-func (s *Service) confirmEmpty(ctx context.Context, p *partition, id string, after int) (Page, error) {
+func (s *Service) confirmEmpty(ctx context.Context, p *partition, id string, after int) (Listing, error) {
 	if p.follower.Age() > confirmAge || after > p.count(id) {
 		ctx, cancel := context.WithTimeout(ctx, confirmWait)
 		defer cancel()
 		if err := p.follower.CatchUp(ctx); err != nil {
-			return Page{}, errors.Join(ErrUnsure, err)
+			return Listing{}, errors.Join(ErrUnsure, err)
 		}
 	}
 	l, _, ok := p.list(id, after)
 	if !ok {
-		return Page{}, ErrUnsure
+		return Listing{}, ErrUnsure
 	}
-	return s.page(ctx, p, l, after)
+	return l, nil
 }
 
 func (p *partition) count(id string) int {
@@ -138,39 +154,36 @@
 }
 
 // list collects results and returns a channel that closes at the next change.
-func (p *partition) list(id string, after int) (l listing, changed <-chan struct{}, ok bool) {
+func (p *partition) list(id string, after int) (l Listing, changed <-chan struct{}, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.fold.Get(id)
 	if b == nil {
-		return listing{}, nil, false
+		return Listing{}, nil, false
 	}
-	l.total = len(b.Samples)
+	l.Part = p.number
+	l.Total = len(b.Samples)
 	l.closing = b.Closing()
-	for at := after; at < len(b.Listed) && len(l.listed) < maxPageResults; at++ {
+	for at := after; at < len(b.Listed) && len(l.Listed) < maxPageResults; at++ {
 		sample := b.Samples[b.Listed[at]]
 		sample.Text = sample.Text.Clip()
-		l.listed = append(l.listed, sample)
+		l.Listed = append(l.Listed, sample)
 	}
 	return l, p.waiterLocked(id), true
 }
 
 // page puts the texts of listed samples together from their blobs.
-func (s *Service) page(ctx context.Context, p *partition, l listing, after int) (Page, error) {
-	var offsets []int64
-	for i := range l.listed {
-		offsets = append(offsets, blobsOf(&l.listed[i])...)
-	}
-	found, err := s.blobs.get(ctx, p.number, offsets)
-	if err != nil {
-		return Page{}, errors.Join(ErrUnsure, err)
-	}
-	page := Page{Total: l.total, Next: after}
+func (s *Service) page(ctx context.Context, l Listing, after int) (Page, error) {
+	found, missing := s.blobs.get(ctx, l.Part, blobsOf(l.Listed), l.Blobs)
+	page := Page{Total: l.Total, Next: after}
 	size := 0
-	for i := range l.listed {
-		r, err := resultOf(&l.listed[i], found)
+	for i := range l.Listed {
+		r, err := resultOf(&l.Listed[i], found)
+		if err != nil && missing != nil && len(page.Results) > 0 {
+			break // what is at hand is given while the store is away
+		}
 		if err != nil {
-			return Page{}, errors.Join(ErrUnsure, err)
+			return Page{}, errors.Join(ErrUnsure, missing, err)
 		}
 		size += len(r.Text)
 		if size > maxPageBytes && len(page.Results) > 0 {
@@ -182,13 +195,16 @@
 	return page, nil
 }
 
-func blobsOf(s *batch.Sample) []int64 {
-	if s.State != batch.Completed {
-		return nil
-	}
+// blobsOf returns the offsets of the blobs that hold the texts of completed samples.
+func blobsOf(listed []batch.Sample) []int64 {
 	var out []int64
-	for _, segment := range s.Text.Segments {
-		out = append(out, segment.At)
+	for i := range listed {
+		if listed[i].State != batch.Completed {
+			continue
+		}
+		for _, segment := range listed[i].Text.Segments {
+			out = append(out, segment.At)
+		}
 	}
 	return out
 }
@@ -219,34 +235,54 @@
 	return r, nil
 }
 
-// Body returns the body of a sample. Errors: ErrNotFound, ErrUnsure.
-func (s *Service) Body(ctx context.Context, id, item string) ([]byte, error) {
-	p, err := s.locate(ctx, id)
+// BodyAt is where a sample's body lies.
+type BodyAt struct {
+	Part  int
+	At    int64  // offset of the blob
+	Index int    // of the sample's request in it
+	Blob  []byte // nil if it isn't at hand
+}
+
+// Body tells where the body of a sample lies. Errors: ErrNotFound, ErrUnsure.
+func (h Here) Body(_ context.Context, id, item string) (BodyAt, error) {
+	p, release, err := h.take(id)
 	if err != nil {
-		return nil, err
+		return BodyAt{}, err
 	}
-	at, index, found := int64(0), 0, false
+	defer release()
+	found := false
+	out := BodyAt{Part: p.number}
 	p.view(id, func(b *batch.Batch) {
 		if b == nil {
 			return
 		}
 		for i := range b.Samples {
 			if b.Samples[i].ID == item {
-				at, index = b.RequestBlob(i)
+				out.At, out.Index = b.RequestBlob(i)
 				found = true
 			}
 		}
 	})
 	if !found {
-		return nil, ErrNotFound
+		return BodyAt{}, ErrNotFound
+	}
+	out.Blob = h.s.blobs.kept(p.number, []int64{out.At})[out.At]
+	return out, nil
+}
+
+// readBody takes a body out of its blob.
+func (s *Service) readBody(ctx context.Context, b BodyAt) ([]byte, error) {
+	known := map[int64][]byte{}
+	if b.Blob != nil {
+		known[b.At] = b.Blob
 	}
-	blob, err := s.blobs.get(ctx, p.number, []int64{at})
+	blobs, err := s.blobs.get(ctx, b.Part, []int64{b.At}, known)
 	if err != nil {
 		return nil, errors.Join(ErrUnsure, err)
 	}
-	requests, err := batch.UnpackRequests(blob[at])
-	if err != nil || index >= len(requests) {
+	requests, err := batch.UnpackRequests(blobs[b.At])
+	if err != nil || b.Index >= len(requests) {
 		return nil, errors.Join(ErrUnsure, err)
 	}
-	return requests[index].Body, nil
+	return requests[b.Index].Body, nil
 }
--- a/internal/batchrun/read_test.go
+++ b/internal/batchrun/read_test.go
@@ -45,6 +45,8 @@
 			owner, reader = reader, owner
 		}
 		part := reader.current().partitionOf("m0")
+		defer part.hold()() // it answered for the batch a moment ago
+		time.Sleep(100 * time.Millisecond)
 		reader.client.SetFaults(metastore.Faults{Cut: true})
 		time.Sleep(follow.PollWait + 10*time.Millisecond) // reads hang from here on
 		listed := func() int {
@@ -133,3 +135,34 @@
 	}
 	return out
 }
+
+// The store is away, and of the listed texts only the first is at hand. It is ready, and
+// is delivered; "not sure" for the sake of the second would hold both back until the
+// store is there again.
+func TestTextsAtHandAreGivenWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 1, 2, "m0")
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		ctx := context.Background()
+		head, items, requests := sampleBatch("m0", "hand", 1, 2, 1)
+		s := w.vms[0].current()
+		g.Expect(s.Submit(ctx, "b", head, items, requests)).To(Succeed())
+		time.Sleep(10 * time.Second)
+		l, err := s.Here().List(ctx, "b", 0, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(l.Listed).To(HaveLen(2))
+		for _, at := range blobsOf(l.Listed[1:]) {
+			delete(l.Blobs, at)
+		}
+		s.blobs = newBlobs(s.options.Log, w.parts)
+		w.vms[0].client.SetFaults(metastore.Faults{Cut: true})
+		page, err := s.page(ctx, l, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Results).To(HaveLen(1))
+		g.Expect(page.Next).To(Equal(1))
+		_, err = s.page(ctx, Listing{Part: l.Part, Total: 2, Listed: l.Listed[1:]}, 1)
+		g.Expect(err).To(MatchError(ErrUnsure))
+	})
+}
--- a/internal/batchrun/requests.go
+++ b/internal/batchrun/requests.go
@@ -30,7 +30,7 @@
 	for i := range head.RequestCounts {
 		offsets = append(offsets, head.RequestsAt+int64(i))
 	}
-	found, err := r.s.blobs.get(ctx, r.part.number, offsets)
+	found, err := r.s.blobs.get(ctx, r.part.number, offsets, nil)
 	var requests []batch.Request
 	for _, at := range offsets {
 		if err != nil {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -8,7 +8,6 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
@@ -49,23 +48,26 @@
 	View        *fleet.View
 	Suspects    *health.Suspects // shared with whatever else sends to upstreams
 	Policy      Policy
-	Small       bool                 // this VM owns partitions only if no larger one does
-	Parts       int                  // partitions of a topic
-	RecordBytes int                  // largest record
-	CallBytes   int                  // largest append
-	MemberTTL   time.Duration        // silence after which an owner's partitions go to others
-	OrderLease  time.Duration        // within which an engine may not hear of two holders
+	Small       bool          // this VM owns partitions only if no larger one does
+	Parts       int           // partitions of a topic
+	RecordBytes int           // largest record
+	CallBytes   int           // largest append
+	MemberTTL   time.Duration // silence after which an owner's partitions go to others
+	OrderLease  time.Duration // within which an engine may not hear of two holders
+	Address     string        // ip:port where other daemons' Peers reach this one, "": nowhere
+	Peers       Peers
 	Now         func() time.Duration // a clock that goes on while the VM is suspended
 	Logger      zerolog.Logger
 }
 
 // Service takes trainers' batches in and answers for them. It is safe for concurrent use.
 type Service struct {
-	options Options
-	parts   []*partition
-	blobs   *blobs
-	orders  *orders
-	owner   *owner
+	options   Options
+	parts     []*partition
+	blobs     *blobs
+	orders    *orders
+	owner     *owner
+	directory *directory
 }
 
 // New returns a Service that has read nothing.
@@ -79,15 +81,16 @@
 	s.orders = newOrders(o)
 	s.owner = newOwner(s)
 	s.orders.relaxed = s.owner.idle
+	s.directory = newDirectory(o.Membership)
 	return s
 }
 
-// Run follows the log and runs the batches of the partitions that this daemon
-// owns, until the context ends.
+// Run runs the batches of the partitions that this daemon owns, and follows these
+// partitions, until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	var g errgroup.Group
 	for _, p := range s.parts {
-		g.Go(func() error { p.follower.Run(ctx); return nil })
+		g.Go(func() error { p.run(ctx); return nil })
 	}
 	g.Go(func() error { s.orders.follower.Run(ctx); return nil })
 	g.Go(func() error { s.owner.run(ctx); return nil })
@@ -117,24 +120,20 @@
 	}
 }
 
-// Lag is the largest lag of a view of a partition.
+// Lag is the largest lag of a view that this daemon needs.
 func (s *Service) Lag() time.Duration {
-	largest := time.Duration(0)
+	largest := s.orders.follower.Lag()
 	for _, p := range s.parts {
-		largest = max(largest, p.follower.Lag())
+		if p.held() && p.loaded() {
+			largest = max(largest, p.follower.Lag())
+		}
 	}
 	return largest
 }
 
-// Loaded reports whether every partition was read to its end once.
-func (s *Service) Loaded() bool {
-	for _, p := range s.parts {
-		if !p.follower.Loaded() {
-			return false
-		}
-	}
-	return s.orders.follower.Loaded()
-}
+// Loaded reports whether it is known which partitions have batches, so that any call on
+// one can be answered or passed on.
+func (s *Service) Loaded() bool { return s.orders.follower.Loaded() }
 
 // partitionOf is the same for all batches of a model, so that one daemon runs them
 // and reused samples meet their earlier text. It is nil for a model without batches.
@@ -154,52 +153,3 @@
 	}
 	return nil
 }
-
-// End ends a batch; ending it again changes nothing. Errors: ErrNotFound,
-// ErrUnsure, ErrNotRun, ErrUnknown.
-func (s *Service) End(ctx context.Context, id string) error {
-	p, err := s.locate(ctx, id)
-	if err != nil {
-		return err
-	}
-	ended := func() bool {
-		out := false
-		p.view(id, func(b *batch.Batch) { out = b != nil && b.Ended })
-		return out
-	}
-	if ended() {
-		return nil
-	}
-	data, err := batch.Encode(batch.Ended{Batch: id})
-	if err != nil {
-		return err
-	}
-	err = s.appendOnce(ctx, p, [][]byte{data}, ended)
-	s.options.Logger.Info().Str("batch", id).Err(err).Msg("batch ended by its trainer")
-	return err
-}
-
-// confirmWait bounds a read that confirms a view. It is told "unsure" after it.
-const confirmWait = 800 * time.Millisecond
-
-// locate finds a batch's partition. That there is none is said only after every
-// partition was read to its end.
-func (s *Service) locate(ctx context.Context, id string) (*partition, error) {
-	if p := s.find(id); p != nil {
-		return p, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, confirmWait)
-	defer cancel()
-	g, ctx := errgroup.WithContext(ctx)
-	for _, p := range s.parts {
-		g.Go(func() error { return p.follower.CatchUp(ctx) })
-	}
-	err := g.Wait()
-	if p := s.find(id); p != nil {
-		return p, nil
-	}
-	if err != nil {
-		return nil, errors.Join(ErrUnsure, err)
-	}
-	return nil, ErrNotFound
-}
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -58,7 +58,7 @@
 		return errors.Join(ErrNotRun, err)
 	}
 	p := s.parts[part]
-	if p.has(id) {
+	if s.accepted(ctx, p, id) {
 		return nil
 	}
 	if head.RequestsAt, head.RequestCounts, err = s.putRequests(ctx, p, requests); err != nil {
@@ -68,7 +68,34 @@
 	if err != nil {
 		return err
 	}
-	return s.appendOnce(ctx, p, records, func() bool { return p.has(id) })
+	return s.appendOnce(ctx, p, records, func() bool { return s.accepted(ctx, p, id) })
+}
+
+// accepted reports whether a batch is known to be accepted, by the view here or by the
+// partition's owner. Otherwise nothing is certain: the batch is appended, and counts once.
+// It spares the records and requests of a batch that comes again.
+func (s *Service) accepted(ctx context.Context, p *partition, id string) bool {
+	if p.has(id) {
+		return true
+	}
+	if p.loaded() || s.options.Peers == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askWait)
+	defer cancel()
+	owners := s.directory.known(s.options.Now())
+	if owners == nil {
+		var err error
+		if owners, err = s.directory.read(ctx, s.options.Now()); err != nil {
+			s.options.Logger.Warn().Err(err).Str("batch", id).Msg("owners not read, batch taken for new")
+			return false
+		}
+	}
+	if owners[p.number] == "" {
+		return false
+	}
+	answer, err := s.askOne(ctx, owners[p.number], id, false)
+	return err == nil && answer.Found // askOne logs its failure
 }
 
 // putRequests writes the requests of a batch to the log. Until a record names
@@ -94,8 +121,10 @@
 			return 0, nil, errors.Join(ErrNotRun, err)
 		}
 	}
-	for i, data := range packed {
-		s.blobs.put(p.number, at+int64(i), data)
+	if p.held() { // the owner needs them, and nobody else
+		for i, data := range packed {
+			s.blobs.put(p.number, at+int64(i), data)
+		}
 	}
 	return at, counts, nil
 }
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -281,6 +281,7 @@
 	vms     []*vm
 	policy  Policy // of the daemons that start from now on
 	parts   int    // partitions of a topic
+	peers   Peers  // between the daemons, nil: none
 
 	mu        sync.Mutex
 	published map[string]int64
@@ -291,10 +292,32 @@
 }
 
 func newWorldWith(t *testing.T, policy Policy, seed uint64, parts, vms, engines int, models ...string) *world {
-	w := &world{t: t, policy: policy, parts: parts, start: time.Now(), store: metastore.New(parts), models: models, published: map[string]int64{}}
-	w.engines = newFakeEngines(t, seed, engines, models)
+	return newWorldOf(t, worldOptions{policy: policy, seed: seed, parts: parts, vms: vms, engines: engines, models: models})
+}
+
+// worldOptions say of what a world is made.
+type worldOptions struct {
+	policy  Policy // none: ours
+	seed    uint64
+	parts   int // partitions of a topic
+	vms     int
+	engines int
+	models  []string
+	peers   *worldPeers // nil: the daemons don't reach each other
+}
+
+func newWorldOf(t *testing.T, o worldOptions) *world {
+	if o.policy.Plan == nil {
+		o.policy = Ours(policy.Set{})
+	}
+	w := &world{t: t, policy: o.policy, parts: o.parts, start: time.Now(), store: metastore.New(o.parts), models: o.models, published: map[string]int64{}}
+	if o.peers != nil {
+		o.peers.w = w
+		w.peers = o.peers
+	}
+	w.engines = newFakeEngines(t, o.seed, o.engines, o.models)
 	w.scorer = &fakeScorer{t: t, engines: w.engines, takes: scoreTakes, fails: map[string]int{}}
-	for i := range vms {
+	for i := range o.vms {
 		v := &vm{name: "vm" + strconv.Itoa(i), client: metastore.NewClient(w.store, callTimeout)}
 		v.client.SetFaults(metastore.Faults{Latency: storeAnswer})
 		w.vms = append(w.vms, v)
@@ -325,7 +348,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := New(Options{
 		VM: v.name, Policy: w.policy, Log: v.client, Membership: v.client, Engines: w.engines, Scorer: w.scorer, View: view, Suspects: health.NewSuspects(), Parts: w.parts,
-		RecordBytes: 4096, CallBytes: 1 << 20, MemberTTL: 1500 * time.Millisecond, OrderLease: testLease,
+		Address: v.name, Peers: w.peers, RecordBytes: 4096, CallBytes: 1 << 20, MemberTTL: 1500 * time.Millisecond, OrderLease: testLease,
 		Now: w.now, Logger: zerolog.Nop(),
 	})
 	v.mu.Lock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -37,6 +37,12 @@
 	// bound is part of the time that a daemon needs after an outage of the store.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
+	// pageBytes bounds the records of one read. All daemons' reads share one rate, and a
+	// read that takes too long is given up, its bytes wasted: asked for without a bound,
+	// the log of a minute came as one page, and daemons that started together took each
+	// other's pages away until none came through in time. A page of this size takes 0.1 s
+	// of a link of 4 Mbit/s, and a few calls bring a log of 1 MB up.
+	pageBytes = 48 << 10
 )
 
 // Sink receives the records of a partition. Calls don't overlap.
@@ -75,6 +81,8 @@
 	mu      sync.Mutex
 	next    int64 // offset of the next record to apply
 	loaded  bool
+	began   time.Duration // when Run began to read from the oldest record
+	bytes   int           // of the records applied until the view was whole
 	current time.Duration // boottime at which the view was last known to be whole
 	lost    bool          // reads have failed for a while
 	failing time.Duration // since when they fail, 0: they don't
@@ -89,8 +97,23 @@
 	return &Follower{options: o, changed: make(chan struct{}), hurry: make(chan struct{}, 1)}
 }
 
+// Restart forgets what was read: the next Run begins with the oldest record. It may be
+// called only while Run isn't under way.
+func (f *Follower) Restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = 0
+	f.loaded = false
+	f.bytes = 0
+	f.lost = false
+	f.failing = 0
+}
+
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.mu.Lock()
+	f.began = f.options.Now()
+	f.mu.Unlock()
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		err := f.step(ctx)
@@ -181,14 +204,16 @@
 	}
 	f.options.Sink.Reset(snapshot.Entries)
 	f.next = snapshot.End
-	f.loaded = true
-	f.markCurrentLocked()
+	for _, e := range snapshot.Entries {
+		f.bytes += len(e.Value)
+	}
+	f.markWholeLocked()
 	return nil
 }
 
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
 	from := f.Next()
-	page, err := f.options.Log.Read(ctx, f.options.Topic, f.options.Part, store.ReadFrom{Offset: from, Wait: wait})
+	page, err := f.options.Log.Read(ctx, f.options.Topic, f.options.Part, store.ReadFrom{Offset: from, MaxBytes: pageBytes, Wait: wait})
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
 		return f.skip(ctx, trimmed.First)
@@ -227,13 +252,25 @@
 		}
 		f.options.Sink.Record(offset, record)
 		f.next = offset + 1
+		if !f.loaded {
+			f.bytes += len(record)
+		}
 	}
 	if f.next >= page.End {
-		f.loaded = true
-		f.markCurrentLocked()
+		f.markWholeLocked()
 	}
 }
 
+// markWholeLocked notes that the end was reached, and logs what the first time took.
+func (f *Follower) markWholeLocked() {
+	if !f.loaded {
+		f.options.Logger.Info().Str("topic", f.options.Topic).Int("part", f.options.Part).Int64("next", f.next).
+			Int("bytes", f.bytes).Dur("took", f.options.Now()-f.began).Msg("view is whole")
+	}
+	f.loaded = true
+	f.markCurrentLocked()
+}
+
 func (f *Follower) markCurrentLocked() {
 	f.current = f.options.Now()
 	close(f.changed)
--- a/internal/loads/homes.go
+++ b/internal/loads/homes.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 )
 
 // Home assigns a model to a partition of the batches' topic. The first record of a
@@ -46,6 +47,12 @@
 // Demand returns the samples of a batch by model, for those that are known.
 func (h *Homes) Demand() map[string]int { return maps.Clone(h.demand) }
 
+// Parts returns the partitions that models have, sorted.
+func (h *Homes) Parts() []int {
+	parts := slices.Sorted(maps.Values(h.byModel))
+	return slices.Compact(parts)
+}
+
 // Of returns a model's partition.
 func (h *Homes) Of(model string) (part int, ok bool) {
 	part, ok = h.byModel[model]
--- a/internal/standin/metastore/client.go
+++ b/internal/standin/metastore/client.go
@@ -100,6 +100,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if !c.store.meter.admitWrite(time.Now()) {
+		return 0, fmt.Errorf("%w: too many writes", store.ErrNotDone)
+	}
 	if f.Late != nil {
 		if d := f.Late(topic); d > 0 {
 			time.AfterFunc(d, func() { _, _ = do() }) // nobody waits for its answer
@@ -132,6 +135,9 @@
 	if err != nil {
 		return store.Page{}, err
 	}
+	if !c.store.meter.admitRead(time.Now()) {
+		return store.Page{}, fmt.Errorf("%w: too many reads", store.ErrNotDone)
+	}
 	if f.ReadDelay != nil {
 		pause.For(ctx, f.ReadDelay(topic, part))
 	}
@@ -139,7 +145,10 @@
 	defer limit.Stop()
 	for {
 		page, changed, err := c.store.read(topic, part, from)
-		if err != nil || len(page.Records) > 0 || from.Wait == 0 {
+		if err == nil && len(page.Records) > 0 {
+			return c.transfer(ctx, topic, page)
+		}
+		if err != nil || from.Wait == 0 {
 			return page, err
 		}
 		select {
@@ -152,6 +161,21 @@
 	}
 }
 
+// transfer takes as long as the page's bytes do behind those of other reads. A client
+// gives up after its timeout; the bytes are on their way all the same.
+func (c *Client) transfer(ctx context.Context, topic string, page store.Page) (store.Page, error) {
+	bytes := 0
+	for _, r := range page.Records {
+		bytes += len(r)
+	}
+	takes := c.store.meter.transfer(topic, bytes, time.Now())
+	pause.For(ctx, min(takes, c.timeout))
+	if takes > c.timeout || ctx.Err() != nil {
+		return store.Page{}, fmt.Errorf("%w: read not through in time", store.ErrUnknown)
+	}
+	return page, nil
+}
+
 // Newest returns the newest record of each key.
 func (c *Client) Newest(ctx context.Context, topic string) (store.Snapshot, error) {
 	c.count(Calls{Reads: 1})
@@ -170,8 +194,8 @@
 	return c.store.join(group, member, ttl, generation, time.Now()), nil
 }
 
-// Owners returns the members that own a partition.
-func (c *Client) Owners(ctx context.Context, group string) ([]string, error) {
+// Owners returns the partitions that have an owner.
+func (c *Client) Owners(ctx context.Context, group string) ([]store.Owned, error) {
 	c.count(Calls{Joins: 1})
 	if _, err := c.enter(ctx); err != nil {
 		return nil, err
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -17,6 +17,7 @@
 // Store is the state behind all clients. It is safe for concurrent use.
 type Store struct {
 	parts int
+	meter meter
 
 	mu      sync.Mutex
 	topics  map[string][]*log
@@ -239,7 +240,7 @@
 	return out
 }
 
-func (s *Store) owners(name string) []string {
+func (s *Store) owners(name string) []store.Owned {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := s.groups[name]
@@ -247,7 +248,13 @@
 		return nil
 	}
 	g.expire(time.Now())
-	return slices.DeleteFunc(slices.Clone(g.owner), func(id string) bool { _, alive := g.members[id]; return !alive })
+	var out []store.Owned
+	for part, id := range g.owner {
+		if _, alive := g.members[id]; alive {
+			out = append(out, store.Owned{Part: part, Member: id})
+		}
+	}
+	return out
 }
 
 func (s *Store) leave(name, id string) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -84,14 +84,20 @@
 	Parts      []int // partitions of the group's topic, sorted
 }
 
+// Owned is a partition and the member that owns it.
+type Owned struct {
+	Part   int
+	Member string
+}
+
 // Membership divides the partitions of a topic among the live members of a group.
 type Membership interface {
 	// Join enters or stays in the group. A partition taken away goes to its next
 	// owner once this member has joined with the generation that took it, or has
 	// been silent for ttl.
 	Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation int64) (Assignment, error)
-	// Owners returns the members that own a partition now.
-	Owners(ctx context.Context, group string) ([]string, error)
+	// Owners returns the partitions that have an owner now.
+	Owners(ctx context.Context, group string) ([]Owned, error)
 	// Leave gives up all partitions at once.
 	Leave(ctx context.Context, group, member string) error
 }
