--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -46,7 +46,7 @@
 	// estimator learns how long samples run, all models' alike: they share engines.
 	estimator *batch.Estimator
 	finished  map[sampleKey]bool // a result is on its way to the log
-	retries   map[sampleKey]retry
+	retries   map[sampleKey]rerun
 	engines   map[string]*engine
 	requests  map[string][]batch.Request // of open batches; nil while they are read
 	rejected  []sampleKey                // results that didn't count, under rejectedMu
@@ -79,8 +79,8 @@
 	return batch.Link{From: t.base + t.saved, Writer: t.writer, After: t.after, Base: t.base}
 }
 
-// retry is why and until when a sample isn't started again.
-type retry struct {
+// rerun is why and until when a sample isn't started again.
+type rerun struct {
 	notBefore time.Duration
 	avoid     string
 }
@@ -107,7 +107,7 @@
 	return &runner{
 		s: s, part: p, outbox: newOutbox(s.options.Log, s.blobs, p.number, log), inTouch: inTouch, log: log,
 		wakes: make(chan struct{}, 1), runs: map[sampleKey]*run{}, texts: map[sampleKey]*text{}, scores: map[sampleKey]*scoring{}, estimator: batch.NewEstimator(),
-		renewAt: map[string]time.Duration{}, requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]retry{}, engines: map[string]*engine{},
+		renewAt: map[string]time.Duration{}, requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]rerun{}, engines: map[string]*engine{},
 	}
 }
 
--- a/internal/batchrun/stream.go
+++ b/internal/batchrun/stream.go
@@ -164,7 +164,7 @@
 
 // after decides what a broken run means for its sample and its engine.
 func (r *runner) after(x *run, e *engine, err error, now time.Duration) {
-	again := retry{notBefore: now + retryPause, avoid: x.engine}
+	again := rerun{notBefore: now + retryPause, avoid: x.engine}
 	switch {
 	case errors.Is(err, errHandedOver), errors.Is(err, errUnwanted):
 		return
@@ -179,7 +179,7 @@
 	case errors.Is(err, errMoved):
 		again.notBefore = 0
 	case errors.Is(err, errOvertaken):
-		again = retry{}
+		again = rerun{}
 	case errors.Is(err, ErrIdleBroke):
 		again.avoid = "" // the engine isn't to blame
 	case errors.Is(err, errTooOld):
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
+	"github.com/dogwoodflow/dogwoodflow/internal/retry"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/pause"
@@ -27,11 +29,13 @@
 	// seenWait is how long a batch whose append had no answer is looked for in the log
 	// before it is appended once more. What was done is read within some ms.
 	seenWait = 100 * time.Millisecond
-	// refusedTries and refusedPause: a store that refuses a call may take the next.
+	// refusedTries: a store that refuses a call may take the next.
 	refusedTries = 3
-	refusedPause = 60 * time.Millisecond
 )
 
+// refusedBackoff is the wait after refusals, of which a trainer waits for two at most.
+var refusedBackoff = retry.Backoff{First: 120 * time.Millisecond, Max: 240 * time.Millisecond}
+
 // Submit accepts a batch once, however often it comes. A nil error promises that
 // it will be kept. Errors: ErrNotRun, ErrUnknown, ErrTooLarge.
 func (s *Service) Submit(ctx context.Context, id string, head batch.Head, items []batch.Item, requests []batch.Request) error {
@@ -115,7 +119,7 @@
 		}
 		if errors.Is(err, store.ErrNotDone) {
 			refused++
-			pause.For(ctx, refusedPause)
+			pause.For(ctx, refusedBackoff.Pause(refused, rand.Float64()))
 		}
 		if refused == refusedTries || ctx.Err() != nil || errors.Is(err, store.ErrRejected) {
 			return 0, nil, errors.Join(ErrNotRun, err)
@@ -173,7 +177,7 @@
 			if refused++; refused == refusedTries {
 				break
 			}
-			pause.For(ctx, refusedPause)
+			pause.For(ctx, refusedBackoff.Pause(refused, rand.Float64()))
 			continue
 		}
 		unknown = true
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -6,12 +6,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/inspect"
+	"github.com/dogwoodflow/dogwoodflow/internal/retry"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/pause"
@@ -33,10 +35,6 @@
 	// StaleAfter is the age from which a view isn't trusted: a healthy one is read
 	// again every PollWait, a slow store answers some hundred ms later.
 	StaleAfter = 1400 * time.Millisecond
-	// firstBackoff and maxBackoff bound the wait after a failed read. The upper
-	// bound is part of the time that a daemon needs after an outage of the store.
-	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = 400 * time.Millisecond
 	// pageBytes bounds the records of one read. All daemons' reads share one rate, and a
 	// read that takes too long is given up, its bytes wasted: asked for without a bound,
 	// the log of a minute came as one page, and daemons that started together took each
@@ -45,6 +43,10 @@
 	pageBytes = 48 << 10
 )
 
+// backoff is the wait after failed reads. Its upper bound is part of the time that a
+// daemon needs after an outage of the store.
+var backoff = retry.Backoff{First: 50 * time.Millisecond, Max: 400 * time.Millisecond}
+
 // Sink receives the records of a partition. Calls don't overlap.
 type Sink interface {
 	// Reset replaces the view by the newest record of each key. It is called only
@@ -114,11 +116,11 @@
 	f.mu.Lock()
 	f.began = f.options.Now()
 	f.mu.Unlock()
-	backoff := firstBackoff
+	failures := 0
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if err == nil {
-			backoff = firstBackoff
+			failures = 0
 			f.contact(true, nil)
 			f.pause(ctx)
 			continue
@@ -127,8 +129,8 @@
 			return
 		}
 		f.contact(false, err)
-		pause.For(ctx, backoff)
-		backoff = min(2*backoff, maxBackoff)
+		failures++
+		pause.For(ctx, backoff.Pause(failures, rand.Float64()))
 	}
 }
 
