--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -46,8 +46,9 @@
 	draining   bool
 
 	// Used by run alone.
-	cleared  bool // no earlier process of this VM is in the group
-	asked    bool // of a small VM: it should be in the group
+	cleared  bool          // no earlier process of this VM is in the group
+	clearing time.Duration // since when they are looked for, 0: not yet
+	asked    bool          // of a small VM: it should be in the group
 	askAgain time.Duration
 }
 
@@ -79,10 +80,19 @@
 // clear takes the processes that ran on this VM before out of the group. One that was
 // killed keeps its partitions until its TTL has run out, and after the loss of all VMs
 // nobody runs any for that time: 1.3 s in which each open step stands still.
+//
+// Only members that own a partition are listed. After the loss of all VMs the group is
+// full of dead members without one, and each partition that a dead owner leaves may go to
+// another of them. So the look is repeated until every member of before has timed out.
 func (o *owner) clear(ctx context.Context) {
 	if o.cleared {
 		return
 	}
+	now := o.s.options.Now()
+	if o.clearing == 0 {
+		o.clearing = now
+	}
+	o.cleared = now-o.clearing >= o.s.options.MemberTTL
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	owned, err := o.s.options.Membership.Owners(ctx, ownersGroup)
@@ -90,7 +100,6 @@
 		o.s.options.Logger.Warn().Err(err).Msg("group's members not listed, an earlier process may be one")
 		return
 	}
-	o.cleared = true
 	for _, m := range membersOf(owned) {
 		if m == o.member || !strings.HasPrefix(m, o.s.options.VM+memberSeparator) {
 			continue
--- a/internal/batchrun/owner_test.go
+++ b/internal/batchrun/owner_test.go
@@ -110,3 +110,28 @@
 		g.Expect(len(w.engines.runs)).To(BeNumerically(">=", before+len(items)))
 	})
 }
+
+// All VMs are killed and start again. The group still has their dead processes, of which
+// most owned nothing; a partition that a dead owner leaves goes to another dead one. Each
+// open step stands still until all of them have timed out, 1.5 s after their last call.
+func TestPartitionsDoNotGoToDeadMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 16, 2, "m0")
+		defer w.stop()
+		time.Sleep(3 * time.Second)
+		w.killAll(w.vms, 0)
+		began := time.Now()
+		owned := func() int {
+			n := 0
+			for _, v := range w.vms {
+				n += len(v.current().Owns())
+			}
+			return n
+		}
+		for owned() < w.parts {
+			time.Sleep(10 * time.Millisecond)
+		}
+		g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	})
+}
