No batch is called unknown before every partition was looked into

Cause, found by reading: only the partitions that models are known to have were searched. Now the other partitions are confirmed too before that answer.

--- a/internal/batchrun/answer.go
+++ b/internal/batchrun/answer.go
@@ -121,31 +121,29 @@
 	return err
 }
 
-// locate finds who answers for a batch. That there is none is said only when every
-// partition with batches was brought up to date, by its owner or here. The caller calls
-// release when it has its answer.
+// locate finds who answers for a batch. It looks first where models have their partitions.
+// That there is no such batch is said only when every other partition was brought up to
+// date too, by its owner or here: a model's partition may have been written down after this
+// daemon's last look, or the log may have lost that record. The caller calls release when
+// it has its answer.
 func (s *Service) locate(ctx context.Context, id string) (at answerer, release func(), err error) {
 	if p := s.find(id); p != nil {
 		return s.Here(), p.hold(), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, locateWait)
 	defer cancel()
-	parts := s.orders.homeParts()
-	for {
-		at, release, err := s.search(ctx, id, parts)
-		if !errors.Is(err, ErrNotFound) {
-			return at, release, err
-		}
-		// A model may have got its partition after this daemon's last look.
-		if err := s.orders.follower.CatchUp(ctx); err != nil {
-			return nil, nil, errors.Join(ErrUnsure, err)
-		}
-		all := s.orders.homeParts()
-		if len(all) == len(parts) {
-			return nil, nil, ErrNotFound
+	homes := s.orders.homeParts()
+	at, release, err = s.search(ctx, id, homes)
+	if !errors.Is(err, ErrNotFound) {
+		return at, release, err
+	}
+	var others []int
+	for _, p := range s.parts {
+		if !slices.Contains(homes, p.number) {
+			others = append(others, p.number)
 		}
-		parts = slices.DeleteFunc(all, func(part int) bool { return slices.Contains(parts, part) })
 	}
+	return s.search(ctx, id, others)
 }
 
 // search looks for a batch in some partitions.
--- a/internal/batchrun/answer_test.go
+++ b/internal/batchrun/answer_test.go
@@ -311,3 +311,31 @@
 		g.Expect(other.current().partitionOf("m0").isFollowed()).To(BeFalse())
 	})
 }
+
+// The store forgets its history, with it the record of which partition a model has, and a
+// VM starts before the owner has written it down again. Asked for a batch, its daemon knows
+// of no partition with batches. It must look into all of them before it says that there is
+// no such batch.
+func TestBatchIsFoundWithoutTheRecordOfItsPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, _ := newPeerWorld(t, 3)
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		ctx := context.Background()
+		head, items, requests := sampleBatch("m0", "homeless", 1, 2, 1)
+		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		time.Sleep(time.Second)
+		w.store.Trim(claimsTopic, 0, w.store.End(claimsTopic, 0))
+		_, other := ownerAndOther(w, "m0")
+		w.kill(other)
+		w.restart(other)
+		time.Sleep(300 * time.Millisecond)
+		g.Expect(other.current().orders.homeParts()).To(BeEmpty())
+		page, err := other.current().Results(ctx, "b", 0, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Total).To(Equal(len(items)))
+		_, err = other.current().Results(ctx, "none", 0, 0)
+		g.Expect(err).To(MatchError(ErrNotFound))
+	})
+}
