A model gets no more engines than it can use

Change: a share has at most four times the places that a batch of the model takes. On the sites themselves engines are scarcer than that, so nothing changes there.

--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -71,7 +71,7 @@
 			o.join(ctx)
 			n++
 		}
-		o.settle(ctx, interval)
+		o.awaitJoin(ctx, interval)
 	}
 	<-ctx.Done()
 	o.stopAll()
@@ -269,9 +269,9 @@
 // loadedLook is between two looks whether the view of a gained partition is whole.
 const loadedLook = 10 * time.Millisecond
 
-// settle waits between two joins. A partition is run as soon as its view is whole: while
+// awaitJoin waits between two joins. A partition is run as soon as its view is whole: while
 // nobody runs it, each open step stands still.
-func (o *owner) settle(ctx context.Context, interval time.Duration) {
+func (o *owner) awaitJoin(ctx context.Context, interval time.Duration) {
 	until := o.s.options.Now() + interval
 	for ctx.Err() == nil && o.s.options.Now() < until && o.startLoaded(ctx) {
 		pause.For(ctx, loadedLook)
--- a/internal/batchrun/share.go
+++ b/internal/batchrun/share.go
@@ -60,7 +60,7 @@
 	input := division{shape: shape, demand: demand, engines: slices.Sorted(maps.Keys(byAddress))}
 	if known.engines == nil || !known.input.sameOutcome(input) {
 		known.input = input
-		known.addresses = loads.Share(input.engines, shape.Models, demand)
+		known.addresses = loads.Share(input.engines, shape.Models, demand, shape.Slots)
 	}
 	known.changes = changes
 	known.engines = fill(known.addresses, byAddress, shape)
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -153,14 +153,20 @@
 	}
 }
 
+// names returns the addresses of engines.
+func names(n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprint("10.0.0.", i, ":1"))
+	}
+	return out
+}
+
 func TestShare(t *testing.T) {
 	g := NewWithT(t)
-	var engines []string
-	for n := range 10 {
-		engines = append(engines, fmt.Sprint("10.0.0.", n, ":1"))
-	}
+	engines := names(10)
 	models := []string{"c", "a", "b"}
-	all := Share(engines, models, nil)
+	all := Share(engines, models, nil, 0)
 	seen := map[string]string{}
 	for m, list := range all {
 		g.Expect(len(list)).To(BeNumerically("~", 3.5, 0.5), m)
@@ -171,7 +177,7 @@
 	}
 	g.Expect(seen).To(HaveLen(10))
 	moved := 0
-	for m, list := range Share(engines[1:], models, nil) {
+	for m, list := range Share(engines[1:], models, nil, 0) {
 		for _, e := range list {
 			if seen[e] != m {
 				moved++
@@ -179,8 +185,8 @@
 		}
 	}
 	g.Expect(moved).To(BeNumerically("<=", 2), "the loss of one engine moves few others")
-	g.Expect(Share(engines, nil, nil)).To(BeEmpty())
-	for m, list := range Share(nil, models, nil) {
+	g.Expect(Share(engines, nil, nil, 0)).To(BeEmpty())
+	for m, list := range Share(nil, models, nil, 0) {
 		g.Expect(list).To(BeEmpty(), m)
 	}
 }
@@ -188,13 +194,6 @@
 // Two models' steps have twice the samples of the others', and every model has the same
 // number of engines. Their last samples begin when the others' steps are half done.
 func TestShareFollowsDemand(t *testing.T) {
-	names := func(n int) []string {
-		var out []string
-		for i := range n {
-			out = append(out, fmt.Sprint("10.0.0.", i, ":1"))
-		}
-		return out
-	}
 	for _, c := range []struct {
 		name    string
 		engines int
@@ -208,7 +207,7 @@
 		{"fewer engines than models: all share them", 3, map[string]int{"a": 1, "b": 1, "c": 1, "d": 9}, []int{3, 3, 3, 3}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			share := Share(names(c.engines), []string{"a", "b", "c", "d"}, c.demand)
+			share := Share(names(c.engines), []string{"a", "b", "c", "d"}, c.demand, 0)
 			var got []int
 			for _, m := range []string{"a", "b", "c", "d"} {
 				got = append(got, len(share[m]))
@@ -288,3 +287,32 @@
 	_, err := Decode([]byte{0xff})
 	g.Expect(err).To(MatchError(ErrMalformed))
 }
+
+// A deployment has a thousand engines for four models whose batches have some hundred
+// samples. Divided among the models, all engines load every version, each sample meets an
+// engine to which no connection is open, and versions wait for loads that nobody needs. A
+// model gets the engines that it can use; where they are scarce, as on a deployment of
+// fifty, nothing changes.
+func TestShareIsNoLargerThanTheDemand(t *testing.T) {
+	models := []string{"a", "b", "c", "d"}
+	demand := map[string]int{"a": 128, "b": 192, "c": 192}
+	for _, c := range []struct {
+		engines, slots int
+		want           map[string]int // engines of a, b and c
+	}{
+		{1000, 8, map[string]int{"a": 64, "b": 96, "c": 96}},
+		{1000, 0, map[string]int{"a": 188, "b": 281, "c": 281}},
+		{45, 8, map[string]int{"a": 8, "b": 13, "c": 13}},
+	} {
+		g := NewWithT(t)
+		share := Share(names(c.engines), models, demand, c.slots)
+		for m, n := range c.want {
+			g.Expect(len(share[m])).To(Equal(n), "%d engines of %d places, model %s", c.engines, c.slots, m)
+		}
+		g.Expect(share["d"]).NotTo(BeEmpty(), "a model of unknown demand")
+		fewer := Share(names(c.engines)[1:], models, demand, c.slots)
+		for m := range c.want {
+			g.Expect(len(fewer[m])).To(BeNumerically(">=", len(share[m])-1))
+		}
+	}
+}
--- a/internal/loads/share.go
+++ b/internal/loads/share.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
@@ -10,9 +11,11 @@
 // is loaded on its model's engines only and their prompt caches stay warm. Every
 // daemon computes the same division from the same lists. Engines are named by
 // what survives their restart (their address). A model gets engines by its demand, in
-// any unit; one of unknown demand counts as the mean of the others. A change of the
+// samples of a batch; one of unknown demand counts as the mean of the others. slots are an
+// engine's, 0 if unknown. A model gets no more engines than it can use: the others would
+// load each of its versions and take connections for a sample now and then. A change of the
 // engines moves few others.
-func Share(engines, models []string, demand map[string]int) map[string][]string {
+func Share(engines, models []string, demand map[string]int, slots int) map[string][]string {
 	out := map[string][]string{}
 	if len(models) == 0 {
 		return out
@@ -27,7 +30,7 @@
 		}
 		return out
 	}
-	room := quotas(len(engines), models, demand)
+	room := quotas(len(engines), models, demand, slots)
 	for _, pair := range ranked(engines, models) {
 		if room[pair.model] == 0 || pair.taken() {
 			continue
@@ -43,9 +46,9 @@
 }
 
 // quotas divides the engines by the method of Sainte-Laguë: each next engine goes to
-// the model that has the fewest for its demand. A model without any would never be
-// served, so each gets one first.
-func quotas(engines int, models []string, demand map[string]int) map[string]int {
+// the model that has the fewest for its demand and can use one more. A model without any
+// would never be served, so each gets one first.
+func quotas(engines int, models []string, demand map[string]int, slots int) map[string]int {
 	out := map[string]int{}
 	for _, m := range models {
 		out[m] = 1
@@ -54,15 +57,34 @@
 	for range engines - len(models) {
 		next, most := "", 0.0
 		for i, m := range models {
+			if out[m] >= roomOf(demand[m], slots) {
+				continue
+			}
 			if claim := weights[i] / float64(2*out[m]+1); claim > most {
 				next, most = m, claim
 			}
 		}
+		if next == "" {
+			break // nobody can use more
+		}
 		out[next]++
 	}
 	return out
 }
 
+// roomForDemand is how many times the places for a batch's samples a model's engines have
+// at most. Two batches of a model may be open, and an engine with half of its places
+// taken makes each token some percent sooner than a full one.
+const roomForDemand = 4
+
+// roomOf is the largest number of engines that a model can use.
+func roomOf(samples, slots int) int {
+	if samples <= 0 || slots <= 0 {
+		return math.MaxInt
+	}
+	return max(1, (roomForDemand*samples+slots-1)/slots)
+}
+
 func weightsOf(models []string, demand map[string]int) []float64 {
 	known, sum := 0, 0
 	for _, m := range models {
