--- a/scripts/days.sh
+++ b/scripts/days.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
 # Plays every day of deploy/days and every kept seed against the current tree, with
 # the users' bench. Not part of CI, which has no kit.
-#   scripts/days.sh BENCH SITE...     BENCH: the bench's program, SITE: site files
+#   scripts/days.sh BENCH SITE...     BENCH: the bench's program, SITE: site files. The usual
+# sites are the largest one and the last customer's; the first customers' small ones are played
+# when a decision that they measured changes.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 bench=${1:?the program of the bench}
