--- a/internal/batchrun/answer_test.go
+++ b/internal/batchrun/answer_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/locate"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
 
@@ -90,6 +91,14 @@
 	return w, peers
 }
 
+// submitSteady lets the daemons join and hands a batch "b" of model m0 in at the first VM.
+func submitSteady(g *WithT, w *world, name string, groups int) []batch.Item {
+	time.Sleep(2 * time.Second)
+	head, items, requests := sampleBatch("m0", name, groups, 2, 1)
+	g.Expect(w.vms[0].current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+	return items
+}
+
 // ownerAndOther returns the VM that runs the model's batches, and another one.
 func ownerAndOther(w *world, model string) (owner, other *vm) {
 	for _, v := range w.vms {
@@ -110,10 +119,8 @@
 		g := NewWithT(t)
 		w, _ := newPeerWorld(t, 3)
 		defer w.stop()
-		time.Sleep(2 * time.Second)
 		ctx := context.Background()
-		head, items, requests := sampleBatch("m0", "passed", 2, 2, 1)
-		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		items := submitSteady(g, w, "passed", 2)
 		time.Sleep(time.Second)
 		_, other := ownerAndOther(w, "m0")
 		s := other.current()
@@ -146,9 +153,8 @@
 		g := NewWithT(t)
 		w, _ := newPeerWorld(t, 2)
 		defer w.stop()
-		time.Sleep(2 * time.Second)
+		submitSteady(g, w, "resent", 2)
 		head, items, requests := sampleBatch("m0", "resent", 2, 2, 1)
-		g.Expect(w.vms[0].current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
 		time.Sleep(100 * time.Millisecond)
 		_, other := ownerAndOther(w, "m0")
 		writes := other.client.Calls().Writes
@@ -166,10 +172,8 @@
 		g := NewWithT(t)
 		w, peers := newPeerWorld(t, 2)
 		defer w.stop()
-		time.Sleep(2 * time.Second)
 		ctx := context.Background()
-		head, items, requests := sampleBatch("m0", "silent", 2, 2, 1)
-		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		items := submitSteady(g, w, "silent", 2)
 		owner, other := ownerAndOther(w, "m0")
 		for _, silentAfter := range []time.Duration{0, 20 * time.Millisecond} { // before the call, and under it
 			peers.setSilent(owner.name, silentAfter == 0)
@@ -193,10 +197,8 @@
 		g := NewWithT(t)
 		w, _ := newPeerWorld(t, 2)
 		defer w.stop()
-		time.Sleep(2 * time.Second)
 		ctx := context.Background()
-		head, items, requests := sampleBatch("m0", "away", 1, 2, 1)
-		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		submitSteady(g, w, "away", 1)
 		owner, other := ownerAndOther(w, "m0")
 		w.kill(owner)
 		other.client.SetFaults(metastore.Faults{Cut: true})
@@ -240,10 +242,8 @@
 		g := NewWithT(t)
 		w, _ := newPeerWorld(t, 2)
 		defer w.stop()
-		time.Sleep(2 * time.Second)
 		ctx := context.Background()
-		head, items, requests := sampleBatch("m0", "ready", 2, 2, 1)
-		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		items := submitSteady(g, w, "ready", 2)
 		_, other := ownerAndOther(w, "m0")
 		for listed := 0; listed < len(items); {
 			page, err := other.current().Results(ctx, "b", listed, time.Second)
@@ -271,10 +271,8 @@
 		g := NewWithT(t)
 		w, _ := newPeerWorld(t, 2)
 		defer w.stop()
-		time.Sleep(2 * time.Second)
 		ctx := context.Background()
-		head, items, requests := sampleBatch("m0", "late", 2, 2, 1)
-		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		items := submitSteady(g, w, "late", 2)
 		time.Sleep(10 * time.Second)
 		w.killAll(w.vms, 0) // nobody has a text at hand any more
 		time.Sleep(4 * time.Second)
@@ -296,10 +294,8 @@
 		g := NewWithT(t)
 		w, peers := newPeerWorld(t, 2)
 		defer w.stop()
-		time.Sleep(2 * time.Second)
 		ctx := context.Background()
-		head, items, requests := sampleBatch("m0", "dropped", 2, 2, 1)
-		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		submitSteady(g, w, "dropped", 2)
 		owner, other := ownerAndOther(w, "m0")
 		peers.setSilent(owner.name, true)
 		other.client.SetFaults(metastore.Faults{Cut: true})
@@ -321,10 +317,8 @@
 		g := NewWithT(t)
 		w, _ := newPeerWorld(t, 3)
 		defer w.stop()
-		time.Sleep(2 * time.Second)
 		ctx := context.Background()
-		head, items, requests := sampleBatch("m0", "homeless", 1, 2, 1)
-		g.Expect(w.vms[0].current().Submit(ctx, "b", head, items, requests)).To(Succeed())
+		items := submitSteady(g, w, "homeless", 1)
 		time.Sleep(time.Second)
 		w.store.Trim(claimsTopic, 0, w.store.End(claimsTopic, 0))
 		_, other := ownerAndOther(w, "m0")
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -66,7 +66,11 @@
 		// Not before orders could be given. Partitions are run one by one as their views
 		// are read: waiting for all of them, daemons that start together join over
 		// seconds, and each that joins moves partitions which others had begun to run.
-		if o.s.orders.follower.Loaded() && o.wanted(ctx) {
+		if !o.s.orders.follower.Loaded() {
+			pause.For(ctx, loadedLook)
+			continue
+		}
+		if o.wanted(ctx) {
 			o.clear(ctx)
 			o.join(ctx)
 			n++
@@ -266,7 +270,8 @@
 	return waiting
 }
 
-// loadedLook is between two looks whether the view of a gained partition is whole.
+// loadedLook is between two looks whether a view is whole for which a join, or the runs
+// of a gained partition, wait.
 const loadedLook = 10 * time.Millisecond
 
 // awaitJoin waits between two joins. A partition is run as soon as its view is whole: while
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -111,15 +111,14 @@
 )
 
 func (s *Service) forget(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause.For(ctx, forgetInterval)
+	pause.Every(ctx, forgetInterval, func() {
 		for _, p := range s.parts {
 			p.mu.Lock()
 			p.fold.Forget(s.options.Now() - keepBatches)
 			p.mu.Unlock()
 		}
 		s.orders.forget()
-	}
+	})
 }
 
 // Lag is the largest lag of a view that this daemon needs.
--- a/internal/bench/cost.go
+++ b/internal/bench/cost.go
@@ -19,6 +19,8 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/wire"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // costScenario is one daemon before one engine: what the daemon itself costs.
@@ -44,7 +46,7 @@
 
 // DriveCost measures the daemon's own cost; pid is its process.
 func (w World) DriveCost(ctx context.Context, seed uint64, pid int) (Run, error) {
-	if !pause(ctx, settle) {
+	if !pause.For(ctx, settle) {
 		return Run{}, ctx.Err()
 	}
 	c := &coster{world: w, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: costWorkers}}}
--- a/internal/bench/disturb.go
+++ b/internal/bench/disturb.go
@@ -13,6 +13,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/fault"
 	"github.com/dogwoodflow/dogwoodflow/internal/wire"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // poisonPrompt is what crashes an engine.
@@ -40,7 +42,7 @@
 
 // publish plays another trainer of the model.
 func (d *drive) publish(ctx context.Context, every time.Duration) {
-	for version := int64(2); pause(ctx, every); version++ {
+	for version := int64(2); pause.For(ctx, every); version++ {
 		url := d.world.WeightsURL() + "/v1/models/" + modelName + "/versions"
 		if _, err := send(ctx, http.MethodPost, url, "", wire.PublishVersion{Version: version}); err != nil {
 			d.fault("publish: %v", err)
@@ -85,7 +87,7 @@
 			_, err = send(ctx, http.MethodPost, url+fault.Path, "", spec)
 			armed = armed || err == nil
 		}
-		if !pause(ctx, look) {
+		if !pause.For(ctx, look) {
 			return
 		}
 	}
@@ -96,7 +98,7 @@
 func (d *drive) sendPoison(ctx context.Context, every time.Duration) {
 	request := wire.GenerateRequest{Model: modelName, Prompt: poisonPrompt, MaxTokens: 16, Seed: 1, Stream: true}
 	key := keyOf(d.world.Scenario.Fleet.Team.Name, config.RoleCaller)
-	for n := 0; pause(ctx, every); n++ {
+	for n := 0; pause.For(ctx, every); n++ {
 		url := d.world.CallerURL(1+n%d.world.Scenario.Fleet.Daemons) + "/v1/completions"
 		go func() { _, _ = send(ctx, http.MethodPost, url, key, request) }()
 	}
--- a/internal/bench/drive.go
+++ b/internal/bench/drive.go
@@ -8,6 +8,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/callers"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/trainer"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // Run is what one run of a scenario gave.
@@ -40,7 +42,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d := &drive{world: w, seed: seed, calls: map[string]*callers.Result{}}
-	if !pause(ctx, settle) {
+	if !pause.For(ctx, settle) {
 		return Run{}, ctx.Err()
 	}
 	d.warmUp(ctx)
@@ -55,7 +57,7 @@
 	}
 	if w.Scenario.Trainer != nil {
 		all.Go(func() {
-			if pause(ctx, headStart) {
+			if pause.For(ctx, headStart) {
 				d.train(ctx)
 			}
 		})
@@ -121,15 +123,3 @@
 		d.errs = append(d.errs, err.Error())
 	}
 }
-
-// pause returns false if the context ended first.
-func pause(ctx context.Context, t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/confsync/backoff.go
+++ b/internal/confsync/backoff.go
@@ -1,7 +1,6 @@
 package confsync
 
 import (
-	"context"
 	"time"
 )
 
@@ -23,15 +22,3 @@
 }
 
 func (b *backoff) reset() { b.failures = 0 }
-
-// sleep waits; false when the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/confsync/follow.go
+++ b/internal/confsync/follow.go
@@ -9,15 +9,17 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/infra"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // Follow reads the log until the context ends.
 func (s *Store) Follow(ctx context.Context) {
-	pause := backoff{base: s.options.BackoffBase, max: s.options.BackoffMax, random: s.options.Random}
+	failures := backoff{base: s.options.BackoffBase, max: s.options.BackoffMax, random: s.options.Random}
 	snapshots := snapshotWriter{store: s}
 	// The daemons of a data centre that come back together would read the whole
 	// retained stream in one moment.
-	sleep(ctx, time.Duration(s.options.Random()*float64(s.options.StartSpread)))
+	pause.For(ctx, time.Duration(s.options.Random()*float64(s.options.StartSpread)))
 	up := true
 	for ctx.Err() == nil {
 		began := s.options.Now()
@@ -30,10 +32,10 @@
 			s.logger.Warn().Bool("up", up).AnErr("cause", err).Msg("configuration log")
 		}
 		if err != nil {
-			sleep(ctx, pause.next())
+			pause.For(ctx, failures.next())
 			continue
 		}
-		pause.reset()
+		failures.reset()
 		snapshots.check(ctx)
 		if !progress {
 			s.pauseAfterEmptyRead(ctx, began)
@@ -45,7 +47,7 @@
 // in a tight loop.
 func (s *Store) pauseAfterEmptyRead(ctx context.Context, began time.Time) {
 	if left := s.options.BackoffBase - s.options.Now().Sub(began); left > 0 {
-		sleep(ctx, left)
+		pause.For(ctx, left)
 	}
 }
 
--- a/internal/confsync/restore.go
+++ b/internal/confsync/restore.go
@@ -8,6 +8,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/infra"
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // ErrNotBehind says that this daemon has a configuration that changes can be
@@ -120,7 +122,7 @@
 		if (err == nil || errors.Is(err, ErrBehind)) && p.store.next() > r.Offset {
 			return p.store.verdictOnRestore(r), true
 		}
-		sleep(ctx, recheck)
+		pause.For(ctx, recheck)
 	}
 	return config.Verdict{}, false
 }
--- a/internal/crashes/service.go
+++ b/internal/crashes/service.go
@@ -11,6 +11,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 const (
@@ -119,14 +121,7 @@
 
 // sweep drops marks that don't count any more, also from the store.
 func (s *Service) sweep(ctx context.Context) {
-	ticks := time.NewTicker(sweepEvery)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C:
-		}
+	pause.Every(ctx, sweepEvery, func() {
 		s.mu.Lock()
 		old := s.ledger.expired(s.now())
 		for _, m := range old {
@@ -136,7 +131,7 @@
 		for _, m := range old {
 			s.write(ctx, m, nil)
 		}
-	}
+	})
 }
 
 // sink applies the records of all daemons.
