The next owner orders samples by how old their batches are

Cause, found by reading: since a partition is followed by its owner alone, a daemon that takes it over reads of all its batches at one moment, and took each for new; a step that is nearly late then shares the engines evenly with the one after it. The record names the acceptor's time; it counts only for records that are replayed, and for the order of samples, since clocks may differ: nothing is given up by it. Test: before, the batch's age was that of the take-over, 6 s less.

--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -47,6 +47,10 @@
 	Ended   bool
 	// Seen is when this daemon read of the batch; the batch is older.
 	Seen time.Duration
+	// Since is when it was accepted, as far as this daemon can tell: Seen, or earlier if
+	// the record was read long after. Samples are ordered by it, nothing is given up by it:
+	// VMs' clocks may differ.
+	Since time.Duration
 }
 
 // Sample is an item and what is known of its run.
@@ -182,7 +186,7 @@
 }
 
 func (f *Fold) accept(id string, p *pending, now time.Duration) *Batch {
-	b := &Batch{ID: id, Head: *p.head, Samples: make([]Sample, len(p.items)), Seen: now}
+	b := &Batch{ID: id, Head: *p.head, Samples: make([]Sample, len(p.items)), Seen: now, Since: now}
 	for i, item := range p.items {
 		b.Samples[i] = Sample{Item: item}
 		f.reuse(b, &b.Samples[i])
@@ -304,6 +308,9 @@
 // Get returns a batch, nil if none of that ID was accepted.
 func (f *Fold) Get(id string) *Batch { return f.batches[id] }
 
+// Backdate notes that a batch was accepted some time before it was read.
+func (b *Batch) Backdate(age time.Duration) { b.Since = b.Seen - age }
+
 // Open returns the batches that still want samples, in order of acceptance.
 func (f *Fold) Open() []*Batch {
 	var out []*Batch
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -56,6 +56,8 @@
 	// Requests lie in blobs from this offset on, so many items in each.
 	RequestsAt    int64 `cbor:"11,keyasint"`
 	RequestCounts []int `cbor:"12,keyasint"`
+	// AcceptedMS is when the batch was taken in, in Unix ms by the clock of that VM.
+	AcceptedMS int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Item is one sample to generate.
--- a/internal/batchrun/look.go
+++ b/internal/batchrun/look.go
@@ -186,7 +186,7 @@
 	}
 	return batch.Waiting{
 		Batch: b.ID, Index: i, Group: s.Group, MinVersion: b.MinVersion,
-		Remaining: r.estimator.Remaining(s.Expected, had), Due: b.Seen + time.Duration(b.TargetMS)*time.Millisecond,
+		Remaining: r.estimator.Remaining(s.Expected, had), Due: b.Since + time.Duration(b.TargetMS)*time.Millisecond,
 		NotBefore: again.notBefore, Avoid: again.avoid, Had: had,
 	}
 }
--- a/internal/batchrun/owner_test.go
+++ b/internal/batchrun/owner_test.go
@@ -135,3 +135,28 @@
 		g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
 	})
 }
+
+// An owner is killed in the midst of a step. The next one reads of the step when it takes
+// the partition over; taken for new, its last samples, which are nearly late, wait behind
+// those of the step that is submitted next.
+func TestNextOwnerKnowsHowOldABatchIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, 1, 2, 2, "m0")
+		defer w.stop()
+		w.engines.pace = 500 * time.Millisecond
+		time.Sleep(2 * time.Second)
+		head, items, requests := sampleBatch("m0", "old", 1, 2, 1)
+		submitted := w.now()
+		g.Expect(w.vms[0].current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+		time.Sleep(3 * time.Second)
+		owner, other := ownerAndOther(w, "m0")
+		w.kill(owner)
+		time.Sleep(3 * time.Second)
+		g.Expect(other.ownsHomeOf("m0")).To(BeTrue())
+		other.current().partitionOf("m0").view("b", func(b *batch.Batch) {
+			g.Expect(b.Since).To(BeNumerically("~", submitted, 20*time.Millisecond))
+			g.Expect(b.Seen).To(BeNumerically(">", submitted+3*time.Second), "it is kept for its whole time from then on")
+		})
+	})
+}
--- a/internal/batchrun/partition.go
+++ b/internal/batchrun/partition.go
@@ -27,6 +27,7 @@
 	following bool          // the log is read, the fold is of what was read since
 	holds     int           // who needs the view now
 	released  time.Duration // when the last hold ended
+	live      bool          // records are applied as they are written, not replayed
 
 	fold    *batch.Fold
 	waiters map[string]chan struct{} // by batch, closed at its next change
@@ -110,6 +111,7 @@
 func (p *partition) forget() {
 	p.mu.Lock()
 	p.following = false
+	p.live = false
 	p.fold = batch.NewFold()
 	for id, w := range p.waiters {
 		close(w)
@@ -190,6 +192,9 @@
 		p.ignoredLocked(record)
 		return
 	}
+	if _, accepted := record.(batch.Accepted); accepted && !p.live {
+		changed.Backdate(ageOf(changed.AcceptedMS))
+	}
 	if waiter := p.waiters[changed.ID]; waiter != nil {
 		close(waiter)
 		delete(p.waiters, changed.ID)
@@ -199,6 +204,27 @@
 	}
 }
 
+// markLive notes that the oldest records are behind.
+func (p *partition) markLive() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.live = true
+}
+
+// maxAge bounds what a wrong clock can make of a batch's age. Batches are run for less.
+const maxAge = time.Minute
+
+// ageOf is how long ago a batch was accepted that is read of now. A daemon that takes a
+// partition over reads all of its batches at one moment; were they all new to it, the last
+// samples of an old step, which is nearly late, would wait behind the first of a new one.
+func ageOf(acceptedMS int64) time.Duration {
+	if acceptedMS == 0 {
+		return 0 // the record doesn't tell
+	}
+	age := time.Duration(time.Now().UnixMilli()-acceptedMS) * time.Millisecond
+	return min(max(age, 0), maxAge)
+}
+
 // ignoredLocked tells the owner of a result that didn't count: its text went on
 // from another one than what the log keeps, so the sample has to run again.
 func (p *partition) ignoredLocked(record any) {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -76,7 +76,7 @@
 	s := &Service{options: o, blobs: newBlobs(o.Log, o.Parts)}
 	for n := range o.Parts {
 		p := newPartition(n, o.Now, o.Logger)
-		p.follower = follow.New(follow.Options{Log: o.Log, Topic: batchTopic, Part: n, Sink: p, Relaxed: p.relaxed, Now: o.Now, Logger: o.Logger})
+		p.follower = follow.New(follow.Options{Log: o.Log, Topic: batchTopic, Part: n, Sink: p, Relaxed: p.relaxed, OnWhole: p.markLive, Now: o.Now, Logger: o.Logger})
 		s.parts = append(s.parts, p)
 	}
 	s.orders = newOrders(o)
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -65,6 +65,7 @@
 	if s.accepted(ctx, p, id) {
 		return nil
 	}
+	head.AcceptedMS = time.Now().UnixMilli()
 	if head.RequestsAt, head.RequestCounts, err = s.putRequests(ctx, p, requests); err != nil {
 		return err
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -67,6 +67,9 @@
 	Sink  Sink
 	// OnContact, if set, hears of the view's dependency lost and regained.
 	OnContact func(up bool)
+	// OnWhole, if set, is called when the view is whole for the first time since Run began
+	// with the oldest record. It must not call the Follower.
+	OnWhole func()
 	// Relaxed, if set, reports whether nobody here depends on the view now.
 	Relaxed func() bool
 	// Pause is waited after records before the next read.
@@ -268,6 +271,9 @@
 	if !f.loaded {
 		f.options.Logger.Info().Str("topic", f.options.Topic).Int("part", f.options.Part).Int64("next", f.next).
 			Int("bytes", f.bytes).Dur("took", f.options.Now()-f.began).Msg("view is whole")
+		if f.options.OnWhole != nil {
+			f.options.OnWhole()
+		}
 	}
 	f.loaded = true
 	f.markCurrentLocked()
