--- a/internal/rollouts/manager_test.go
+++ b/internal/rollouts/manager_test.go
@@ -361,6 +361,7 @@
 		time.Sleep(2 * time.Second)
 		_, err = w.pull("a", 8)
 		g.Expect(err).NotTo(HaveOccurred())
+		synctest.Wait() // the step records an answer right after it has given it
 		g.Expect(kinds).To(Equal([]string{SampleStarted, SampleCancelled, SampleStarted, SampleGenerated, SampleScored, SampleOffered}))
 	})
 }
