How often a request may be sent is decided once, in retry, for both services

Cause: what may run twice and how often stood in gateway (attempt and course), and in retry for the product's own protocol; the two differed in one point: dispatch counted refusals as attempts once another failure followed them.

--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -70,7 +70,7 @@
 	setDuration(&o.NoUpstreamWait, 5*time.Second)
 	setDuration(&o.QueueTimeout, time.Minute)
 	if o.HedgeBudget == (retry.BudgetOptions{}) {
-		o.HedgeBudget = retry.BudgetOptions{Share: 0.05, PerSecond: 1, Max: 10}
+		o.HedgeBudget = retry.HedgeBudget()
 	}
 	return o
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -24,7 +24,7 @@
 	idempotent bool
 	resumable  bool
 	hedge      bool // a copy: gives up rather than run alone
-	attempts   int
+	sends      retry.Sends
 	mayHaveRun outcome.Outcome // of the attempts so far
 	lastFault  error
 	died       bool // the last attempt's upstream ended
@@ -33,7 +33,7 @@
 
 // outcome is what is known over all attempts: NotRun while none began.
 func (r *run) outcome() outcome.Outcome {
-	if r.attempts == 0 {
+	if r.sends.Made == 0 {
 		return outcome.NotRun
 	}
 	return r.mayHaveRun
@@ -77,7 +77,7 @@
 
 // begun corrects a refusal's outcome by earlier attempts, which may have run.
 func (r *run) begun(err *Error) *Error {
-	if err == nil || r.attempts == 0 {
+	if err == nil || r.sends.Made == 0 {
 		return err
 	}
 	err.Outcome = r.outcome()
@@ -126,7 +126,7 @@
 
 // attempt runs one attempt and gives its place back.
 func (r *run) attempt(ctx context.Context, sl *slot, do func(context.Context, *slot) error) error {
-	r.attempts++
+	r.sends.Begin()
 	attemptsMade.Add(1)
 	name := sl.m.target.Name
 	r.want.route.Exclude = append(r.want.route.Exclude, name)
@@ -250,8 +250,11 @@
 
 // note folds one attempt's outcome into what is known of all.
 func (r *run) note(o outcome.Outcome) {
+	if o == outcome.NotRun {
+		r.sends.NotRun()
+	}
 	switch {
-	case r.attempts <= 1:
+	case r.sends.Made <= 1:
 		r.mayHaveRun = o
 	case o == outcome.Ran:
 		r.mayHaveRun = outcome.Ran
@@ -270,7 +273,7 @@
 		Resumable:  r.resumable,
 		Transient:  f.transient,
 		Died:       r.died,
-		Attempts:   r.attempts,
+		Sends:      r.sends,
 		Sent:       sent,
 		Deadline:   r.deadline,
 	}
--- a/internal/gateway/course.go
+++ b/internal/gateway/course.go
@@ -1,15 +1,14 @@
 package gateway
 
+import "github.com/dogwoodflow/dogwoodflow/internal/retry"
+
 // course is what the next step of a stream depends on. It does no I/O.
 //
 // Invariants: a stream that may not be resumed runs at most once; after the caller
 // has the header no other answer can follow, so the stream goes on or breaks off.
 type course struct {
-	resumable bool
-	maxRuns   int // upstreams that may run one attempt of a caller
-
-	sends   int
-	runs    int   // sends that may have run
+	rule    retry.Rule
+	sends   retry.Sends
 	started bool  // the caller has the answer's header
 	after   int   // ID of the last event passed on
 	version int64 // of the weights that made it, 0: unknown
@@ -27,9 +26,9 @@
 // afterFailure takes the end of a send that brought no whole stream.
 func (c *course) afterFailure(mayHaveRun bool) streamStep {
 	if !mayHaveRun {
-		c.runs--
+		c.sends.NotRun()
 	}
-	if c.mayRepeat() {
+	if c.rule.Forbids(c.sends) == retry.None {
 		return sendOn
 	}
 	return c.afterLast()
@@ -40,29 +39,13 @@
 	switch {
 	case c.started:
 		return breakOff
-	case c.runs == 0:
+	case c.sends.Runs == 0:
 		return refuseClean
 	default:
 		return giveUp
 	}
 }
 
-func (c *course) mayRepeat() bool {
-	if c.sends >= maxSends {
-		return false
-	}
-	if c.resumable {
-		return c.runs < c.maxRuns
-	}
-	return c.runs == 0
-}
-
-// sent counts a send before it leaves.
-func (c *course) sent() {
-	c.sends++
-	c.runs++
-}
-
 // passed counts an event that the caller got.
 func (c *course) passed(e Event) {
 	c.after = e.ID
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
+	"github.com/dogwoodflow/dogwoodflow/internal/retry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/exchange"
 )
@@ -68,10 +70,6 @@
 const (
 	// deadlineMargin is kept for the way back to the caller.
 	deadlineMargin = 20 * time.Millisecond
-	// hedgeShare of a route's latency objective without an answer sends a second
-	// copy of what may run twice. Work takes a sixth of the objective on average,
-	// so a copy is sent for the slowest few in a hundred, with time left for it.
-	hedgeShare = 0.5
 	// maxSends bounds the sends of one attempt, refusals by upstreams included.
 	maxSends = 5
 	// comeBack is told with "not run": long enough for a place to come free.
@@ -99,13 +97,41 @@
 	crashes   Crashes
 	pool      *pool
 	policy    policy.Set
+	hedges    *hedgeBudget
 	now       func() time.Duration
 	log       zerolog.Logger
 }
 
+// hedgeBudget is shared by all calls.
+type hedgeBudget struct {
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+func newHedgeBudget() *hedgeBudget {
+	return &hedgeBudget{budget: retry.NewBudget(retry.HedgeBudget(), time.Now())}
+}
+
+func (h *hedgeBudget) take() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.budget.Take(time.Now())
+}
+
+func (h *hedgeBudget) succeeded() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.budget.Succeeded(time.Now())
+}
+
+// ruleOf bounds the sends of one attempt of a caller.
+func ruleOf(route routes.Route, repeatable bool) retry.Rule {
+	return retry.Rule{Repeatable: repeatable, MaxRuns: route.MaxAttempts, MaxSends: maxSends}
+}
+
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, pool: newPool(o.DataCentre, o.Policy, o.Suspects), policy: o.Policy, now: o.Now, log: o.Logger}
+	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, pool: newPool(o.DataCentre, o.Policy, o.Suspects), policy: o.Policy, hedges: newHedgeBudget(), now: o.Now, log: o.Logger}
 }
 
 // limitDeadline keeps a call within its route's timeout and leaves time for the way back.
@@ -125,7 +151,8 @@
 	limitDeadline(call, route, began)
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	a := &attempt{g: g, route: route, call: call, service: route.Pick(rand.Float64()), tried: map[string]bool{}, results: make(chan result, maxSends)}
+	a := &attempt{g: g, route: route, call: call, service: route.Pick(rand.Float64()), tried: map[string]bool{}, results: make(chan result, maxSends),
+		rule: ruleOf(route, route.Kind == routes.Safe)}
 	answer, refusal := a.run(ctx)
 	if answer != nil {
 		answer.Failures = a.failures
@@ -152,9 +179,9 @@
 
 	tried    map[string]bool
 	results  chan result
-	sends    int
+	rule     retry.Rule
+	sends    retry.Sends
 	waiting  int // sends without an outcome
-	runs     int // sends that may have run
 	failures int // answers of 500
 	last     *Answer
 	log      []sendLog
@@ -181,7 +208,7 @@
 				return a.conclude()
 			}
 		case <-hedge.C:
-			if a.route.Kind == routes.Safe && a.mayRepeat() {
+			if a.rule.Repeatable && a.mayRepeat() && a.g.hedges.take() {
 				a.send(ctx)
 			}
 		case <-ctx.Done():
@@ -190,24 +217,18 @@
 	}
 }
 
+// never is longer than any call.
+const never = time.Hour
+
 func (a *attempt) hedgeAfter() time.Duration {
-	if a.route.Target <= 0 || !a.g.policy.On(policy.Hedge) {
-		return time.Hour
+	wait, ok := retry.HedgeAfter(a.route.Target)
+	if !ok || !a.g.policy.On(policy.Hedge) {
+		return never
 	}
-	return time.Duration(hedgeShare * float64(a.route.Target))
+	return wait
 }
 
-// mayRepeat: what is safe may go to MaxAttempts upstreams; anything else only
-// while none may have run it.
-func (a *attempt) mayRepeat() bool {
-	if a.sends >= maxSends {
-		return false
-	}
-	if a.route.Kind == routes.Safe {
-		return a.runs < a.route.MaxAttempts
-	}
-	return a.runs == 0
-}
+func (a *attempt) mayRepeat() bool { return a.rule.Forbids(a.sends) == retry.None }
 
 // send starts a send to another upstream. It reports false if there is none.
 func (a *attempt) send(ctx context.Context) bool {
@@ -219,8 +240,7 @@
 	load, age := a.g.pool.known(u.Incarnation(), a.g.now())
 	began := time.Now()
 	a.log = append(a.log, sendLog{upstream: u.Incarnation(), load: load, age: age, began: began})
-	a.sends++
-	a.runs++
+	a.sends.Begin()
 	a.waiting++
 	go func() {
 		answer, err := a.g.upstreams.Call(ctx, u, a.call, a.route.Kind != routes.Safe)
@@ -237,6 +257,7 @@
 	var f *exchange.Failure
 	switch {
 	case err == nil:
+		g.hedges.succeeded()
 		g.pool.succeeded(u.Incarnation(), answer.Load, now)
 		g.cleared(ctx, call, answer)
 	case ctx.Err() == nil && errors.As(err, &f) && f.Kind != exchange.Malformed && !f.BrokeIdle():
@@ -254,13 +275,13 @@
 	switch {
 	case r.err != nil:
 		if errors.As(r.err, &f) && !f.Sent {
-			a.runs--
+			a.sends.NotRun()
 		}
-		a.g.log.Warn().Str("request", a.call.ID).Str("upstream", r.upstream.Incarnation()).Int("send", a.sends).
+		a.g.log.Warn().Str("request", a.call.ID).Str("upstream", r.upstream.Incarnation()).Int("send", a.sends.Made).
 			Dur("left", time.Until(a.call.Deadline)).Err(r.err).Msg("send failed")
 		return nil
 	case r.answer.NotRun:
-		a.runs--
+		a.sends.NotRun()
 		a.last = r.answer
 		a.g.log.Info().Str("request", a.call.ID).Str("upstream", r.upstream.Incarnation()).Int("status", r.answer.Status).
 			Int("load", r.answer.Load).Msg("upstream refused")
@@ -279,7 +300,7 @@
 	switch {
 	case a.last != nil && !a.last.NotRun:
 		return a.last, nil
-	case a.runs == 0:
+	case a.sends.Runs == 0:
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: comeBack, Reason: "every upstream refused"}
 	default:
 		return nil, &Refusal{Status: http.StatusBadGateway, Reason: "no whole answer from an upstream"}
@@ -295,18 +316,18 @@
 
 func (a *attempt) report(answer *Answer, refusal *Refusal, took time.Duration) {
 	callTime.Observe(took)
-	callsResent.Add(int64(max(0, a.sends-1)))
+	callsResent.Add(int64(max(0, a.sends.Made-1)))
 	if refusal == nil {
 		callsAnswered.Add(1)
-		if a.sends > 1 {
+		if a.sends.Made > 1 {
 			a.g.log.Info().Str("request", a.call.ID).Str("route", a.route.Name).Int("status", answer.Status).
-				Int("sends", a.sends).Strs("tried", a.sendsLog()).Dur("took", took).Msg("answered after more than one send")
+				Int("sends", a.sends.Made).Strs("tried", a.sendsLog()).Dur("took", took).Msg("answered after more than one send")
 		}
 		return
 	}
 	callsRefused.Add(1)
 	a.g.log.Warn().Str("request", a.call.ID).Str("route", a.route.Name).Str("service", a.service).
-		Int("status", refusal.Status).Str("reason", refusal.Reason).Int("sends", a.sends).Int("may_have_run", a.runs).Strs("tried", a.sendsLog()).
+		Int("status", refusal.Status).Str("reason", refusal.Reason).Int("sends", a.sends.Made).Int("may_have_run", a.sends.Runs).Strs("tried", a.sendsLog()).
 		Dur("took", took).Msg("call refused")
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
+	"github.com/dogwoodflow/dogwoodflow/internal/retry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/exchange"
 )
@@ -75,7 +76,7 @@
 	defer cancel()
 	s := &streamAttempt{
 		g: g, route: route, call: call, out: out, service: route.Pick(rand.Float64()), tried: map[string]bool{},
-		course: course{resumable: route.Resumable, maxRuns: route.MaxAttempts, after: after},
+		course: course{rule: ruleOf(route, route.Resumable), after: after},
 	}
 	result := s.run(ctx)
 	s.report(result, time.Since(began))
@@ -100,7 +101,7 @@
 			return s.end(ctx, s.afterLast())
 		}
 		s.tried[u.Incarnation()] = true
-		s.sent()
+		s.sends.Begin()
 		result, step := s.send(ctx, u)
 		if result != nil {
 			return *result
@@ -128,7 +129,7 @@
 // send runs the call at one upstream. A result is final; without one the step says
 // how to go on.
 func (s *streamAttempt) send(ctx context.Context, u registry.Upstream) (*StreamResult, streamStep) {
-	opened, err := s.g.upstreams.Open(ctx, u, s.call, Resume{Resumable: s.resumable, After: s.after, Version: s.expected()})
+	opened, err := s.g.upstreams.Open(ctx, u, s.call, Resume{Resumable: s.rule.Repeatable, After: s.after, Version: s.expected()})
 	if err != nil {
 		s.g.note(ctx, u, s.call, nil, err)
 		return nil, s.failed(u, err)
@@ -164,7 +165,7 @@
 func (s *streamAttempt) whole(u registry.Upstream, answer *Answer) (*StreamResult, streamStep) {
 	s.g.log.Info().Str("request", s.call.ID).Str("upstream", u.Incarnation()).Int("status", answer.Status).
 		Bool("not_run", answer.NotRun).Int("after", s.after).Msg("upstream answered without a stream")
-	if !answer.NotRun && !s.started && (answer.Status < 500 || !s.resumable || s.runs >= s.maxRuns) {
+	if !answer.NotRun && !s.started && (answer.Status < 500 || s.rule.Forbids(s.sends) != retry.None) {
 		return &StreamResult{Answer: answer}, sendOn
 	}
 	return nil, s.afterFailure(!answer.NotRun)
@@ -204,7 +205,7 @@
 func (s *streamAttempt) failed(u registry.Upstream, err error) streamStep {
 	var f *exchange.Failure
 	mayHaveRun := !errors.As(err, &f) || f.Sent
-	s.g.log.Warn().Str("request", s.call.ID).Str("upstream", u.Incarnation()).Int("send", s.sends).Int("after", s.after).
+	s.g.log.Warn().Str("request", s.call.ID).Str("upstream", u.Incarnation()).Int("send", s.sends.Made).Int("after", s.after).
 		Dur("left", time.Until(s.call.Deadline)).Err(err).Msg("stream failed")
 	return s.afterFailure(mayHaveRun)
 }
@@ -219,16 +220,16 @@
 	switch {
 	case r.Err != nil:
 		streamsBroken.Add(1)
-		s.g.log.Warn().Str("request", s.call.ID).Str("route", s.route.Name).Int("after", s.after).Int("sends", s.sends).
+		s.g.log.Warn().Str("request", s.call.ID).Str("route", s.route.Name).Int("after", s.after).Int("sends", s.sends.Made).
 			Dur("took", took).Msg("stream broken off")
 	case r.Refusal != nil:
 		streamsRefused.Add(1)
 		s.g.log.Warn().Str("request", s.call.ID).Str("route", s.route.Name).Str("service", s.service).Int("status", r.Refusal.Status).
-			Str("reason", r.Refusal.Reason).Int("sends", s.sends).Int("may_have_run", s.runs).Dur("took", took).Msg("stream refused")
+			Str("reason", r.Refusal.Reason).Int("sends", s.sends.Made).Int("may_have_run", s.sends.Runs).Dur("took", took).Msg("stream refused")
 	default:
 		streamsWhole.Add(1)
-		if s.sends > 1 {
-			s.g.log.Info().Str("request", s.call.ID).Str("route", s.route.Name).Int("events", s.after).Int("sends", s.sends).
+		if s.sends.Made > 1 {
+			s.g.log.Info().Str("request", s.call.ID).Str("route", s.route.Name).Int("events", s.after).Int("sends", s.sends.Made).
 				Dur("took", took).Msg("stream whole after more than one send")
 		}
 	}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -7,8 +7,8 @@
 //   - nothing is repeated without a token of the budget, save after NotRun,
 //     where an overload of upstreams can't be made worse by work that didn't run,
 //     and after a proved death of the upstream;
-//   - nothing is repeated at or after the deadline, or past MaxAttempts
-//     (MaxNotRun after NotRun, which costs an upstream nothing).
+//   - nothing is repeated at or after the deadline, or past MaxAttempts runs
+//     (MaxNotRun sends: a refusal costs an upstream nothing).
 package retry
 
 import (
@@ -74,8 +74,8 @@
 	// need no token: a death hits all requests in flight at once, and a request
 	// that kills is stopped by its second death.
 	Died bool
-	// Attempts counts those made so far, this one included.
-	Attempts int
+	// Sends counts those made so far, this one included.
+	Sends Sends
 	// Sent says that a part of the answer went to the caller already.
 	Sent     bool
 	Deadline time.Time // zero: none
@@ -83,8 +83,8 @@
 
 // Options of the decision.
 type Options struct {
-	MaxAttempts int // default 4
-	// MaxNotRun is the same after an attempt that certainly didn't run; refusals
+	MaxAttempts int // that ran the request or may have; default 4
+	// MaxNotRun bounds all attempts, those included that certainly didn't run; refusals
 	// come in rows while a group restarts. Default three times MaxAttempts.
 	MaxNotRun  int
 	Backoff    time.Duration // before the third attempt, doubling; default 20 ms
@@ -124,7 +124,7 @@
 	if a.Outcome != outcome.NotRun && !a.Died && !budget.Take(now) {
 		return Decision{Action: Fail, Cause: OverBudget}
 	}
-	after := backoff(a.Attempts, o)
+	after := backoff(a.Sends.Made, o)
 	if a.Sent {
 		return Decision{Action: Resume, After: after}
 	}
@@ -133,28 +133,23 @@
 
 // forbidden returns the first rule that forbids a repetition.
 func forbidden(a Attempt, o Options, now time.Time) Cause {
+	rule := Rule{Repeatable: a.Idempotent, MaxRuns: o.MaxAttempts, MaxSends: o.MaxNotRun}
+	cause := rule.Forbids(a.Sends)
 	switch {
 	case a.Outcome == outcome.Ran && !(a.Transient && a.Idempotent):
 		return Answered
-	case a.Outcome == outcome.Unknown && !a.Idempotent:
+	case cause == NotSafe:
 		return NotSafe
 	case a.Sent && !a.Resumable:
 		return NotResumed
-	case a.Attempts >= limitOf(a, o):
-		return Exhausted
+	case cause != None:
+		return cause
 	case !a.Deadline.IsZero() && !now.Before(a.Deadline):
 		return PastDue
 	}
 	return None
 }
 
-func limitOf(a Attempt, o Options) int {
-	if a.Outcome == outcome.NotRun {
-		return o.MaxNotRun
-	}
-	return o.MaxAttempts
-}
-
 // backoff lets the first repetition go at once: it goes to another upstream.
 func backoff(attempts int, o Options) time.Duration {
 	if attempts <= 1 {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -15,6 +15,18 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 )
 
+// alike is a number of sends that all had the same outcome.
+func alike(n int, o outcome.Outcome) retry.Sends {
+	var s retry.Sends
+	for range n {
+		s.Begin()
+		if o == outcome.NotRun {
+			s.NotRun()
+		}
+	}
+	return s
+}
+
 // every calls with each combination of what matters to a decision.
 func every(with func(retry.Attempt)) {
 	bools := []bool{false, true}
@@ -23,7 +35,7 @@
 			for _, resumable := range bools {
 				for _, sent := range bools {
 					for _, attempts := range []int{1, 3, 4, 12} {
-						a := retry.Attempt{Outcome: o, Idempotent: idempotent, Resumable: resumable, Sent: sent, Attempts: attempts}
+						a := retry.Attempt{Outcome: o, Idempotent: idempotent, Resumable: resumable, Sent: sent, Sends: alike(attempts, o)}
 						with(a)
 						a.Transient, a.Died = true, true
 						with(a)
@@ -40,7 +52,7 @@
 	most := map[outcome.Outcome]int{outcome.NotRun: 12, outcome.Unknown: 4, outcome.Ran: 4}[a.Outcome]
 	harmless := a.Outcome == outcome.NotRun || a.Idempotent && (a.Outcome == outcome.Unknown || a.Transient)
 	paid := a.Outcome == outcome.NotRun || a.Died || tokens > 0
-	if !harmless || !paid || a.Attempts >= most || a.Sent && !a.Resumable {
+	if !harmless || !paid || a.Sends.Made >= most || a.Sent && !a.Resumable {
 		return retry.Fail
 	}
 	if a.Sent {
@@ -54,6 +66,11 @@
 	return action == retry.Fail || a.Idempotent || a.Outcome == outcome.NotRun
 }
 
+// forever decides with the usual options and a full budget.
+func forever(a retry.Attempt) retry.Decision {
+	return retry.Decide(a, retry.NewBudget(retry.BudgetOptions{}, epoch), retry.Options{}, epoch)
+}
+
 var _ = Describe("Decide", func() {
 	It("agrees with the naive rule, with and without a budget", func() {
 		every(func(a retry.Attempt) {
@@ -80,10 +97,24 @@
 	})
 
 	It("repeats nothing at its deadline", func() {
-		a := retry.Attempt{Outcome: outcome.NotRun, Attempts: 1, Deadline: epoch}
+		a := retry.Attempt{Outcome: outcome.NotRun, Sends: alike(1, outcome.NotRun), Deadline: epoch}
 		Expect(retry.Decide(a, retry.NewBudget(retry.BudgetOptions{}, epoch), retry.Options{}, epoch).Cause).To(Equal(retry.PastDue))
 	})
 
+	// A group restarts: its upstreams refuse, one after the other, until the first that
+	// is back takes the request and dies. The caller got an error, though no upstream but
+	// that one had run its request: refusals had been counted as attempts.
+	It("counts what may have run apart from what was refused", func() {
+		sends := alike(11, outcome.NotRun)
+		sends.Begin()
+		a := retry.Attempt{Outcome: outcome.Unknown, Idempotent: true, Sends: sends}
+		Expect(forever(a).Cause).To(Equal(retry.Exhausted), "twelve sends are enough")
+		a.Sends.Made = 11
+		Expect(forever(a).Action).To(Equal(retry.Retry))
+		a.Outcome, a.Idempotent = outcome.NotRun, false
+		Expect(forever(a).Cause).To(Equal(retry.NotSafe), "an earlier send may have run it")
+	})
+
 	It("decides as in the golden session", func() {
 		var b strings.Builder
 		budget := retry.NewBudget(retry.BudgetOptions{Max: 10}, epoch)
@@ -92,7 +123,7 @@
 			now = now.Add(50 * time.Millisecond)
 			d := retry.Decide(a, budget, retry.Options{}, now)
 			fmt.Fprintf(&b, "%v idempotent=%v resumable=%v sent=%v attempts=%d died=%v -> %v (%v) after %v, %.2f tokens\n",
-				a.Outcome, a.Idempotent, a.Resumable, a.Sent, a.Attempts, a.Died, d.Action, d.Cause, d.After, budget.Tokens(now))
+				a.Outcome, a.Idempotent, a.Resumable, a.Sent, a.Sends.Made, a.Died, d.Action, d.Cause, d.After, budget.Tokens(now))
 		})
 		golden.Expect("session.golden", b.String())
 	})
