Customers: a key says who asks and goes no further

A request's key is turned into a customer at the edge (internal/customers, pure). Upstreams get the customer's name in calls, streams and samples, never a key or a name that the caller wrote. A batch belongs to its customer: its key in records and between daemons holds the customer, so another one's calls meet another batch. Text is reused within one customer only.

--- a/cmd/dogwoodflowctl/platform.go
+++ b/cmd/dogwoodflowctl/platform.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -132,14 +133,14 @@
 
 func (p *platformDaemons) batch(ctx context.Context, id string) error {
 	var b inspect.BatchDetail
-	if err := p.first(ctx, http.MethodGet, pages.PathBatches+"/"+id, &b); err != nil {
+	if err := p.first(ctx, http.MethodGet, pages.PathBatches+"/"+url.PathEscape(id), &b); err != nil {
 		return err
 	}
 	return p.g.show(b, func(t table) { batchTable(t, b) })
 }
 
 func (p *platformDaemons) end(ctx context.Context, id string) error {
-	if err := p.first(ctx, http.MethodDelete, pages.PathBatches+"/"+id, nil); err != nil {
+	if err := p.first(ctx, http.MethodDelete, pages.PathBatches+"/"+url.PathEscape(id), nil); err != nil {
 		return hintUnknown(err, "ending a batch again is safe")
 	}
 	return p.g.show(map[string]string{"ended": id}, func(t table) { t.text("ended %s", id) })
--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -197,12 +197,12 @@
 	return b
 }
 
-// reuse takes over the text of the same sample in an earlier batch if its weights are
-// new enough for this one. A score is taken over only with the whole text that it was
+// reuse takes over the text of the same sample in an earlier batch of its customer if its
+// weights are new enough for this one. A score is taken over only with the whole text that it was
 // given to, and if this batch asks for the same reward call.
 func (f *Fold) reuse(b *Batch, s *Sample) {
 	ref, ok := f.newest[s.ID]
-	if !ok || ref.batch.Model != b.Model {
+	if !ok || ref.batch.Model != b.Model || ref.batch.Customer != b.Customer {
 		return
 	}
 	earlier := &ref.batch.Samples[ref.index]
--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -413,3 +413,22 @@
 	g.Expect(s.Text.Segments).To(HaveLen(3))
 	g.Expect([]int64{s.Text.Segments[0].At, s.Text.Segments[1].At, s.Text.Segments[2].At}).To(Equal([]int64{4, 304, 2}))
 }
+
+// Two customers name a sample alike. The text of the one's must not show up in the
+// other's batch.
+func TestTextIsNotReusedAcrossCustomers(t *testing.T) {
+	for _, c := range []struct {
+		customer string
+		events   int
+	}{{"a", 3}, {"b", 0}} {
+		g := NewWithT(t)
+		f := NewFold()
+		accept := func(id, customer string) {
+			f.Apply(Accepted{Batch: Key(customer, id), Parts: 1, Head: &Head{Model: "m", Customer: customer}, Items: []Item{{ID: "s"}}}, 0)
+		}
+		accept("first", "a")
+		f.Apply(Progress{Batch: Key("a", "first"), Link: Link{Writer: "w"}, Segment: Segment{Events: 3}}, 0)
+		accept("second", c.customer)
+		g.Expect(f.Get(Key(c.customer, "second")).Samples[0].Text.Events).To(Equal(c.events), "customer %s", c.customer)
+	}
+}
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -11,6 +11,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/url"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -31,7 +32,7 @@
 // Accepted is a part of an accepted batch. The parts of one batch are appended
 // together, all or none; the batch counts from its last part on.
 type Accepted struct {
-	Batch string `cbor:"1,keyasint"`
+	Batch string `cbor:"1,keyasint"` // Key of the batch, as in all records
 	// Copy tells the parts of one append from those of a second copy.
 	Copy  string `cbor:"2,keyasint"`
 	Part  int    `cbor:"3,keyasint"`
@@ -56,10 +57,26 @@
 	// Requests lie in blobs from this offset on, so many items in each.
 	RequestsAt    int64 `cbor:"11,keyasint"`
 	RequestCounts []int `cbor:"12,keyasint"`
+	// Customer that the batch belongs to, "" where callers have none.
+	Customer string `cbor:"14,keyasint,omitempty"`
 	// AcceptedMS is when the batch was taken in, in Unix ms by the clock of that VM.
 	AcceptedMS int64 `cbor:"13,keyasint,omitempty"`
 }
 
+// Key names a batch among those of all customers. A customer reaches its own batches only:
+// whatever ID another one asks for, it asks for a batch of its own, and the same ID from
+// another customer is another batch. The customer stands in front, escaped, so that no two
+// pairs have one key. Where callers have no customers, the ID alone is the key.
+func Key(customer, id string) string {
+	if customer == "" {
+		return id
+	}
+	return url.QueryEscape(customer) + keySeparator + id
+}
+
+// keySeparator stands in no escaped name.
+const keySeparator = ":"
+
 // Item is one sample to generate.
 type Item struct {
 	ID    string `cbor:"1,keyasint"`
--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -14,8 +14,9 @@
 
 // SampleRun asks an engine to run a sample, or to go on with it.
 type SampleRun struct {
-	ID   string
-	Host string
+	ID       string
+	Host     string
+	Customer string // that the sample's batch belongs to, "" for none
 	batch.Request
 	// After is how many events of the text are had already.
 	After int
--- a/internal/batchrun/rescue_test.go
+++ b/internal/batchrun/rescue_test.go
@@ -55,7 +55,7 @@
 	for _, inTouch := range []bool{true, false} {
 		g := NewWithT(t)
 		view := fleet.New(func() time.Duration { return time.Minute })
-		config := routes.New(1, nil, []routes.Service{{Name: "engines", Engine: &routes.Engine{Slots: 8, Models: []string{"m0"}}}}, routes.Limits{})
+		config := routes.New(1, nil, []routes.Service{{Name: "engines", Engine: &routes.Engine{Slots: 8, Models: []string{"m0"}}}}, routes.Limits{}, nil)
 		o := Options{Parts: 1, Now: func() time.Duration { return time.Minute }, View: view, Suspects: health.NewSuspects(), Policy: Ours(policy.Set{})}
 		r := newRunner(New(o), newPartition(0, o.Now, zerolog.Nop()), func() bool { return inTouch })
 		for i, gap := range []time.Duration{400 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond} {
--- a/internal/batchrun/stream.go
+++ b/internal/batchrun/stream.go
@@ -91,7 +91,7 @@
 	x := &run{ctx: ctx, key: key, id: s.ID, upstream: u, engine: u.Incarnation(), model: model, scored: s.Reward != "", expected: s.Expected, text: t, began: now, cancel: cancel, started: t.had(), lastAt: now}
 	r.runs[key] = x
 	r.engineLocked(u.Incarnation()).running++
-	ask := SampleRun{ID: s.ID, Host: head.Host, Request: requests[w.Index], After: t.had()}
+	ask := SampleRun{ID: s.ID, Host: head.Host, Customer: head.Customer, Request: requests[w.Index], After: t.had()}
 	if ask.After > 0 {
 		samplesResumed.Add(1)
 	}
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -334,7 +334,7 @@
 	view.SetConfig(routes.New(1, []routes.Route{
 		{Host: testHost, PathPrefix: testPath, Kind: routes.Batch, Services: []routes.Share{{Service: "engines", Weight: 1}}},
 		{Name: "rewards", Host: testHost, PathPrefix: rewardPath, Kind: routes.Safe, MaxAttempts: 4, Services: []routes.Share{{Service: "scorers", Weight: 1}}},
-	}, []routes.Service{{Name: "engines", Engine: &routes.Engine{Slots: 8, Models: w.models}}}, routes.Limits{}))
+	}, []routes.Service{{Name: "engines", Engine: &routes.Engine{Slots: 8, Models: w.models}}}, routes.Limits{}, nil))
 	view.Upstreams(func(r *registry.Registry, now time.Duration) {
 		for id := range w.engines.engines {
 			r.Put(registry.Upstream{ID: id, Started: w.engines.startOf(id), Service: "engines", Address: id, Slots: 8, Models: w.engines.versionsOf(id)})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,12 +24,13 @@
 
 // Call is a caller's request, its body read.
 type Call struct {
-	ID     string // of the caller's attempt
-	Method string
-	Host   string
-	Target string // path and query as they came
-	Header http.Header
-	Body   []byte
+	ID       string // of the caller's attempt
+	Customer string // who asks, "" where callers have no customers; the header names it
+	Method   string
+	Host     string
+	Target   string // path and query as they came
+	Header   http.Header
+	Body     []byte
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/customers"
 )
 
 // Kind says how often a request may run and what its answer looks like.
@@ -30,6 +32,7 @@
 	Timeout     time.Duration // longest wait of a caller, 0: none
 	Target      time.Duration // latency objective
 	Priority    int           // 0 is the highest
+	Public      bool          // callers need no key
 	Services    []Share
 	MaxAttempts int // upstreams to which one attempt of a caller may be sent
 
@@ -71,13 +74,15 @@
 	Version  int64
 	Services map[string]Service
 	Limits   Limits
-	byHost   map[string][]Route // longest prefix first
-	routes   []Route
+	// Customers are those whose keys are in force, nil where callers need none.
+	Customers *customers.Directory
+	byHost    map[string][]Route // longest prefix first
+	routes    []Route
 }
 
 // New returns a configuration of the given parts.
-func New(version int64, routes []Route, services []Service, limits Limits) *Config {
-	c := &Config{Version: version, Services: map[string]Service{}, Limits: limits, byHost: map[string][]Route{}, routes: routes}
+func New(version int64, routes []Route, services []Service, limits Limits, directory *customers.Directory) *Config {
+	c := &Config{Version: version, Services: map[string]Service{}, Limits: limits, Customers: directory, byHost: map[string][]Route{}, routes: routes}
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -10,7 +10,7 @@
 	route := func(host, prefix string, kind Kind) Route {
 		return Route{Name: host + prefix, Host: host, PathPrefix: prefix, Kind: kind}
 	}
-	c := New(3, []Route{route("A.example", "/", Safe), route("a.example", "/x/", Unsafe), route("a.example", "/x/y/", Batch), route("b.example", "/x/", Safe)}, nil, Limits{})
+	c := New(3, []Route{route("A.example", "/", Safe), route("a.example", "/x/", Unsafe), route("a.example", "/x/y/", Batch), route("b.example", "/x/", Safe)}, nil, Limits{}, nil)
 	for _, each := range []struct{ host, path, want string }{
 		{"a.example", "/x/y/z", "a.example/x/y/"},
 		{"a.example", "/x/z", "a.example/x/"},
