--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -70,7 +70,7 @@
 	setDuration(&o.NoUpstreamWait, 5*time.Second)
 	setDuration(&o.QueueTimeout, time.Minute)
 	if o.HedgeBudget == (retry.BudgetOptions{}) {
-		o.HedgeBudget = retry.HedgeBudget()
+		o.HedgeBudget = retry.GenerationHedges()
 	}
 	return o
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,7 +110,7 @@
 }
 
 func newHedgeBudget() *hedgeBudget {
-	return &hedgeBudget{budget: retry.NewBudget(retry.HedgeBudget(), time.Now())}
+	return &hedgeBudget{budget: retry.NewBudget(retry.CallHedges(), time.Now())}
 }
 
 func (h *hedgeBudget) take() bool {
--- a/internal/retry/hedge.go
+++ b/internal/retry/hedge.go
@@ -13,7 +13,11 @@
 	return time.Duration(hedgeShare * float64(objective)), objective > 0
 }
 
-// HedgeBudget bounds second copies to a twentieth of the traffic, or one a second where
-// there is little: when a whole group turns slow, copies of all its calls would double its
-// load.
-func HedgeBudget() BudgetOptions { return BudgetOptions{Share: 0.05, PerSecond: 1, Max: 10} }
+// GenerationHedges bounds second copies of generations, which take an engine's place for
+// seconds, to a twentieth of them, or one a second where there are few.
+func GenerationHedges() BudgetOptions { return BudgetOptions{Share: 0.05, PerSecond: 1, Max: 10} }
+
+// CallHedges bounds second copies of calls: when a whole service turns slow, copies of all
+// its calls would double its load. A step's reward calls come dozens at once, and one
+// server of nine that is slow holds a tenth of them up: Max lets all of these have a copy.
+func CallHedges() BudgetOptions { return BudgetOptions{Share: 0.1, PerSecond: 3, Max: 50} }
--- /dev/null
+++ b/internal/usage/record.go
@@ -0,0 +1,55 @@
+package usage
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ErrMalformed says that a record can't be read. Every daemon skips it alike.
+var ErrMalformed = errors.New("usage: malformed record")
+
+// WindowCounts are requests that began to run in a window, by customer.
+type WindowCounts struct {
+	Window int64          `cbor:"1,keyasint"`
+	Counts map[string]int `cbor:"2,keyasint"`
+}
+
+// Counted adds a daemon's counts.
+type Counted struct {
+	Writer string `cbor:"1,keyasint"` // unique to one start of a daemon
+	// Number grows with each of a writer's records. One whose append had no answer is
+	// appended again under its number before the next one is, and counts once.
+	Number  int64          `cbor:"2,keyasint"`
+	Windows []WindowCounts `cbor:"3,keyasint"`
+}
+
+// Decided fixes what is reported of a window. The first one of a window counts.
+type Decided struct {
+	Report WindowCounts `cbor:"1,keyasint"`
+}
+
+// Sent says that a window's report was taken.
+type Sent struct {
+	Window int64 `cbor:"1,keyasint"`
+}
+
+// Record is an entry of the log. Exactly one field is set.
+type Record struct {
+	Counted *Counted `cbor:"1,keyasint,omitempty"`
+	Decided *Decided `cbor:"2,keyasint,omitempty"`
+	Sent    *Sent    `cbor:"3,keyasint,omitempty"`
+}
+
+// Encode turns a record into log data.
+func Encode(r Record) ([]byte, error) { return cbor.Marshal(r) }
+
+// Decode reads log data. Error: ErrMalformed.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return Record{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return r, nil
+}
