--- a/internal/batchrun/claimer.go
+++ b/internal/batchrun/claimer.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/loads"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
@@ -15,13 +14,7 @@
 // 10 ms.
 const claimTries = 12
 
-// permit is a claim that this VM holds.
-type permit struct {
-	fence int64
-	until time.Duration // boottime until which an order may leave
-}
-
-// claimer appends claims on engines. Claims that are wanted while an append is under way
+// claimer appends claims on engines and on duties. Claims that are wanted while an append is under way
 // go with the next one: each append is made on the condition that the claims' log hasn't
 // grown, so a hundred claims of one VM at once, as for new weights on a large service,
 // would make each other's appends fail, with a read after each failure. It is safe for
@@ -34,20 +27,20 @@
 	busy    bool // an append is under way
 }
 
-// claim is an engine that is to be claimed, and the outcome.
+// claim is what is to be claimed, and the outcome.
 type claim struct {
-	engine string // its address
-	done   chan struct{}
-	permit permit
-	err    error
+	subject string
+	done    chan struct{}
+	permit  loads.Permit
+	err     error
 }
 
 func newClaimer(x *orders) *claimer { return &claimer{orders: x} }
 
-// claim claims an engine. It doesn't end before the append: a claim that is in the log
-// bars the engine for other VMs, whoever waits for it here.
-func (c *claimer) claim(ctx context.Context, engine string) (permit, error) {
-	wanted := &claim{engine: engine, done: make(chan struct{})}
+// claim claims a subject. It doesn't end before the append: a claim that is in the log
+// bars the subject for other VMs, whoever waits for it here.
+func (c *claimer) claim(ctx context.Context, subject string) (loads.Permit, error) {
+	wanted := &claim{subject: subject, done: make(chan struct{})}
 	c.mu.Lock()
 	c.waiting = append(c.waiting, wanted)
 	first := !c.busy
@@ -78,7 +71,7 @@
 	}
 }
 
-// append claims engines together, those that no other VM claimed.
+// append claims subjects together, those that no other VM claimed.
 func (c *claimer) append(ctx context.Context, claims []*claim) {
 	for try := 0; len(claims) > 0; try++ {
 		began, at := c.orders.options.Now(), c.orders.follower.Next()
@@ -89,7 +82,7 @@
 		err := c.appendAt(ctx, at, claims)
 		if err == nil || errors.Is(err, store.ErrUnknown) && c.orders.holds(ctx, claims, at) {
 			for i, x := range claims {
-				x.permit = permit{fence: fenceOf(at + int64(i)), until: began + loads.ClaimLife}
+				x.permit = loads.Permit{Fence: fenceOf(at + int64(i)), Until: began + loads.ClaimLife}
 			}
 			return
 		}
@@ -107,11 +100,11 @@
 	}
 }
 
-// allowed drops the claims on engines that another VM holds.
+// allowed drops the claims on subjects that another VM holds.
 func (c *claimer) allowed(claims []*claim) []*claim {
 	var out []*claim
 	for _, x := range claims {
-		if c.orders.barred(x.engine) > 0 {
+		if c.orders.barred(x.subject) > 0 {
 			x.err = errBarred
 			continue
 		}
@@ -123,13 +116,13 @@
 func (c *claimer) appendAt(ctx context.Context, at int64, claims []*claim) error {
 	var records [][]byte
 	for _, x := range claims {
-		data, err := loads.Encode(loads.Record{Claim: &loads.Claim{Engine: x.engine, Holder: c.orders.options.VM}})
+		data, err := loads.Encode(loads.Record{Claim: &loads.Claim{Subject: x.subject, Holder: c.orders.options.VM}})
 		if err != nil {
 			return err
 		}
 		records = append(records, data)
 	}
-	ctx, cancel := context.WithTimeout(ctx, firstAnswer)
+	ctx, cancel := context.WithTimeout(ctx, store.FirstAnswer)
 	defer cancel()
 	_, err := c.orders.options.Log.AppendAt(ctx, claimsTopic, 0, at, records)
 	return err
@@ -147,7 +140,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for i, c := range claims {
-		holder, offset, ok := x.claims.Holder(c.engine)
+		holder, offset, ok := x.claims.Holder(c.subject)
 		if !ok || holder != x.options.VM || offset != at+int64(i) {
 			return false
 		}
--- a/internal/batchrun/inspect.go
+++ b/internal/batchrun/inspect.go
@@ -124,12 +124,12 @@
 	return append(out, s.orders.follower.Inspect())
 }
 
-// HolderOf returns the VM that claimed an engine's address last and the fencing
+// HolderOf returns the VM that claimed an engine's address or a duty last and the fencing
 // number of its claim.
-func (s *Service) HolderOf(address string) (vm string, fence int64) {
+func (s *Service) HolderOf(subject string) (vm string, fence int64) {
 	s.orders.mu.Lock()
 	defer s.orders.mu.Unlock()
-	vm, offset, ok := s.orders.claims.Holder(address)
+	vm, offset, ok := s.orders.claims.Holder(subject)
 	if !ok {
 		return "", 0
 	}
--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -67,7 +67,7 @@
 	loadTime     = metrics.Latency("load_ms")
 	errLost      = errors.New("engine lost during its load")
 	errRestarted = errors.New("engine started again, its counts began anew")
-	errBarred    = errors.New("another VM claimed the engine")
+	errBarred    = errors.New("another VM holds a claim")
 	errClaimAged = errors.New("claim too old for an order")
 	errFenced    = errors.New("engine has seen a higher fencing number")
 	errRejected  = errors.New("engine rejected the order")
@@ -203,13 +203,13 @@
 
 // order sends one order. An order without an answer isn't repeated here: the
 // engine's report tells whether it was taken.
-func (x *orders) order(ctx context.Context, u registry.Upstream, w weights, p permit, accepted int64) error {
-	if x.options.Now() >= p.until {
+func (x *orders) order(ctx context.Context, u registry.Upstream, w weights, p loads.Permit, accepted int64) error {
+	if x.options.Now() >= p.Until {
 		return errClaimAged
 	}
 	ordersSent.Add(1)
-	outcome, err := x.options.Engines.Load(ctx, u, LoadOrder{Model: w.model, Version: w.version, Holder: x.options.VM, Fence: p.fence, Orders: accepted, Retain: w.retain})
-	x.options.Logger.Info().Str("upstream", u.Incarnation()).Str("model", w.model).Int64("version", w.version).Bool("retain", w.retain).Int64("fence", p.fence).
+	outcome, err := x.options.Engines.Load(ctx, u, LoadOrder{Model: w.model, Version: w.version, Holder: x.options.VM, Fence: p.Fence, Orders: accepted, Retain: w.retain})
+	x.options.Logger.Info().Str("upstream", u.Incarnation()).Str("model", w.model).Int64("version", w.version).Bool("retain", w.retain).Int64("fence", p.Fence).
 		Int64("orders_before", accepted).Int("outcome", int(outcome)).Err(err).Msg("load ordered")
 	switch outcome {
 	case LoadFenced:
--- a/internal/batchrun/outbox.go
+++ b/internal/batchrun/outbox.go
@@ -164,7 +164,7 @@
 	for try := 1; ctx.Err() == nil; try++ {
 		outboxAppends.Add(1)
 		next := time.NewTimer(outboxRetry)
-		at, err := appendWithin(ctx, o.log, topic, o.part, records, try)
+		at, err := store.AppendRepeatable(ctx, o.log, topic, o.part, records, try)
 		if err == nil {
 			next.Stop()
 			return at, true
@@ -184,22 +184,6 @@
 	return 0, false
 }
 
-const (
-	// firstAnswer and lastAnswer bound the wait for an append's answer, which doubles
-	// from try to try. One that was lost never comes, and waiting for it holds up all
-	// results; a slow store needs some 250 ms.
-	firstAnswer = 400 * time.Millisecond
-	lastAnswer  = 1500 * time.Millisecond
-)
-
-// appendWithin is an append that may be repeated: records that stand twice in the
-// log count once.
-func appendWithin(ctx context.Context, log store.Log, topic string, part int, records [][]byte, try int) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(firstAnswer<<min(try-1, 4), lastAnswer))
-	defer cancel()
-	return log.Append(ctx, topic, part, records)
-}
-
 // flushPoll is the pause between two looks at an outbox that is to run empty.
 const flushPoll = 10 * time.Millisecond
 
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
+	"github.com/dogwoodflow/dogwoodflow/internal/loads"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/pause"
@@ -100,6 +101,12 @@
 	_ = g.Wait() // none of them returns an error
 }
 
+// Claim claims a duty for this VM, as an engine is claimed before an order: the next holder
+// is barred until what is sent under the permit can't arrive any more.
+func (s *Service) Claim(ctx context.Context, duty string) (loads.Permit, error) {
+	return s.orders.claimer.claim(ctx, duty)
+}
+
 // Drain hands the owned partitions over to other daemons.
 func (s *Service) Drain(ctx context.Context) { s.owner.drain(ctx) }
 
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -114,7 +114,7 @@
 		return 0, nil, ErrTooLarge
 	}
 	for try, refused := 1, 0; ; try++ {
-		at, err = appendWithin(ctx, s.options.Log, textTopic, p.number, packed, try)
+		at, err = store.AppendRepeatable(ctx, s.options.Log, textTopic, p.number, packed, try)
 		if err == nil {
 			break
 		}
@@ -169,7 +169,7 @@
 	var last error
 	unknown := false
 	for try, refused := 1, 0; ctx.Err() == nil; try++ {
-		_, err := appendWithin(ctx, s.options.Log, batchTopic, p.number, records, try)
+		_, err := store.AppendRepeatable(ctx, s.options.Log, batchTopic, p.number, records, try)
 		if err == nil {
 			return nil
 		}
--- a/internal/batchrun/wishes.go
+++ b/internal/batchrun/wishes.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = appendWithin(ctx, x.options.Log, claimsTopic, 0, [][]byte{data}, 1)
+	_, err = store.AppendRepeatable(ctx, x.options.Log, claimsTopic, 0, [][]byte{data}, 1)
 	return err
 }
 
@@ -76,13 +76,13 @@
 // Reset is never called: the topic has no keys.
 func (x *orders) Reset([]store.Entry) {}
 
-func (x *orders) barred(engine string) time.Duration {
+func (x *orders) barred(subject string) time.Duration {
 	if !x.follower.Loaded() {
 		return time.Hour
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.claims.Barred(engine, x.options.Now())
+	return x.claims.Barred(subject, x.options.Now())
 }
 
 func (x *orders) forget() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,11 +77,17 @@
 	comeBack = 50 * time.Millisecond
 )
 
+// Usage hears of the requests of customers that began to run at upstreams.
+type Usage interface {
+	Began(customer string, at time.Time)
+}
+
 // Options of a Gateway.
 type Options struct {
 	View       *fleet.View
 	Upstreams  Upstreams
 	Crashes    Crashes
+	Usage      Usage            // nil: requests aren't counted
 	Suspects   *health.Suspects // shared with whatever else sends to upstreams
 	DataCentre string           // of this VM
 	// Policy tells which mechanisms work; the zero one has all.
@@ -96,6 +102,7 @@
 	view      *fleet.View
 	upstreams Upstreams
 	crashes   Crashes
+	usage     Usage
 	pool      *pool
 	policy    policy.Set
 	hedges    *hedgeBudget
@@ -132,7 +139,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, pool: newPool(o.DataCentre, o.Policy, o.Suspects), policy: o.Policy, hedges: newHedgeBudget(), now: o.Now, log: o.Logger}
+	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, usage: o.Usage, pool: newPool(o.DataCentre, o.Policy, o.Suspects), policy: o.Policy, hedges: newHedgeBudget(), now: o.Now, log: o.Logger}
 }
 
 // limitDeadline keeps a call within its route's timeout and leaves time for the way back.
@@ -245,12 +252,31 @@
 	a.waiting++
 	go func() {
 		answer, err := a.g.upstreams.Call(ctx, u, a.call, a.route.Kind != routes.Safe)
+		if mayHaveRun(answer, err) {
+			a.g.began(a.call, began)
+		}
 		a.g.note(ctx, u, a.call, answer, err)
 		a.results <- result{u, answer, err, time.Since(began)}
 	}()
 	return true
 }
 
+// mayHaveRun reports whether an upstream began the request of a send, as far as can be told.
+func mayHaveRun(answer *Answer, err error) bool {
+	if err == nil {
+		return !answer.NotRun
+	}
+	var f *exchange.Failure
+	return !errors.As(err, &f) || f.Sent
+}
+
+// began counts a run of a customer's request.
+func (g *Gateway) began(call *Call, at time.Time) {
+	if g.usage != nil && call.Customer != "" {
+		g.usage.Began(call.Customer, at)
+	}
+}
+
 // note keeps what a send told of its upstream.
 func (g *Gateway) note(ctx context.Context, u registry.Upstream, call *Call, answer *Answer, err error) {
 	now := g.now()
@@ -269,13 +295,12 @@
 
 // settle takes the outcome of a send and returns the answer if it is final.
 func (a *attempt) settle(r result) *Answer {
-	var f *exchange.Failure
 	if r.err == nil && !r.answer.NotRun && r.answer.Status == http.StatusInternalServerError {
 		a.failures++
 	}
 	switch {
 	case r.err != nil:
-		if errors.As(r.err, &f) && !f.Sent {
+		if !mayHaveRun(nil, r.err) {
 			a.sends.NotRun()
 		}
 		a.g.log.Warn().Str("request", a.call.ID).Str("upstream", r.upstream.Incarnation()).Int("send", a.sends.Made).
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -129,17 +129,21 @@
 // send runs the call at one upstream. A result is final; without one the step says
 // how to go on.
 func (s *streamAttempt) send(ctx context.Context, u registry.Upstream) (*StreamResult, streamStep) {
+	began := time.Now()
 	opened, err := s.g.upstreams.Open(ctx, u, s.call, Resume{Resumable: s.rule.Repeatable, After: s.after, Version: s.expected()})
 	if err != nil {
 		s.g.note(ctx, u, s.call, nil, err)
 		return nil, s.failed(u, err)
 	}
 	if opened.Events == nil {
+		if !opened.NotRun {
+			s.g.began(s.call, began)
+		}
 		s.g.note(ctx, u, s.call, &opened.Answer, nil)
 		return s.whole(u, &opened.Answer)
 	}
 	defer opened.Events.Close()
-	err = s.pass(opened)
+	err = s.pass(opened, began)
 	if err == nil {
 		s.g.note(ctx, u, s.call, &opened.Answer, nil)
 		return &StreamResult{}, sendOn
@@ -173,8 +177,9 @@
 
 var errCallerLeft = errors.New("caller left")
 
-// pass hands the events on. Errors: errCallerLeft, *exchange.Failure.
-func (s *streamAttempt) pass(opened *Stream) error {
+// pass hands the events on. A stream counts as begun, at the time when it was asked for,
+// with its first event. Errors: errCallerLeft, *exchange.Failure.
+func (s *streamAttempt) pass(opened *Stream, began time.Time) error {
 	if !s.started {
 		if err := s.out.Start(opened.Status, opened.Header); err != nil {
 			return errCallerLeft
@@ -182,7 +187,7 @@
 		s.started = true
 		s.version = opened.Version
 	}
-	for {
+	for first := true; ; first = false {
 		e, err := opened.Events.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -190,6 +195,9 @@
 		if err != nil {
 			return err
 		}
+		if first {
+			s.g.began(s.call, began)
+		}
 		if e.ID != s.after+1 {
 			return &exchange.Failure{Kind: exchange.Malformed, Sent: true, Err: errEventOrder}
 		}
@@ -203,11 +211,9 @@
 var errEventOrder = errors.New("an event is missing or comes twice")
 
 func (s *streamAttempt) failed(u registry.Upstream, err error) streamStep {
-	var f *exchange.Failure
-	mayHaveRun := !errors.As(err, &f) || f.Sent
 	s.g.log.Warn().Str("request", s.call.ID).Str("upstream", u.Incarnation()).Int("send", s.sends.Made).Int("after", s.after).
 		Dur("left", time.Until(s.call.Deadline)).Err(err).Msg("stream failed")
-	return s.afterFailure(mayHaveRun)
+	return s.afterFailure(mayHaveRun(nil, err))
 }
 
 var (
--- a/internal/loads/claims.go
+++ b/internal/loads/claims.go
@@ -4,10 +4,10 @@
 //
 // # Claims
 //
-// Before each order a daemon appends a claim on the engine, on the condition that
-// the log ends where the daemon has read to. The claim's offset is the order's
-// fencing number: numbers grow, and no two claims share one. The order must
-// leave within ClaimLife of the append's start, by a clock that goes on while the
+// Before each order a daemon appends a claim on the engine, as before each call of a duty
+// on the duty, on the condition that the log ends where the daemon has read to. The
+// claim's offset is the order's fencing number: numbers grow, and no two claims share
+// one. The order must leave within ClaimLife of the append's start, by a clock that goes on while the
 // VM is suspended. A claim of another VM bars the engine for ClaimLife + the
 // lease + ClaimMargin after it was read, so that no engine hears of two holders
 // within the lease: the other's last order left at most ClaimLife after its claim,
@@ -30,12 +30,20 @@
 	ClaimMargin = 300 * time.Millisecond
 )
 
-// Claim is what a VM writes before it orders an engine.
+// Claim is what a VM writes before it orders an engine or does a duty.
 type Claim struct {
-	// Address of the engine, not its incarnation: one that restarts between two VMs'
-	// orders would hear of two holders within the lease.
-	Engine string `cbor:"1,keyasint"`
-	Holder string `cbor:"2,keyasint"` // VM
+	// Subject is the address of the engine, not its incarnation: one that restarts between
+	// two VMs' orders would hear of two holders within the lease. Or it names a duty.
+	Subject string `cbor:"1,keyasint"`
+	Holder  string `cbor:"2,keyasint"` // VM
+}
+
+// Permit is a claim that this VM holds.
+type Permit struct {
+	Fence int64 // fencing number
+	// Until which a call under this claim may leave, by a clock that goes on while the VM
+	// is suspended.
+	Until time.Duration
 }
 
 // Wish asks the VM that claimed an engine last to order a load: it may do so at
@@ -102,29 +110,29 @@
 
 // Apply takes the claim at an offset, read at a time.
 func (c *Claims) Apply(offset int64, claim Claim, read time.Duration) {
-	c.last[claim.Engine] = held{claim.Holder, offset, read}
+	c.last[claim.Subject] = held{claim.Holder, offset, read}
 }
 
-// Barred returns how long this VM must still not claim an engine, 0 if it may.
-func (c *Claims) Barred(engine string, now time.Duration) time.Duration {
-	h, ok := c.last[engine]
+// Barred returns how long this VM must still not claim a subject, 0 if it may.
+func (c *Claims) Barred(subject string, now time.Duration) time.Duration {
+	h, ok := c.last[subject]
 	if !ok || h.holder == c.self {
 		return 0
 	}
 	return max(0, h.read+ClaimLife+c.lease+ClaimMargin-now)
 }
 
-// Holder returns who claimed an engine last.
-func (c *Claims) Holder(engine string) (vm string, offset int64, ok bool) {
-	h, ok := c.last[engine]
+// Holder returns who claimed a subject last.
+func (c *Claims) Holder(subject string) (vm string, offset int64, ok bool) {
+	h, ok := c.last[subject]
 	return h.holder, h.offset, ok
 }
 
 // Forget drops the claims that bar nobody any more.
 func (c *Claims) Forget(now time.Duration) {
-	for engine, h := range c.last {
+	for subject, h := range c.last {
 		if now > h.read+ClaimLife+c.lease+ClaimMargin {
-			delete(c.last, engine)
+			delete(c.last, subject)
 		}
 	}
 }
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -236,11 +236,11 @@
 	const lease = 3 * time.Second
 	c := NewClaims("me", lease)
 	g.Expect(c.Barred("e", 0)).To(BeZero())
-	c.Apply(4, Claim{Engine: "e", Holder: "other"}, time.Second)
+	c.Apply(4, Claim{Subject: "e", Holder: "other"}, time.Second)
 	g.Expect(c.Barred("e", time.Second)).To(Equal(ClaimLife + lease + ClaimMargin))
 	g.Expect(c.Barred("e", time.Second+ClaimLife+lease+ClaimMargin)).To(BeZero())
 	g.Expect(c.Barred("another", time.Second)).To(BeZero())
-	c.Apply(5, Claim{Engine: "e", Holder: "me"}, 2*time.Second)
+	c.Apply(5, Claim{Subject: "e", Holder: "me"}, 2*time.Second)
 	g.Expect(c.Barred("e", 2*time.Second)).To(BeZero())
 	holder, offset, ok := c.Holder("e")
 	g.Expect(holder).To(Equal("me"))
