--- a/internal/batchrun/claimer_test.go
+++ b/internal/batchrun/claimer_test.go
@@ -32,8 +32,8 @@
 			mu.Lock()
 			defer mu.Unlock()
 			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(fences).NotTo(HaveKey(p.fence))
-			fences[p.fence] = engine
+			g.Expect(fences).NotTo(HaveKey(p.Fence))
+			fences[p.Fence] = engine
 		})
 	}
 	work.Wait()
--- a/internal/duties/counts.go
+++ b/internal/duties/counts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,7 +53,10 @@
 	mu      sync.Mutex
 	counter *usage.Counter
 	idle    chan struct{} // closed while everything is written down
-	number  int64         // of the last record
+
+	// Used by Run alone.
+	number      int64    // of the last record
+	unconfirmed []record // not known to be in the log, oldest first
 }
 
 // NewCounts returns Counts without a count.
@@ -95,53 +99,92 @@
 // Run appends counts until the context ends.
 func (c *Counts) Run(ctx context.Context) {
 	var pace usage.Pace
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.ready:
+	for failures := 0; ; {
+		if len(c.unconfirmed) == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-c.ready:
+			}
 		}
-		pause.For(ctx, pace.Next()-c.options.Now())
-		c.mu.Lock()
-		taken := c.counter.Take()
-		c.mu.Unlock()
-		if len(taken) > 0 {
-			c.append(ctx, &pace, taken)
+		wait := pace.Next() - c.options.Now()
+		pause.For(ctx, max(wait, countsBackoff.Pause(failures, rand.Float64())))
+		if ctx.Err() != nil {
+			return
 		}
-		c.mu.Lock()
-		if c.counter.Empty() && !isClosed(c.idle) {
-			close(c.idle)
+		c.take()
+		began := c.options.Now()
+		ok := c.append(ctx, failures+1)
+		pace.Appended(began, ok)
+		failures++
+		if ok {
+			failures = 0
 		}
-		c.mu.Unlock()
+		c.settle()
 	}
 }
 
-// append tries until the counts are in the log, or too old for any report.
-func (c *Counts) append(ctx context.Context, pace *usage.Pace, taken []usage.WindowCounts) {
+// record is one that may not be in the log yet.
+type record struct {
+	data   []byte
+	newest int64 // window
+}
+
+// maxUnconfirmed bounds the records that wait for an answer. What is counted meanwhile goes
+// with the next try, as a record of its own: whether those before are in the log isn't
+// known, and behind one whose answer was lost all others would be late for their report.
+const maxUnconfirmed = 16
+
+// take makes a record of what was counted since the last one.
+func (c *Counts) take() {
+	if len(c.unconfirmed) == maxUnconfirmed {
+		return
+	}
+	c.mu.Lock()
+	taken := c.counter.Take()
+	c.mu.Unlock()
+	if len(taken) == 0 {
+		return
+	}
 	c.number++
 	data, err := usage.Encode(usage.Record{Counted: &usage.Counted{Writer: c.writer, Number: c.number, Windows: taken}})
 	if err != nil {
 		c.options.Logger.Error().Err(err).Int64("number", c.number).Msg("counts not encoded, lost")
 		return
 	}
-	for try := 1; ctx.Err() == nil; try++ {
-		began := c.options.Now()
-		_, err := store.AppendRepeatable(ctx, c.options.Log, usageTopic, usagePart, [][]byte{data}, try)
-		pace.Appended(began, err == nil)
-		if err == nil {
-			countsAppended.Add(1)
-			return
-		}
-		countsFailed.Add(1)
-		c.line(err).Err(err).Int64("number", c.number).Int64("window", taken[0].Window).Int("try", try).Msg("counts not appended")
-		if errors.Is(err, store.ErrRejected) || c.tooOld(taken) {
-			c.options.Logger.Error().Int64("number", c.number).Int64("window", taken[0].Window).Msg("counts lost: too late for their report")
-			return
-		}
-		pause.For(ctx, countsBackoff.Pause(try, rand.Float64()))
+	c.unconfirmed = append(c.unconfirmed, record{data, taken[len(taken)-1].Window})
+}
+
+// append tries once to get the records into the log. It reports false if they are wanted
+// there still.
+func (c *Counts) append(ctx context.Context, try int) bool {
+	c.dropOld()
+	if len(c.unconfirmed) == 0 {
+		return true
+	}
+	var data [][]byte
+	for _, r := range c.unconfirmed {
+		data = append(data, r.data)
+	}
+	_, err := store.AppendRepeatable(ctx, c.options.Log, usageTopic, usagePart, data, min(try, maxCountsTry))
+	if err == nil {
+		countsAppended.Add(1)
+		c.unconfirmed = nil
+		return true
 	}
+	countsFailed.Add(1)
+	c.line(err).Err(err).Int64("number", c.number).Int("records", len(data)).Int64("window", c.unconfirmed[0].newest).Int("try", try).Msg("counts not appended")
+	if errors.Is(err, store.ErrRejected) {
+		c.options.Logger.Error().Int64("number", c.number).Int("records", len(data)).Msg("counts lost: the store won't take them")
+		c.unconfirmed = nil
+		return true
+	}
+	return false
 }
 
+// maxCountsTry keeps the wait for an answer short: the next try takes newer counts along.
+const maxCountsTry = 2
+
 func (c *Counts) line(err error) *zerolog.Event {
 	if errors.Is(err, store.ErrNotDone) {
 		return c.options.Logger.Info()
@@ -149,10 +192,25 @@
 	return c.options.Logger.Warn()
 }
 
-// tooOld reports whether nobody reports any of these windows any more.
-func (c *Counts) tooOld(taken []usage.WindowCounts) bool {
-	newest := taken[len(taken)-1].Window
-	return c.options.Clock().Sub(c.options.Usage.Windows.End(newest)) > c.options.Usage.Keep()
+// dropOld forgets records whose windows nobody reports any more.
+func (c *Counts) dropOld() {
+	now := c.options.Clock()
+	c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(r record) bool {
+		old := now.Sub(c.options.Usage.Windows.End(r.newest)) > c.options.Usage.Keep()
+		if old {
+			c.options.Logger.Error().Int64("window", r.newest).Msg("counts lost: too late for their report")
+		}
+		return old
+	})
+}
+
+// settle tells those that wait for everything to be written down.
+func (c *Counts) settle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counter.Empty() && len(c.unconfirmed) == 0 && !isClosed(c.idle) {
+		close(c.idle)
+	}
 }
 
 // Drain waits until everything is written down, or the context ends.
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -50,22 +49,26 @@
 type Platform interface {
 	// ReportUsage reports a window. An exact copy of a report is taken again.
 	ReportUsage(ctx context.Context, c Call, report usage.WindowCounts) (Outcome, error)
+	// Reachable reports whether anything listens at the platform's address.
+	Reachable(ctx context.Context) bool
 }
 
 // Claims are written before calls leave.
 type Claims interface {
 	// Claim claims a duty for this VM. An error means that nothing may leave.
 	Claim(ctx context.Context, duty string) (loads.Permit, error)
-	// Owns returns the partitions that this daemon owns.
-	Owns() []int
 }
 
+// Turn tells a daemon's rank for the duties: 0 does them, higher ones stand in. It reports
+// false for a daemon that has no turn.
+type Turn func() (rank int, ok bool)
+
 // Options of a Service.
 type Options struct {
 	VM       string
 	Log      store.Log
 	Claims   Claims
-	Parts    int // partitions that daemons own
+	Turn     Turn
 	Platform Platform
 	// Usage says when windows are reported, nil if that is no duty here.
 	Usage  *usage.Timing
@@ -100,15 +103,17 @@
 // the owners of so many partitions.
 const candidates = 6
 
-// rankOf is a daemon's turn by the partitions that it owns: 0 for the owner of the last one.
-// Models get the first partitions, so that the duties are mostly done by a daemon without
-// samples to run. It reports false for a daemon that isn't a candidate.
-func rankOf(owned []int, parts int) (rank int, ok bool) {
-	rank = parts
-	for _, part := range owned {
-		rank = min(rank, parts-1-part)
+// ByPartition is a daemon's turn by the partitions that it owns: 0 for the owner of the last
+// one. Models get the first partitions, so that the duties are mostly done by a daemon
+// without samples to run.
+func ByPartition(owns func() []int, parts int) Turn {
+	return func() (rank int, ok bool) {
+		rank = parts
+		for _, part := range owns() {
+			rank = min(rank, parts-1-part)
+		}
+		return rank, rank < min(candidates, parts)
 	}
-	return rank, rank < min(candidates, parts)
 }
 
 // State is what operators see of a duty.
@@ -126,23 +131,3 @@
 	}
 	return []State{s.reports.state()}
 }
-
-// turn follows a daemon's rank.
-type turn struct {
-	mu   sync.Mutex
-	rank int
-}
-
-func (t *turn) set(rank int) (changed bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	changed = t.rank != rank
-	t.rank = rank
-	return changed
-}
-
-func (t *turn) get() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.rank
-}
--- a/internal/duties/reporter.go
+++ b/internal/duties/reporter.go
@@ -35,18 +35,20 @@
 type reporter struct {
 	options  Options
 	follower *follow.Follower
-	turn     turn
 
 	mu    sync.Mutex
 	fold  *usage.Fold
+	rank  int           // noCandidate: it isn't this daemon's turn
 	since time.Duration // when the store's answers began without an interruption
+
+	unanswered bool // the last call was; used by run alone
 }
 
 // noCandidate is the rank of a daemon that isn't one.
 const noCandidate = -1
 
 func newReporter(o Options) *reporter {
-	r := &reporter{options: o, fold: usage.NewFold(), turn: turn{rank: noCandidate}}
+	r := &reporter{options: o, fold: usage.NewFold(), rank: noCandidate}
 	always := func() bool { return true } // it is brought up to date before each step
 	r.follower = follow.New(follow.Options{Log: o.Log, Topic: usageTopic, Part: usagePart, Sink: r, OnContact: r.contact, Relaxed: always, Now: o.Now, Logger: o.Logger})
 	return r
@@ -89,11 +91,15 @@
 
 // candidate renews the rank and reports whether there is one.
 func (r *reporter) candidate() bool {
-	rank, ok := rankOf(r.options.Claims.Owns(), r.options.Parts)
+	rank, ok := r.options.Turn()
 	if !ok {
 		rank = noCandidate
 	}
-	if r.turn.set(rank) {
+	r.mu.Lock()
+	changed := r.rank != rank
+	r.rank = rank
+	r.mu.Unlock()
+	if changed {
 		r.options.Logger.Info().Str("duty", UsageDuty).Int("rank", rank).Msg("turn for a duty changed")
 	}
 	return ok
@@ -153,7 +159,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.fold.Next(*r.options.Usage, usage.Situation{
-		Now: r.options.Clock(), Current: current, InContact: r.options.Now() - r.since, Rank: r.turn.get(),
+		Now: r.options.Clock(), Current: current, InContact: r.options.Now() - r.since, Rank: r.rank,
 	})
 }
 
@@ -195,6 +201,12 @@
 
 // send claims the duty and sends a report under the claim.
 func (r *reporter) send(ctx context.Context, report usage.WindowCounts) bool {
+	if r.unanswered && !r.options.Platform.Reachable(ctx) {
+		// The way to the platform may be cut for this daemon alone. Its claims would bar
+		// those that could stand in.
+		r.options.Logger.Info().Str("duty", UsageDuty).Int64("window", report.Window).Msg("platform not reached, duty left to others")
+		return false
+	}
 	permit, err := r.options.Claims.Claim(ctx, UsageDuty)
 	if err != nil {
 		r.options.Logger.Info().Str("duty", UsageDuty).Int64("window", report.Window).Err(err).Msg("duty not claimed")
@@ -207,6 +219,7 @@
 	}
 	began := r.options.Now()
 	outcome, err := r.options.Platform.ReportUsage(ctx, Call{Holder: r.options.VM, Fence: permit.Fence}, report)
+	r.unanswered = outcome == Unknown
 	line := r.options.Logger.Info()
 	if outcome != Done {
 		reportsFailed.Add(1)
@@ -215,7 +228,7 @@
 		reportsSent.Add(1)
 	}
 	line.Str("duty", UsageDuty).Int64("window", report.Window).Int("customers", len(report.Counts)).Int("requests", total(report.Counts)).
-		Int64("fence", permit.Fence).Int("rank", r.turn.get()).Str("outcome", outcome.String()).
+		Int64("fence", permit.Fence).Str("outcome", outcome.String()).
 		Dur("after_end", r.options.Clock().Sub(r.options.Usage.Windows.End(report.Window))).Dur("took", r.options.Now()-began).Msg("usage reported")
 	return outcome == Done
 }
@@ -231,7 +244,7 @@
 func (r *reporter) state() State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := State{Duty: UsageDuty, Rank: r.turn.get()}
+	out := State{Duty: UsageDuty, Rank: r.rank}
 	if last, ok := r.fold.LastSent(); ok {
 		out.LastWindow = last
 	}
