Servers are ordered for a step's samples: spot servers beside those found

internal/scaling (pure): a place for each sample of a step, the missing ones as spot servers, spread over the data centres; regular servers are left as they are. What a data centre has no room for, or none of now, the others take and keep; lost servers are ordered again; nothing is given back while it is wanted. Orders are duties' calls and records of the duties' log, so that the next holder starts from what is there.

--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -107,6 +107,9 @@
 	return s.orders.claimer.claim(ctx, duty)
 }
 
+// Demand returns the samples of a batch by model, for those that are known.
+func (s *Service) Demand() map[string]int { return s.orders.demand() }
+
 // Drain hands the owned partitions over to other daemons.
 func (s *Service) Drain(ctx context.Context) { s.owner.drain(ctx) }
 
--- a/internal/duties/counts.go
+++ b/internal/duties/counts.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
@@ -18,13 +19,6 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/usage"
 )
 
-// usageTopic holds counts and reports in one partition: a report is decided by what stands
-// before it.
-const (
-	usageTopic = "usage"
-	usagePart  = 0
-)
-
 // countsBackoff is the pause after appends of counts that failed.
 var countsBackoff = retry.Backoff{First: 100 * time.Millisecond, Max: 800 * time.Millisecond}
 
@@ -147,7 +141,7 @@
 		return
 	}
 	c.number++
-	data, err := usage.Encode(usage.Record{Counted: &usage.Counted{Writer: c.writer, Number: c.number, Windows: taken}})
+	data, err := cbor.Marshal(entry{Usage: &usage.Record{Counted: &usage.Counted{Writer: c.writer, Number: c.number, Windows: taken}}})
 	if err != nil {
 		c.options.Logger.Error().Err(err).Int64("number", c.number).Msg("counts not encoded, lost")
 		return
@@ -166,7 +160,7 @@
 	for _, r := range c.unconfirmed {
 		data = append(data, r.data)
 	}
-	_, err := store.AppendRepeatable(ctx, c.options.Log, usageTopic, usagePart, data, min(try, maxCountsTry))
+	_, err := store.AppendRepeatable(ctx, c.options.Log, topic, part, data, min(try, maxCountsTry))
 	if err == nil {
 		countsAppended.Add(1)
 		c.unconfirmed = nil
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -1,6 +1,7 @@
 // Package duties does what one daemon at a time has to do for the whole fleet: it reports
-// the customers' usage. What is decided, package usage decides; here are the claims under
-// which calls leave, the log that is read and written, and the calls.
+// the customers' usage and orders servers. What is done, packages usage and scaling decide;
+// here are the claims under which calls leave, the log that is read and written, and the
+// calls.
 //
 // # One holder at a time
 //
@@ -13,11 +14,14 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/loads"
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
+	"github.com/dogwoodflow/dogwoodflow/internal/scaling"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 	"github.com/dogwoodflow/dogwoodflow/internal/usage"
 )
@@ -27,16 +31,17 @@
 
 // The outcomes.
 const (
-	Unknown  Outcome = iota // no answer: it may be carried out, also later
-	Done                    // carried out
-	Fenced                  // a higher fencing number was seen
-	Refused                 // too many calls at this moment, nothing was done
-	Rejected                // the call makes no sense to the platform
+	Unknown     Outcome = iota // no answer: it may be carried out, also later
+	Done                       // carried out
+	Fenced                     // a higher fencing number was seen
+	Refused                    // too many calls at this moment, nothing was done
+	Rejected                   // the call makes no sense to the platform
+	Unavailable                // no server of the kind is to be had there now
 )
 
 // String names the outcome for log lines.
 func (o Outcome) String() string {
-	return [...]string{"unknown", "done", "fenced", "refused", "rejected"}[o]
+	return [...]string{"unknown", "done", "fenced", "refused", "rejected", "unavailable"}[o]
 }
 
 // Call is under which claim a call leaves.
@@ -49,6 +54,8 @@
 type Platform interface {
 	// ReportUsage reports a window. An exact copy of a report is taken again.
 	ReportUsage(ctx context.Context, c Call, report usage.WindowCounts) (Outcome, error)
+	// Scale orders servers of a service.
+	Scale(ctx context.Context, c Call, service string, o scaling.Order) (Outcome, error)
 	// Reachable reports whether anything listens at the platform's address.
 	Reachable(ctx context.Context) bool
 }
@@ -71,32 +78,103 @@
 	Turn     Turn
 	Platform Platform
 	// Usage says when windows are reported, nil if that is no duty here.
-	Usage  *usage.Timing
+	Usage *usage.Timing
+	// Scaled returns the services whose servers may be ordered, nil if that is no duty here.
+	Scaled func() []Scaled
 	Now    func() time.Duration // a clock that goes on while the VM is suspended
 	Clock  func() time.Time     // the time of day
 	Logger zerolog.Logger
 }
 
+// task is one duty.
+type task interface {
+	// act does what is due now for a daemon of this rank.
+	act(ctx context.Context, rank int)
+}
+
 // Service does the duties of a daemon. It is safe for concurrent use.
 type Service struct {
 	options Options
-	reports *reporter // nil: usage isn't reported here
+	view    *view
+	tasks   []task
+
+	mu   sync.Mutex
+	rank int // noCandidate: it isn't this daemon's turn
 }
 
+// noCandidate is the rank of a daemon that isn't one.
+const noCandidate = -1
+
 // New returns a Service.
 func New(o Options) *Service {
-	s := &Service{options: o}
+	s := &Service{options: o, view: newView(o), rank: noCandidate}
+	calls := &caller{options: o}
 	if o.Usage != nil {
-		s.reports = newReporter(o)
+		s.tasks = append(s.tasks, &reporter{options: o, view: s.view, caller: calls})
+	}
+	if o.Scaled != nil {
+		s.tasks = append(s.tasks, newScaler(o, s.view, calls))
 	}
 	return s
 }
 
+// turnLook is between two looks whose turn it is and what is due. Windows last seconds.
+const turnLook = 250 * time.Millisecond
+
 // Run does the duties whenever it is this daemon's turn, until the context ends.
 func (s *Service) Run(ctx context.Context) {
-	if s.reports != nil {
-		s.reports.run(ctx)
+	for ctx.Err() == nil && len(s.tasks) > 0 {
+		if !s.candidate() {
+			pause.For(ctx, turnLook)
+			continue
+		}
+		s.session(ctx)
+	}
+}
+
+// candidate renews the rank and reports whether there is one.
+func (s *Service) candidate() bool {
+	rank, ok := s.options.Turn()
+	if !ok {
+		rank = noCandidate
+	}
+	s.mu.Lock()
+	changed := s.rank != rank
+	s.rank = rank
+	s.mu.Unlock()
+	if changed {
+		s.options.Logger.Info().Int("rank", rank).Msg("turn for the duties changed")
+	}
+	return ok
+}
+
+func (s *Service) currentRank() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rank
+}
+
+// session follows the log and does what is due until this daemon is no candidate any more.
+// Each duty has its own loop: a platform that is slow to take a report doesn't hold an order
+// up.
+func (s *Service) session(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	var work sync.WaitGroup
+	work.Go(func() { s.view.follow(ctx) })
+	for _, t := range s.tasks {
+		work.Go(func() {
+			pause.Every(ctx, turnLook, func() {
+				if rank := s.currentRank(); rank != noCandidate && s.view.follower.Loaded() {
+					t.act(ctx, rank)
+				}
+			})
+		})
+	}
+	for ctx.Err() == nil && s.candidate() {
+		pause.For(ctx, turnLook)
 	}
+	cancel()
+	work.Wait()
 }
 
 // candidates is how many daemons read what a duty needs, so that they can stand in at once:
@@ -116,18 +194,20 @@
 	}
 }
 
-// State is what operators see of a duty.
+// State is what operators see of the duties.
 type State struct {
-	Duty string
 	Rank int // -1: this daemon is no candidate
 	// LastWindow is the newest window whose report was taken, by this daemon's view; 0: none.
 	LastWindow int64
 }
 
-// States tells how this daemon stands to each duty.
-func (s *Service) States() []State {
-	if s.reports == nil {
-		return nil
+// State tells how this daemon stands to the duties.
+func (s *Service) State() State {
+	out := State{Rank: s.currentRank()}
+	s.view.mu.Lock()
+	defer s.view.mu.Unlock()
+	if last, ok := s.view.usage.LastSent(); ok {
+		out.LastWindow = last
 	}
-	return []State{s.reports.state()}
+	return out
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -27,11 +27,12 @@
 	Demand      Mechanism = "demand"       // engines are divided among models by their batches
 	Checkpoints Mechanism = "checkpoints"  // unfinished text is written down while it grows
 	Closing     Mechanism = "closing"      // a read waits for the last scores of its step
+	Spot        Mechanism = "spot"         // spot servers are ordered for a step's samples
 )
 
 // All returns every mechanism.
 func All() []Mechanism {
-	return []Mechanism{Hedge, Load, Warm, Suspicion, Moves, Hardware, LatestStart, Fitting, Retain, SparedLoads, Demand, Checkpoints, Closing}
+	return []Mechanism{Hedge, Load, Warm, Suspicion, Moves, Hardware, LatestStart, Fitting, Retain, SparedLoads, Demand, Checkpoints, Closing, Spot}
 }
 
 // Set is the mechanisms that are switched off. The zero Set is what daemons run.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -32,6 +32,7 @@
 	DataCentre string
 	Slots      int
 	Leaving    bool             // gets no new work
+	Spot       bool             // may be taken away at short notice
 	Models     map[string]int64 // weight version by model
 }
 
@@ -93,7 +94,7 @@
 		return false
 	}
 	return u.ID == o.ID && u.Started == o.Started && u.Service == o.Service && u.Address == o.Address &&
-		u.DataCentre == o.DataCentre && u.Slots == o.Slots && u.Leaving == o.Leaving
+		u.DataCentre == o.DataCentre && u.Slots == o.Slots && u.Leaving == o.Leaving && u.Spot == o.Spot
 }
 
 // Put takes an upstream's entry. It reports false for one that is older than the newest
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -52,6 +52,15 @@
 	Name           string
 	MaxConnections int // an upstream resets connections beyond these, from all daemons together
 	Engine         *Engine
+	Scaling        *Scaling // nil: its upstreams aren't ours to order
+}
+
+// Scaling is how many upstreams of a service may be ordered, and at which price.
+type Scaling struct {
+	Min, Max  int           // upstreams of a data centre
+	Boot      time.Duration // from an order until its upstreams serve
+	SpotPrice float64       // of one that may be taken away, as a part of another's; 0: none
+	Prices    map[string]float64
 }
 
 // Engine describes the model engines of a service.
--- a/internal/standin/dutyapi/api.go
+++ b/internal/standin/dutyapi/api.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/scaling"
 )
 
 // Options of an API.
@@ -28,6 +30,8 @@
 	mu         sync.Mutex
 	subjects   map[string]*subject
 	reports    map[int64]Report
+	servers    map[string]map[scaling.Key][]placed // orders by service, oldest first
+	closed     map[string]bool                     // data centres without spot servers
 	violations []string
 	calls      int
 	second     int64 // the last one in which a call came
@@ -52,7 +56,7 @@
 
 // New returns an API that has seen nothing.
 func New(o Options) *API {
-	return &API{options: o, subjects: map[string]*subject{}, reports: map[int64]Report{}}
+	return &API{options: o, subjects: map[string]*subject{}, reports: map[int64]Report{}, servers: map[string]map[scaling.Key][]placed{}, closed: map[string]bool{}}
 }
 
 // usageSubject is that of all windows.
@@ -78,6 +82,94 @@
 	return http.StatusOK
 }
 
+// noneAvailable is how Scale tells that there are no servers of the kind now. On the wire it
+// shares a status with a refused fencing number.
+const noneAvailable = http.StatusGone
+
+// Scale takes an order for servers and returns the HTTP status, or noneAvailable.
+func (a *API) Scale(holder string, fence int64, service string, o scaling.Order) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if status := a.enter("scaling "+service+" "+o.DataCentre, holder, fence); status != http.StatusOK {
+		return status
+	}
+	if a.servers[service] == nil {
+		a.servers[service] = map[scaling.Key][]placed{}
+	}
+	if o.Spot && a.closed[o.DataCentre] && o.Count > last(a.servers[service][o.Key]) {
+		return noneAvailable
+	}
+	a.servers[service][o.Key] = append(a.servers[service][o.Key], placed{o.Count, time.Now()})
+	return http.StatusOK
+}
+
+// placed is an order that was taken.
+type placed struct {
+	count int
+	at    time.Time
+}
+
+func last(orders []placed) int {
+	if len(orders) == 0 {
+		return 0
+	}
+	return orders[len(orders)-1].count
+}
+
+// Servers returns the servers of a service by data centre that were ordered so long ago that
+// they serve now.
+func (a *API) Servers(service string, boot time.Duration) map[string]scaling.Servers {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := map[string]scaling.Servers{}
+	for k, orders := range a.servers[service] {
+		n := 0
+		for _, o := range orders {
+			if o.count < n || time.Since(o.at) >= boot {
+				n = o.count
+			}
+		}
+		s := out[k.DataCentre]
+		if k.Spot {
+			s.Spot = n
+		} else {
+			s.Regular = n
+		}
+		out[k.DataCentre] = s
+	}
+	return out
+}
+
+// Orders is the number of orders that were taken for a service.
+func (a *API) Orders(service string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, orders := range a.servers[service] {
+		n += len(orders)
+	}
+	return n
+}
+
+// Reclaim takes all spot servers of a data centre away; no more are to be had there until
+// Reopen.
+func (a *API) Reclaim(service, dataCentre string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed[dataCentre] = true
+	k := scaling.Key{DataCentre: dataCentre, Spot: true}
+	if a.servers[service] != nil {
+		a.servers[service][k] = append(a.servers[service][k], placed{0, time.Now()})
+	}
+}
+
+// Reopen ends what Reclaim began.
+func (a *API) Reopen(dataCentre string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.closed, dataCentre)
+}
+
 // enter checks a call's fencing number and turn.
 func (a *API) enter(name, holder string, fence int64) int {
 	a.calls++
--- a/internal/standin/dutyapi/client.go
+++ b/internal/standin/dutyapi/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/duties"
 	"github.com/dogwoodflow/dogwoodflow/internal/pause"
+	"github.com/dogwoodflow/dogwoodflow/internal/scaling"
 	"github.com/dogwoodflow/dogwoodflow/internal/usage"
 )
 
@@ -50,6 +51,11 @@
 	return c.send(ctx, func() int { return c.api.ReportUsage(call.Holder, call.Fence, report.Window, report.Counts) })
 }
 
+// Scale implements duties.Platform.
+func (c *Client) Scale(ctx context.Context, call duties.Call, service string, o scaling.Order) (duties.Outcome, error) {
+	return c.send(ctx, func() int { return c.api.Scale(call.Holder, call.Fence, service, o) })
+}
+
 // Reachable implements duties.Platform.
 func (c *Client) Reachable(ctx context.Context) bool {
 	c.mu.Lock()
@@ -95,6 +101,8 @@
 		return duties.Done, nil
 	case http.StatusConflict:
 		return duties.Fenced, errors.New("fenced")
+	case noneAvailable:
+		return duties.Unavailable, errors.New("none available")
 	default:
 		return duties.Refused, errors.New("too many calls")
 	}
--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -6,6 +6,7 @@
 # A, B: git revisions, or directories with a work tree, such as "."; followed by
 # "+NAME,..." with these mechanisms switched off (dogwoodflowd --without). Each of B, C, ...
 # is compared with A. SITE: a site file; without days all its standard days with trouble.
+# FIRST (1): number of the first seed; other seeds than before tell chance from difference.
 # JOBS (5): plays at a time. ROOM: a directory of its own for a comparison that runs beside
 # another.
 #
@@ -17,6 +18,7 @@
 bench=${1:?the bench\'s program} why=${2:?why} seeds=${3:?seeds} a=${4:?first version} others=${5:?other versions}
 shift 5
 room=${ROOM:-$(pwd)/.run/compare}
+first=${FIRST:-1}
 mkdir -p "$room"
 
 # prepare puts a version into a directory of its own, without its journal.
@@ -57,7 +59,7 @@
   days=${each#"${each%%:*}"}
   [ -n "$days" ] || days=$(grep -A1 -E '^\[\[day\]\]' "$site" | sed -nE 's/^name = "(.*)"/\1/p' | grep -v quiet | paste -sd,)
   for day in $(tr ',' ' ' <<< "${days#:}"); do
-    for n in $(seq "$seeds"); do
+    for n in $(seq "$first" $((first + seeds - 1))); do
       # A seed of the day's own and of the site, the same for all versions.
       seed=$((n * 7919 + $(cksum <<< "$(basename "$site")$day" | cut -d' ' -f1) % 100000))
       for name in "${names[@]}"; do printf '%s\0%s\0%s\0%s\0' "$name" "$site" "$day" "$seed"; done
