--- a/internal/standin/dutyapi/api.go
+++ b/internal/standin/dutyapi/api.go
@@ -82,11 +82,11 @@
 	return http.StatusOK
 }
 
-// noneAvailable is how Scale tells that there are no servers of the kind now. On the wire it
+// NoneAvailable is how Scale tells that there are no servers of the kind now. On the wire it
 // shares a status with a refused fencing number.
-const noneAvailable = http.StatusGone
+const NoneAvailable = http.StatusGone
 
-// Scale takes an order for servers and returns the HTTP status, or noneAvailable.
+// Scale takes an order for servers and returns the HTTP status, or NoneAvailable.
 func (a *API) Scale(holder string, fence int64, service string, o scaling.Order) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -97,7 +97,7 @@
 		a.servers[service] = map[scaling.Key][]placed{}
 	}
 	if o.Spot && a.closed[o.DataCentre] && o.Count > last(a.servers[service][o.Key]) {
-		return noneAvailable
+		return NoneAvailable
 	}
 	a.servers[service][o.Key] = append(a.servers[service][o.Key], placed{o.Count, time.Now()})
 	return http.StatusOK
--- a/internal/standin/dutyapi/client.go
+++ b/internal/standin/dutyapi/client.go
@@ -101,7 +101,7 @@
 		return duties.Done, nil
 	case http.StatusConflict:
 		return duties.Fenced, errors.New("fenced")
-	case noneAvailable:
+	case NoneAvailable:
 		return duties.Unavailable, errors.New("none available")
 	default:
 		return duties.Refused, errors.New("too many calls")
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -9,7 +9,7 @@
   seeds=$(grep -v '^#' scripts/soak.seeds | awk '{print $1 ":" $2}')
   duration=20s
 else
-  seeds=$(seq -f "%g:full" "${1:?from}" "${2:?to}")
+  seeds=$(seq -f "%g:duties" "${1:?from}" "${2:?to}")
   duration=${3:-12s}
 fi
 bad=0
