Operators see who holds the duties, the servers ordered, and keys by their hashes

Pages /state/duties and /state/customers of each daemon, dogwoodflowctl platform duties and customers. Claims are remembered for ten minutes for it (the test that they were dropped with their bar now asks that they are dropped with that memory).

--- a/cmd/dogwoodflowctl/platform.go
+++ b/cmd/dogwoodflowctl/platform.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/adminclient"
+	"github.com/dogwoodflow/dogwoodflow/internal/customers"
 	"github.com/dogwoodflow/dogwoodflow/internal/inspect"
 	"github.com/dogwoodflow/dogwoodflow/internal/inspect/pages"
 )
@@ -27,6 +28,8 @@
 	c := group("platform", "looks into daemons on the platform", fs,
 		p.command(fs, "status", "shows each daemon's readiness, configuration and view of the store", p.status),
 		p.command(fs, "upstreams", "lists upstreams by incarnation, with the holder of their orders", p.upstreams),
+		p.command(fs, "duties", "shows who does what one daemon at a time does, and the servers ordered", p.duties),
+		p.command(fs, "customers", "lists customers' keys in force, by hash", p.customers),
 		p.command(fs, "batches", "lists batches and who runs them", p.batches),
 		p.idCommand(fs, "batch", "shows a batch with its samples", p.batch),
 		p.idCommand(fs, "end", "ends a batch; what is listed stays listed", p.end),
@@ -123,6 +126,47 @@
 	return p.g.show(list, func(t table) { incarnationsTable(t, list) })
 }
 
+// dutiesOf is a daemon's view of the duties.
+type dutiesOf struct {
+	Daemon string `json:"daemon"`
+	inspect.Duties
+}
+
+// duties asks every daemon: what a daemon without a turn knows of them is little.
+func (p *platformDaemons) duties(ctx context.Context) error {
+	clients, err := p.clients()
+	if err != nil {
+		return err
+	}
+	var all []dutiesOf
+	var failed []error
+	for i, c := range clients {
+		d := dutiesOf{Daemon: strings.TrimSpace(strings.Split(p.addresses, ",")[i])}
+		if err := c.Call(ctx, http.MethodGet, pages.PathDuties, nil, &d.Duties); err != nil {
+			failed = append(failed, err)
+			continue
+		}
+		all = append(all, d)
+	}
+	if err := p.g.show(all, func(t table) { dutiesTable(t, all) }); err != nil {
+		return err
+	}
+	return errors.Join(failed...)
+}
+
+func (p *platformDaemons) customers(ctx context.Context) error {
+	var list []customers.KeyInForce
+	if err := p.first(ctx, http.MethodGet, pages.PathCustomers, &list); err != nil {
+		return err
+	}
+	return p.g.show(list, func(t table) {
+		t.row("CUSTOMER", "KEY (SHA-256, FIRST DIGITS)")
+		for _, k := range list {
+			t.row(k.Customer, k.SHA256)
+		}
+	})
+}
+
 func (p *platformDaemons) batches(ctx context.Context) error {
 	var list []inspect.Batch
 	if err := p.first(ctx, http.MethodGet, pages.PathBatches, &list); err != nil {
@@ -192,6 +236,21 @@
 	return strings.Join(out, " ")
 }
 
+func dutiesTable(t table, all []dutiesOf) {
+	t.row("DAEMON", "RANK", "LAST WINDOW REPORTED", "DUTY", "LAST HOLDER", "FENCE", "CLAIMED AGO")
+	for _, d := range all {
+		for _, h := range d.Held {
+			t.row(d.Daemon, d.Rank, d.LastWindow, h.Duty, h.VM, h.Fence, age(h.AgeMS))
+		}
+	}
+	t.row("DAEMON", "SERVICE", "DATA CENTRE", "REGULAR", "SPOT", "SPOT ORDERED")
+	for _, d := range all {
+		for _, s := range d.Servers {
+			t.row(d.Daemon, s.Service, s.DataCentre, s.Regular, s.Spot, s.SpotOrdered)
+		}
+	}
+}
+
 func incarnationsTable(t table, list []inspect.Upstream) {
 	t.row("UPSTREAM", "SERVICE", "ADDRESS", "DATA CENTRE", "STATE", "SLOTS", "WEIGHTS", "HOLDER", "FENCE")
 	for _, u := range list {
--- a/cmd/dogwoodflowctl/platform_test.go
+++ b/cmd/dogwoodflowctl/platform_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/customers"
 	"github.com/dogwoodflow/dogwoodflow/internal/inspect"
 	"github.com/dogwoodflow/dogwoodflow/internal/inspect/pages"
 )
@@ -44,6 +45,15 @@
 	}}, true
 }
 
+func (d recordedDaemon) Duties() inspect.Duties {
+	return inspect.Duties{Rank: 1, LastWindow: 357924715, Held: []inspect.Holder{{Duty: "duty/usage", VM: "vm-2", Fence: 54, AgeMS: 1200}},
+		Servers: []inspect.Servers{{Service: "engines", DataCentre: "east", Regular: 16, Spot: 5, SpotOrdered: 8}}}
+}
+
+func (d recordedDaemon) Customers() []customers.KeyInForce {
+	return []customers.KeyInForce{{Customer: "koperasi", SHA256: "1329b75e367c"}}
+}
+
 func (d recordedDaemon) Upstreams() []inspect.Upstream {
 	return []inspect.Upstream{{ID: "i-1", Service: "engines", Address: "10.0.0.1:80", DataCentre: "east", Leaving: true, Slots: 8,
 		Models: map[string]int64{"m": 6, "a": 2}, Holder: "vm-2", Fence: 41}}
@@ -74,6 +84,19 @@
 		Expect(failed).To(ContainSubstring("127.0.0.1:1"))
 	})
 
+	It("shows who does the duties and what servers are there", func() {
+		code, out, _ := ctl("duties", "--daemons", serve(recordedDaemon{}))
+		Expect(code).To(Equal(exitOK))
+		Expect(out).To(MatchRegexp(`\s1\s+357924715\s+duty/usage\s+vm-2\s+54\s+1\.2s`))
+		Expect(out).To(MatchRegexp(`engines\s+east\s+16\s+5\s+8`))
+	})
+
+	It("lists keys by their hashes", func() {
+		code, out, _ := ctl("customers", "--daemons", serve(recordedDaemon{}))
+		Expect(code).To(Equal(exitOK))
+		Expect(out).To(MatchRegexp(`koperasi\s+1329b75e367c`))
+	})
+
 	It("lists upstreams by incarnation with the holder of their orders", func() {
 		code, out, _ := ctl("upstreams", "--daemons", serve(recordedDaemon{}))
 		Expect(code).To(Equal(exitOK))
--- a/internal/batchrun/inspect.go
+++ b/internal/batchrun/inspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/inspect"
@@ -124,14 +125,14 @@
 	return append(out, s.orders.follower.Inspect())
 }
 
-// HolderOf returns the VM that claimed an engine's address or a duty last and the fencing
-// number of its claim.
-func (s *Service) HolderOf(subject string) (vm string, fence int64) {
+// HolderOf returns the VM that claimed an engine's address or a duty last, the fencing
+// number of its claim, and for how long the claim has been known here.
+func (s *Service) HolderOf(subject string) (vm string, fence int64, age time.Duration) {
 	s.orders.mu.Lock()
 	defer s.orders.mu.Unlock()
 	vm, offset, ok := s.orders.claims.Holder(subject)
 	if !ok {
-		return "", 0
+		return "", 0, 0
 	}
-	return vm, fenceOf(offset)
+	return vm, fenceOf(offset), s.orders.claims.Age(subject, s.options.Now())
 }
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -14,6 +14,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -196,9 +198,18 @@
 
 // State is what operators see of the duties.
 type State struct {
-	Rank int // -1: this daemon is no candidate
+	Rank int // -1: this daemon has no turn
 	// LastWindow is the newest window whose report was taken, by this daemon's view; 0: none.
 	LastWindow int64
+	Names      []string // of the duties in claims
+	Servers    []ServersState
+}
+
+// ServersState is a service's servers in one data centre.
+type ServersState struct {
+	Service, DataCentre string
+	There               scaling.Servers
+	Ordered             int // spot servers, by the last order that is known here; -1: none is
 }
 
 // State tells how this daemon stands to the duties.
@@ -209,5 +220,21 @@
 	if last, ok := s.view.usage.LastSent(); ok {
 		out.LastWindow = last
 	}
+	if s.options.Usage != nil {
+		out.Names = append(out.Names, UsageDuty)
+	}
+	if s.options.Scaled == nil {
+		return out
+	}
+	for _, x := range s.options.Scaled() {
+		for _, dc := range slices.Sorted(maps.Keys(x.Market.Prices)) {
+			out.Names = append(out.Names, scalingDuty(x.Service, dc))
+			state := ServersState{Service: x.Service, DataCentre: dc, There: x.There[dc], Ordered: -1}
+			if count, ok := s.view.ledgerLocked(x.Service).Last(scaling.Key{DataCentre: dc, Spot: true}); ok {
+				state.Ordered = count
+			}
+			out.Servers = append(out.Servers, state)
+		}
+	}
 	return out
 }
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -3,6 +3,8 @@
 // itself; where two disagree, the ages say which one is behind.
 package inspect
 
+import "github.com/dogwoodflow/dogwoodflow/internal/customers"
+
 // Status is how a daemon sees its surroundings.
 type Status struct {
 	VM         string `json:"vm"`
@@ -80,9 +82,41 @@
 	Fence  int64  `json:"fence"`
 }
 
+// Duties is how a daemon stands to what one daemon at a time does for the fleet.
+type Duties struct {
+	// Rank is the daemon's turn: 0 does the duties, higher ones stand in, -1 has no turn.
+	Rank int `json:"rank"`
+	// LastWindow is the newest window of usage whose report was taken, as far as this daemon
+	// knows. 0: none, or the daemon has no turn.
+	LastWindow int64     `json:"last_window"`
+	Held       []Holder  `json:"held"`
+	Servers    []Servers `json:"servers"`
+}
+
+// Holder is who claimed a duty last.
+type Holder struct {
+	Duty  string `json:"duty"`
+	VM    string `json:"vm"`     // "": nobody lately
+	Fence int64  `json:"fence"`  // fencing number of the claim
+	AgeMS int64  `json:"age_ms"` // since the claim was read here
+}
+
+// Servers are those of a service in a data centre that aren't leaving.
+type Servers struct {
+	Service    string `json:"service"`
+	DataCentre string `json:"data_centre"`
+	Regular    int    `json:"regular"`
+	Spot       int    `json:"spot"`
+	// SpotOrdered is the last order of spot servers that this daemon knows, -1: none.
+	SpotOrdered int `json:"spot_ordered"`
+}
+
 // Source answers for a daemon.
 type Source interface {
 	Status() Status
+	Duties() Duties
+	// Customers lists the keys in force by hash.
+	Customers() []customers.KeyInForce
 	Batches() []Batch
 	// Batch returns one batch, false if this daemon knows none of that ID.
 	Batch(id string) (BatchDetail, bool)
--- a/internal/inspect/pages/pages.go
+++ b/internal/inspect/pages/pages.go
@@ -32,6 +32,8 @@
 	PathStatus    = "/state"
 	PathBatches   = "/state/batches"
 	PathUpstreams = "/state/upstreams"
+	PathDuties    = "/state/duties"
+	PathCustomers = "/state/customers"
 )
 
 // Register adds the pages to a router.
@@ -40,6 +42,8 @@
 	r.HandleFunc(PathStatus, func(w http.ResponseWriter, _ *http.Request) { p.write(w, s.Status()) }).Methods(http.MethodGet)
 	r.HandleFunc(PathBatches, func(w http.ResponseWriter, _ *http.Request) { p.write(w, s.Batches()) }).Methods(http.MethodGet)
 	r.HandleFunc(PathUpstreams, func(w http.ResponseWriter, _ *http.Request) { p.write(w, s.Upstreams()) }).Methods(http.MethodGet)
+	r.HandleFunc(PathDuties, func(w http.ResponseWriter, _ *http.Request) { p.write(w, s.Duties()) }).Methods(http.MethodGet)
+	r.HandleFunc(PathCustomers, func(w http.ResponseWriter, _ *http.Request) { p.write(w, s.Customers()) }).Methods(http.MethodGet)
 	r.HandleFunc(PathBatches+"/{id}", p.batch).Methods(http.MethodGet)
 	r.HandleFunc(PathBatches+"/{id}", p.end).Methods(http.MethodDelete)
 }
--- a/internal/loads/claims.go
+++ b/internal/loads/claims.go
@@ -128,10 +128,19 @@
 	return h.holder, h.offset, ok
 }
 
-// Forget drops the claims that bar nobody any more.
+// Age returns for how long the last claim on a subject has been known here.
+func (c *Claims) Age(subject string, now time.Duration) time.Duration {
+	return now - c.last[subject].read
+}
+
+// claimMemory is how long a claim that bars nobody any more is kept for operators: above the
+// longest time between two calls of a duty in an incident.
+const claimMemory = 10 * time.Minute
+
+// Forget drops the claims that bar nobody any more and that nobody asks for.
 func (c *Claims) Forget(now time.Duration) {
 	for subject, h := range c.last {
-		if now > h.read+ClaimLife+c.lease+ClaimMargin {
+		if now > h.read+max(claimMemory, ClaimLife+c.lease+ClaimMargin) {
 			delete(c.last, subject)
 		}
 	}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -251,6 +251,10 @@
 	g.Expect(ok).To(BeTrue(), "it may still bar others")
 	c.Forget(time.Minute)
 	_, _, ok = c.Holder("e")
+	g.Expect(ok).To(BeTrue(), "operators ask who held it last")
+	g.Expect(c.Age("e", time.Minute)).To(Equal(58 * time.Second))
+	c.Forget(2*time.Second + claimMemory + time.Millisecond)
+	_, _, ok = c.Holder("e")
 	g.Expect(ok).To(BeFalse())
 }
 
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -103,6 +103,12 @@
 	delete(l.refused, o.Key)
 }
 
+// Last returns how many servers were ordered last.
+func (l *Ledger) Last(k Key) (count int, ok bool) {
+	o, ok := l.orders[k]
+	return o.count, ok
+}
+
 // Refused notes that none was available.
 func (l *Ledger) Refused(k Key, at time.Duration) { l.refused[k] = at }
 
