Refused orders are known to all, and the holder goes first when a claim's bar ends

Refusals are records too; whoever is barred waits until the bar ends, by rank. The lines explain a window (explain NUMBER) and a batch by the ID that its trainer gave it.

--- a/cmd/dogwoodflowctl/explain.go
+++ b/cmd/dogwoodflowctl/explain.go
@@ -20,11 +20,11 @@
 	return &ff.Command{
 		Name:      "explain",
 		Usage:     "dogwoodflowctl explain ID --log FILE...",
-		ShortHelp: "tells from log lines why a request, sample or batch ended as it did",
+		ShortHelp: "tells from log lines why a request, sample, batch or window of usage ended as it did",
 		Flags:     fs,
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) == 0 {
-				return usagef("explain takes an ID: of a request, a sample or a batch")
+				return usagef("explain takes an ID: of a request, a sample or a batch, or the number of a window of usage")
 			}
 			for _, arg := range args[1:] { // flags behind the ID arrive here
 				if arg != "--log" && arg != "-l" {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -107,6 +107,9 @@
 	return s.orders.claimer.claim(ctx, duty)
 }
 
+// Barred is how long another VM's claim still bars this one from a duty, 0: it doesn't.
+func (s *Service) Barred(duty string) time.Duration { return s.orders.barred(duty) }
+
 // Demand returns the samples of a batch by model, for those that are known.
 func (s *Service) Demand() map[string]int { return s.orders.demand() }
 
--- a/internal/duties/caller.go
+++ b/internal/duties/caller.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // caller makes a duty's calls, each under a claim of its own.
@@ -41,6 +43,24 @@
 	return o, permit.Fence, true
 }
 
+// rest waits after a step that failed, until a claim may be written again. All that stand in
+// wait for the same moment; the holder goes first, or it would lose the duty for as long as a
+// claim bars others to whoever happens to look just then.
+func (c *caller) rest(ctx context.Context, duty string, rank int) {
+	wait := c.options.Claims.Barred(duty)
+	if wait > 0 {
+		wait += time.Duration(rank) * rankRest
+	}
+	pause.For(ctx, max(min(wait, maxRest), stepPause))
+}
+
+// maxRest bounds a wait: a daemon that can't read the claims' log doesn't know for how long
+// it is barred. It is above what a claim bars others for with the usual lease of 3 s.
+const maxRest = 5 * time.Second
+
+// rankRest is between the tries of one rank and the next: above turnLook.
+const rankRest = 300 * time.Millisecond
+
 // stepPause follows a step that failed: a claim that was refused, a call without an
 // answer. Reports have some seconds.
 const stepPause = 400 * time.Millisecond
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -66,6 +66,8 @@
 type Claims interface {
 	// Claim claims a duty for this VM. An error means that nothing may leave.
 	Claim(ctx context.Context, duty string) (loads.Permit, error)
+	// Barred is how long another VM's claim still bars this one, 0: it doesn't.
+	Barred(duty string) time.Duration
 }
 
 // Turn tells a daemon's rank for the duties: 0 does them, higher ones stand in. It reports
--- a/internal/duties/log.go
+++ b/internal/duties/log.go
@@ -28,10 +28,12 @@
 	Ordered *ordered      `cbor:"2,keyasint,omitempty"`
 }
 
-// ordered says that servers of a service were ordered, or may have been.
+// ordered says that servers of a service were ordered, or may have been; or that none was to
+// be had, so that those that stand in don't ask again at once.
 type ordered struct {
-	Service string        `cbor:"1,keyasint"`
-	Order   scaling.Order `cbor:"2,keyasint"`
+	Service     string        `cbor:"1,keyasint"`
+	Order       scaling.Order `cbor:"2,keyasint"`
+	Unavailable bool          `cbor:"3,keyasint,omitempty"`
 }
 
 var errMalformed = errors.New("duties: malformed record")
@@ -112,10 +114,19 @@
 	case e.Usage != nil:
 		v.usage.Apply(*e.Usage)
 	case e.Ordered != nil:
-		v.ledgerLocked(e.Ordered.Service).Ordered(e.Ordered.Order, v.options.Now())
+		v.orderedLocked(*e.Ordered)
 	}
 }
 
+func (v *view) orderedLocked(o ordered) {
+	l, now := v.ledgerLocked(o.Service), v.options.Now()
+	if o.Unavailable {
+		l.Refused(o.Order.Key, now)
+		return
+	}
+	l.Ordered(o.Order, now)
+}
+
 func (v *view) ledgerLocked(service string) *scaling.Ledger {
 	l := v.orders[service]
 	if l == nil {
--- a/internal/duties/reporter.go
+++ b/internal/duties/reporter.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
-	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 	"github.com/dogwoodflow/dogwoodflow/internal/usage"
 )
 
@@ -35,7 +34,7 @@
 			return
 		}
 		if !r.do(ctx, r.next(rank, r.view.follower.InContact())) {
-			pause.For(ctx, stepPause)
+			r.caller.rest(ctx, UsageDuty, rank)
 			return
 		}
 	}
--- a/internal/duties/scaler.go
+++ b/internal/duties/scaler.go
@@ -63,8 +63,9 @@
 			if now-since < time.Duration(rank)*standIn || ctx.Err() != nil {
 				continue
 			}
-			if s.view.catchUp(ctx) && s.order(ctx, x, o) {
-				delete(still, w)
+			delete(still, w) // whatever comes of it, others get their turn before the next try
+			if s.view.catchUp(ctx) {
+				s.order(ctx, x, o)
 			}
 		}
 	}
@@ -77,13 +78,13 @@
 	return s.view.ledgerLocked(x.Service).Decide(x.Market, scaling.View{Now: now, There: x.There, Samples: x.Samples})
 }
 
-// order gives an order and reports whether it needn't be given again now.
-func (s *scaler) order(ctx context.Context, x Scaled, o scaling.Order) bool {
+// order gives an order and notes the outcome for everybody.
+func (s *scaler) order(ctx context.Context, x Scaled, o scaling.Order) {
 	outcome, fence, made := s.caller.do(ctx, scalingDuty(x.Service, o.DataCentre), func(ctx context.Context, c Call) (Outcome, error) {
 		return s.options.Platform.Scale(ctx, c, x.Service, o)
 	})
 	if !made {
-		return false
+		return
 	}
 	s.options.Logger.Info().Str("service", x.Service).Str("data_centre", o.DataCentre).Bool("spot", o.Spot).Int("count", o.Count).
 		Int("regular_there", x.There[o.DataCentre].Regular).Int("spot_there", x.There[o.DataCentre].Spot).Int("samples", x.Samples).
@@ -91,15 +92,17 @@
 	switch outcome {
 	case Done, Unknown: // what got no answer may be carried out
 		scalingOrders.Add(1)
-		s.view.mu.Lock()
-		s.view.ledgerLocked(x.Service).Ordered(o, s.options.Now())
-		s.view.mu.Unlock()
-		return s.view.append(ctx, entry{Ordered: &ordered{Service: x.Service, Order: o}})
+		s.note(ctx, ordered{Service: x.Service, Order: o})
 	case Unavailable:
 		scalingRefused.Add(1)
-		s.view.mu.Lock()
-		s.view.ledgerLocked(x.Service).Refused(o.Key, s.options.Now())
-		s.view.mu.Unlock()
+		s.note(ctx, ordered{Service: x.Service, Order: o, Unavailable: true})
 	}
-	return true
+}
+
+// note has this daemon know of an order at once, and the others by the log.
+func (s *scaler) note(ctx context.Context, o ordered) {
+	s.view.mu.Lock()
+	s.view.orderedLocked(o)
+	s.view.mu.Unlock()
+	s.view.append(ctx, entry{Ordered: &o}) // it logs a failure; the others then see the servers
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -13,6 +13,8 @@
 		return requestCause(s)
 	case "sample":
 		return sampleCause(s)
+	case "window":
+		return windowCause(s)
 	default:
 		return batchCause(s)
 	}
@@ -85,6 +87,29 @@
 	return out
 }
 
+// windowCause tells what became of a window's report of usage.
+func windowCause(s Story) string {
+	lost, tries, last := 0, 0, ""
+	for _, l := range s.Lines {
+		switch l.Message {
+		case "counts lost: too late for their report", "counts lost: the store won't take them":
+			lost++
+		case "usage reported":
+			tries++
+			last = fmt.Sprintf("%s by %s, %v requests of %v customers, %v ms after the window's end", l.Text("outcome"), l.VM,
+				l.Fields["requests"], l.Fields["customers"], l.Fields["after_end"])
+		}
+	}
+	out := fmt.Sprintf("%d reports sent", tries)
+	if last != "" {
+		out += ", the last: " + last
+	}
+	if lost > 0 {
+		out += fmt.Sprintf("; counts of %d appends came too late", lost)
+	}
+	return out
+}
+
 // batchCause names what took a step's time: broken runs by reason, the owners, the
 // store, and the sample that ended last.
 func batchCause(s Story) string {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -92,13 +93,28 @@
 // Story is what is known of an ID.
 type Story struct {
 	ID    string
-	Kind  string // request, sample or batch
+	Kind  string // request, sample, batch or window
 	Lines []Line // its own and those that bear on it, in order of time
 	Cause string
 }
 
 // idFields are the fields that name what a story can be about.
-var idFields = []string{"request", "sample", "batch"}
+var idFields = []string{"request", "sample", "batch", "window"}
+
+// keySeparator stands between the customer and the ID of a batch in lines.
+const keySeparator = ":"
+
+// names reports whether a field of a line is an ID. A batch is asked for as its trainer
+// named it, with or without its customer; a window of usage is a number.
+func (l *Line) names(field, id string) bool {
+	switch value := l.Fields[field].(type) {
+	case string:
+		return value == id || field == "batch" && strings.HasSuffix(value, keySeparator+id)
+	case float64:
+		return strconv.FormatFloat(value, 'f', -1, 64) == id
+	}
+	return false
+}
 
 // Walk collects the story of an ID.
 func Walk(lines []Line, id string) (Story, error) {
@@ -106,7 +122,7 @@
 	var own []Line
 	for _, l := range lines {
 		for _, field := range idFields {
-			if l.Text(field) == id {
+			if l.names(field, id) {
 				s.Kind = field
 				own = append(own, l)
 				break
@@ -145,6 +161,8 @@
 	"started", "stopping: not ready any more", "stopped", "settings read again", "store contact changed", "group not reached",
 	"partitions owned", "configuration read", "engine is slow, moving samples", "append failed, trying again", "load ended",
 	"load for another VM ended", "upstream registered", "upstream removed",
+	"turn for the duties changed", "duty not claimed", "duty's call ended", "platform not reached, duty left to others",
+	"duties' log not read to its end, nothing is done", "record of the duties not appended",
 }
 
 // margin is how long before the first own line circumstances still bear on it.
