--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -96,8 +96,9 @@
 			lost++
 		case "usage reported":
 			tries++
-			last = fmt.Sprintf("%s by %s, %v requests of %v customers, %v ms after the window's end", l.Text("outcome"), l.VM,
-				l.Fields["requests"], l.Fields["customers"], l.Fields["after_end"])
+			after, _ := l.Fields["after_end"].(float64) // ms; a line without it says 0
+			last = fmt.Sprintf("%s by %s, %v requests of %v customers, %.1f s after the window's end", l.Text("outcome"), l.VM,
+				l.Fields["requests"], l.Fields["customers"], after/1000)
 		}
 	}
 	out := fmt.Sprintf("%d reports sent", tries)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -225,6 +225,14 @@
 	return err
 }
 
+// text writes a value; whole numbers keep their digits.
+func text(value any) string {
+	if n, ok := value.(float64); ok {
+		return strconv.FormatFloat(n, 'f', -1, 64)
+	}
+	return fmt.Sprint(value)
+}
+
 func (l *Line) fields(known string) string {
 	var out strings.Builder
 	names := make([]string, 0, len(l.Fields))
@@ -235,7 +243,7 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		fmt.Fprintf(&out, " %s=%v", name, l.Fields[name])
+		fmt.Fprintf(&out, " %s=%s", name, text(l.Fields[name]))
 	}
 	return out.String()
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -15,8 +15,10 @@
 
 // recorded reads lines that daemons wrote on a day with an outage of the store, a
 // killed VM and slow engines.
-func recorded(t *testing.T) []Line {
-	file, err := os.Open("testdata/daemons.log")
+func recorded(t *testing.T) []Line { return linesOf(t, "daemons.log") }
+
+func linesOf(t *testing.T, name string) []Line {
+	file, err := os.Open(filepath.Join("testdata", name))
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	defer file.Close()
 	lines, skipped, err := Read(file)
@@ -25,14 +27,16 @@
 	return lines
 }
 
-// Three complaints as they come at night: a call that got 504, a sample that took many
-// runs, a step that came late. Each story has to name its cause in the last line.
+// Four complaints as they come at night: a call that got 504, a sample that took many
+// runs, a step that came late, a window of usage that was reported late. Each story has to
+// name its cause in the last line.
 func TestStoriesOfRecordedLines(t *testing.T) {
-	lines := recorded(t)
+	lines := append(recorded(t), linesOf(t, "duties.log")...)
 	for _, c := range []struct{ id, kind, cause string }{
 		{"e10917fa8ca53d30", "request", "answered 504 (deadline) after 1 sends"},
 		{"0a4dda9a95d90b56", "sample", "13 runs, 12 broken off; the last: moved to another engine"},
 		{"ca9e74da10120020", "batch", "contact to the store was lost 4 times"},
+		{"354625307", "window", "1 reports sent, the last: done by edge-surabaya-5, 60 requests of 33 customers, 7.1 s after"},
 	} {
 		t.Run(c.kind, func(t *testing.T) {
 			g := NewWithT(t)
@@ -53,6 +57,21 @@
 	}
 }
 
+// A trainer complains of a batch by the ID that it gave, while lines name it with its
+// customer. Another customer's batch of the same ID is found by its whole name.
+func TestBatchIsFoundByItsTrainersID(t *testing.T) {
+	g := NewWithT(t)
+	lines, _, err := Read(strings.NewReader(`{"batch":"koperasi:7c41","message":"batch submitted","vm":"a","time":"2026-01-01T00:00:00.5Z"}` + "\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, id := range []string{"7c41", "koperasi:7c41"} {
+		story, err := Walk(lines, id)
+		g.Expect(err).NotTo(HaveOccurred(), id)
+		g.Expect(story.Kind).To(Equal("batch"))
+	}
+	_, err = Walk(lines, "c41")
+	g.Expect(err).To(MatchError(ErrNotFound))
+}
+
 func TestUnknownIDAndOtherText(t *testing.T) {
 	g := NewWithT(t)
 	_, err := Walk(recorded(t), "nobody")
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -25,8 +25,8 @@
 	// giveUpShare: a report so late is of no use to anybody.
 	giveUpShare = 3
 	// settleAfterOutage passes from the store's return until a window is decided: every
-	// daemon's counts come then, spread over its retries' pauses.
-	settleAfterOutage = 1200 * time.Millisecond
+	// daemon's counts come then, MaxGap after its last try at the latest.
+	settleAfterOutage = MaxGap + 600*time.Millisecond
 )
 
 // Situation is what a daemon knows besides the log when it looks what to do.
