The time of day is kept by the steady clock through jumps; test set-ups of the duties and batches once

A VM whose time of day jumps counted in the wrong window, and a holder's could decide a window that others still count in.

--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
@@ -415,6 +416,13 @@
 }
 
 // sampleBatch makes a batch of samples that no other batch has.
+// accept hands batch "b" in at the first VM and returns its samples.
+func (w *world) accept(g Gomega, model, id string, groups, size int, minVersion int64) []batch.Item {
+	head, items, requests := sampleBatch(model, id, groups, size, minVersion)
+	g.Expect(w.vms[0].current().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+	return items
+}
+
 func sampleBatch(model, id string, groups, size int, minVersion int64) (batch.Head, []batch.Item, []batch.Request) {
 	head := batch.Head{
 		Host: testHost, Path: testPath, Model: model, MinVersion: minVersion, WantedGroups: groups,
--- a/internal/duties/counts.go
+++ b/internal/duties/counts.go
@@ -63,8 +63,8 @@
 	return c
 }
 
-// Began counts a request of a customer that began to run. It doesn't wait.
-func (c *Counts) Began(customer string, at time.Time) {
+// Began counts a request of a customer that began to run so long ago. It doesn't wait.
+func (c *Counts) Began(customer string, ago time.Duration) {
 	if c.counter == nil {
 		return
 	}
@@ -73,7 +73,7 @@
 	if c.counter.Empty() && isClosed(c.idle) {
 		c.idle = make(chan struct{})
 	}
-	c.counter.Began(customer, at)
+	c.counter.Began(customer, c.options.Clock().Add(-ago))
 	c.mu.Unlock()
 	select {
 	case c.ready <- struct{}{}:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,7 +79,7 @@
 
 // Usage hears of the requests of customers that began to run at upstreams.
 type Usage interface {
-	Began(customer string, at time.Time)
+	Began(customer string, ago time.Duration)
 }
 
 // Options of a Gateway.
@@ -271,9 +271,9 @@
 }
 
 // began counts a run of a customer's request.
-func (g *Gateway) began(call *Call, at time.Time) {
+func (g *Gateway) began(call *Call, sent time.Time) {
 	if g.usage != nil && call.Customer != "" {
-		g.usage.Began(call.Customer, at)
+		g.usage.Began(call.Customer, time.Since(sent))
 	}
 }
 
