No window is reported again behind a gap in the duties' log

Found by reading: after the store forgot its history, a late count of a window that had been reported stood alone in the log; the next holder decided the window anew and sent a second report with other counts. Besides: counts of windows that nobody reports any more are dropped while they wait, or an outage of hours would fill the memory; an order that the platform rejects isn't given again at once.

--- a/internal/duties/counts.go
+++ b/internal/duties/counts.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
@@ -141,7 +140,7 @@
 		return
 	}
 	c.number++
-	data, err := cbor.Marshal(entry{Usage: &usage.Record{Counted: &usage.Counted{Writer: c.writer, Number: c.number, Windows: taken}}})
+	data, err := entry{Usage: &usage.Record{Counted: &usage.Counted{Writer: c.writer, Number: c.number, Windows: taken}}}.encode(c.options.Clock())
 	if err != nil {
 		c.options.Logger.Error().Err(err).Int64("number", c.number).Msg("counts not encoded, lost")
 		return
@@ -186,7 +185,8 @@
 	return c.options.Logger.Warn()
 }
 
-// dropOld forgets records whose windows nobody reports any more.
+// dropOld forgets what belongs to windows that nobody reports any more: in an outage of hours
+// it would grow without bound.
 func (c *Counts) dropOld() {
 	now := c.options.Clock()
 	c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(r record) bool {
@@ -196,6 +196,12 @@
 		}
 		return old
 	})
+	c.mu.Lock()
+	dropped := c.counter.Forget(c.options.Usage.Windows.Of(now.Add(-c.options.Usage.Keep())))
+	c.mu.Unlock()
+	if dropped > 0 {
+		c.options.Logger.Error().Int("windows", dropped).Msg("counts lost: too late for their report")
+	}
 }
 
 // settle tells those that wait for everything to be written down.
--- a/internal/duties/log.go
+++ b/internal/duties/log.go
@@ -22,10 +22,12 @@
 	part  = 0
 )
 
-// entry is a record of the duties' log. Exactly one field is set.
+// entry is a record of the duties' log. One of Usage and Ordered is set.
 type entry struct {
 	Usage   *usage.Record `cbor:"1,keyasint,omitempty"`
 	Ordered *ordered      `cbor:"2,keyasint,omitempty"`
+	// AtMS is the time of day of the append in Unix ms, by its writer.
+	AtMS int64 `cbor:"3,keyasint"`
 }
 
 // ordered says that servers of a service were ordered, or may have been; or that none was to
@@ -46,14 +48,9 @@
 	return e, nil
 }
 
-// appendEntry writes a record that counts once however often it stands in the log.
-func appendEntry(ctx context.Context, log store.Log, e entry, try int) error {
-	data, err := cbor.Marshal(e)
-	if err != nil {
-		return fmt.Errorf("%w: %w", store.ErrRejected, err)
-	}
-	_, err = store.AppendRepeatable(ctx, log, topic, part, [][]byte{data}, try)
-	return err
+func (e entry) encode(now time.Time) ([]byte, error) {
+	e.AtMS = now.UnixMilli()
+	return cbor.Marshal(e)
 }
 
 // readTimeout bounds a read that brings the view up to date before a step.
@@ -68,6 +65,7 @@
 	usage  *usage.Fold
 	orders map[string]*scaling.Ledger // by service
 	since  time.Duration              // when the store's answers began without an interruption
+	gap    bool                       // records are lost, and none after them was read yet
 }
 
 func newView(o Options) *view {
@@ -85,6 +83,7 @@
 	v.usage = usage.NewFold()
 	v.orders = map[string]*scaling.Ledger{}
 	v.since = v.options.Now()
+	v.gap = false
 }
 
 // follow reads the log from its oldest record until the context ends.
@@ -97,9 +96,28 @@
 // Reset is never called: the topic has no keys.
 func (v *view) Reset([]store.Entry) {}
 
-// Gap: what is lost was older than the log's retention, and so are the reports and servers
-// that it was about.
-func (v *view) Gap(int64) {}
+// Gap says that records are lost: they expired, or the store forgot its history.
+func (v *view) Gap(int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.gap = true
+}
+
+// lostMargin covers what clocks of VMs and an append under way make of a record's time.
+const lostMargin = 3 * time.Second
+
+// startLocked ends a gap at the time of the first record that is kept. The windows that had
+// ended by then may have been reported, and the record that says with which counts is lost.
+// Reported again, with what late counts are left, such a window would have two reports.
+func (v *view) startLocked(at time.Time) {
+	if !v.gap || v.options.Usage == nil {
+		return
+	}
+	v.gap = false
+	first := v.options.Usage.Windows.Of(at.Add(lostMargin))
+	v.usage.Forget(first)
+	v.options.Logger.Warn().Int64("first_window", first).Msg("records of the duties are lost, earlier windows are left as they are")
+}
 
 // Record applies a record of the log.
 func (v *view) Record(offset int64, data []byte) {
@@ -110,6 +128,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.startLocked(time.UnixMilli(e.AtMS))
 	switch {
 	case e.Usage != nil:
 		v.usage.Apply(*e.Usage)
@@ -155,7 +174,10 @@
 
 // append writes a record, which may stand twice.
 func (v *view) append(ctx context.Context, e entry) bool {
-	err := appendEntry(ctx, v.options.Log, e, 1)
+	data, err := e.encode(v.options.Clock())
+	if err == nil {
+		_, err = store.AppendRepeatable(ctx, v.options.Log, topic, part, [][]byte{data}, 1)
+	}
 	if err != nil {
 		v.options.Logger.Warn().Err(err).Msg("record of the duties not appended")
 	}
--- a/internal/duties/reporter.go
+++ b/internal/duties/reporter.go
@@ -45,6 +45,7 @@
 	now := r.options.Clock()
 	r.view.mu.Lock()
 	defer r.view.mu.Unlock()
+	r.view.startLocked(now) // no record is left behind a gap
 	r.view.usage.Begin(r.options.Usage.Windows.Of(now))
 	r.view.usage.Forget(r.options.Usage.Windows.Of(now.Add(-r.options.Usage.Keep())))
 }
--- a/internal/duties/scaler.go
+++ b/internal/duties/scaler.go
@@ -93,7 +93,7 @@
 	case Done, Unknown: // what got no answer may be carried out
 		scalingOrders.Add(1)
 		s.note(ctx, ordered{Service: x.Service, Order: o})
-	case Unavailable:
+	default: // there are none, or the order isn't taken for another reason: not again at once
 		scalingRefused.Add(1)
 		s.note(ctx, ordered{Service: x.Service, Order: o, Unavailable: true})
 	}
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -30,6 +30,17 @@
 // Empty reports whether there is nothing to write down.
 func (c *Counter) Empty() bool { return len(c.pending) == 0 }
 
+// Forget drops the counts of windows before k and returns how many windows had some.
+func (c *Counter) Forget(k int64) (dropped int) {
+	for window := range c.pending {
+		if window < k {
+			delete(c.pending, window)
+			dropped++
+		}
+	}
+	return dropped
+}
+
 // Take returns what is to be written down, by window, and forgets it.
 func (c *Counter) Take() []WindowCounts {
 	var out []WindowCounts
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -40,6 +40,10 @@
 	g.Expect(c.Take()).To(Equal([]WindowCounts{{100, map[string]int{"a": 2, "b": 1}}, {101, map[string]int{"a": 1}}}))
 	g.Expect(c.Empty()).To(BeTrue())
 	g.Expect(c.Take()).To(BeEmpty())
+	c.Began("a", at(0))
+	c.Began("a", at(5))
+	g.Expect(c.Forget(101)).To(Equal(1))
+	g.Expect(c.Take()).To(HaveLen(1))
 }
 
 // The load that the pace is for: 690 daemons with 36 calls a second each must not take the
