Suspects, trials and verdicts are written down with their inputs

The proof of poison loses three engines at times, and nothing said which way: three first copies before any mark, two daemons trying the suspect alone at once, or a death that wasn't recognised. Lines for each now: 'upstream ended under a request' (request, fingerprint, upstream, boot, tokens, alone or not, verdict), 'heard of a suspect' (from which peer), 'suspect runs alone'. They are bounded by the requests in flight where an upstream ended. Own-mode lines carry milliseconds, so that those of several daemons can be put into one order.

--- a/cmd/dogwoodflowd/main.go
+++ b/cmd/dogwoodflowd/main.go
@@ -69,6 +69,7 @@
 	if err != nil {
 		level = zerolog.InfoLevel
 	}
+	zerolog.TimeFieldFormat = millisecondTime
 	log := zerolog.New(os.Stderr)
 	if d.LogFormat == "console" {
 		log = log.Output(zerolog.ConsoleWriter{Out: os.Stderr})
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 )
@@ -76,8 +78,11 @@
 	d.peers.mu.Unlock()
 
 	d.poisonMu.Lock()
-	d.keeper.Merge(from, digest.Poison, now)
+	news := d.keeper.Merge(from, digest.Poison, now)
 	d.poisonMu.Unlock()
+	for _, fp := range news {
+		d.noteSuspect(fp, "heard of a suspect", func(e *zerolog.Event) { e.Str("peer", string(from)) })
+	}
 	taken := d.taken(now)
 	for _, s := range d.allShards() {
 		s.merge(digest, taken, now)
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
 )
@@ -59,9 +60,13 @@
 	}
 	r.d.record("quarantine", r.id, r.want.team, m.target.Name, "")
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	sl := s.take(m, r.fp, now)
 	sl.lane = true
+	s.mu.Unlock()
+	r.d.noteSuspect(r.fp, "suspect runs alone", func(e *zerolog.Event) {
+		e.Str("request", string(r.id)).Str("upstream", string(m.target.Name)).Str("boot", sl.bootID).
+			Int("beside", sl.beside-1)
+	})
 	return sl, nil
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
@@ -172,7 +174,8 @@
 	fault := faultOf(err)
 	r.observe(sl, fault)
 	if fault.dead() && r.d.o.Policy != Naive {
-		if death, died := r.s.postMortem(sl); died {
+		death, died := r.s.postMortem(sl)
+		if died {
 			r.died = true
 			r.suspect(sl, death)
 		}
@@ -196,11 +199,17 @@
 func (r *run) suspect(sl *slot, death poison.Death) {
 	death.Seen = true
 	death.Tokens = r.resumed + sl.tokens
-	if alone := sl.lane && !sl.passed; !alone && r.d.unrelated(r.fp, death) {
-		return
-	}
-	r.d.died(r.fp, death)
-	r.d.record("suspect", r.id, r.want.team, sl.m.target.Name, death.BootID)
+	alone := sl.lane && !sl.passed
+	unrelated := !alone && r.d.unrelated(r.fp, death)
+	if !unrelated {
+		r.d.died(r.fp, death)
+		r.d.record("suspect", r.id, r.want.team, sl.m.target.Name, death.BootID)
+	}
+	r.d.noteSuspect(r.fp, "upstream ended under a request", func(e *zerolog.Event) {
+		e.Str("request", string(r.id)).Str("upstream", string(death.Upstream)).Str("boot", death.BootID).
+			Int("tokens", death.Tokens).Bool("alone", alone).Bool("unrelated", unrelated).
+			Dur("ran_ms", r.d.o.Now().Sub(sl.started))
+	})
 }
 
 func (r *run) observe(sl *slot, fault fault) {
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
@@ -15,6 +17,21 @@
 	return d.keeper.Admit(fp, d.o.Now())
 }
 
+// noteSuspect writes down what this daemon believes of a suspect, and why. Suspects are
+// bounded by the requests in flight on an upstream that ended.
+func (d *Dispatcher) noteSuspect(fp poison.Fingerprint, m string, more func(*zerolog.Event)) {
+	now := d.o.Now()
+	d.poisonMu.Lock()
+	verdict := d.keeper.Admit(fp, now).Verdict
+	mark := d.keeper.Mark(fp, now)
+	d.poisonMu.Unlock()
+	line := d.o.Log.Info().Stringer("fingerprint", fp).Stringer("verdict", verdict).Int("crashes", mark.Crashes())
+	if mark.Trying != "" {
+		line = line.Str("trying", string(mark.Trying)).Str("trying_on", string(mark.TryingOn))
+	}
+	line.Func(more).Msg(m)
+}
+
 func (d *Dispatcher) try(fp poison.Fingerprint, on ident.Upstream, now time.Time) bool {
 	d.poisonMu.Lock()
 	ok := d.keeper.Try(fp, on, now)
--- a/internal/poison/mark.go
+++ b/internal/poison/mark.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -31,6 +32,9 @@
 	return Fingerprint(h.Sum64())
 }
 
+// String is how lines and operators name the request.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 func compare(a, b Fingerprint) int { return cmp.Compare(a, b) }
 
 // Death is the end of one process of an upstream. Two daemons that saw the
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -174,15 +174,12 @@
 	return true
 }
 
-// Merge takes a peer's marks in and reports whether anything changed.
-func (k *Keeper) Merge(from ident.VM, marks []Mark, now time.Time) bool {
-	changed := false
+// Merge takes a peer's marks in and returns the requests of which something is new.
+func (k *Keeper) Merge(from ident.VM, marks []Mark, now time.Time) []Fingerprint {
+	var changed []Fingerprint
 	for _, theirs := range marks {
-		if !now.Before(theirs.Expires) {
-			continue
-		}
-		if k.mergeOne(from, theirs, now) {
-			changed = true
+		if now.Before(theirs.Expires) && k.mergeOne(from, theirs, now) {
+			changed = append(changed, theirs.Fingerprint)
 		}
 	}
 	return changed
@@ -229,6 +226,17 @@
 	return slices.Compact(taken)
 }
 
+// Mark returns a copy of a request's live mark; none has no deaths.
+func (k *Keeper) Mark(fp Fingerprint, now time.Time) Mark {
+	m := k.live(fp, now)
+	if m == nil {
+		return Mark{Fingerprint: fp}
+	}
+	c := *m
+	c.Deaths = slices.Clone(m.Deaths)
+	return c
+}
+
 // Marks returns copies of the live marks, by fingerprint, for peers.
 func (k *Keeper) Marks(now time.Time) []Mark {
 	out := make([]Mark, 0, len(k.marks))
