Of two daemons that announce a suspect at one moment one tries it

What callers saw: a request that has killed one engine could cost two more. Two daemons that know it wait for turns of their own before they try it alone; where the turns end within the time that word takes, both announce it, neither hears its own announcement repeated by the other, both wait for QuarantineWait and both run it.

Found by a test of random sessions written for the first copies of a killer (the known failure): lines 'suspect runs alone' of vm2 on e2 and of vm1 on e4 5 ms apart, each after 1 s, both 'upstream ended ... alone=true'.

Cause: each daemon kept its own announced attempt against any other's. Now an attempt that waits gives way to that of a lower name; one that runs doesn't. It holds because a daemon runs a suspect only once each live peer has repeated its announcement, which a peer that tries it itself doesn't do.

Before: the new test loses 2 engines where 1 is allowed, each time. The session and the merge tests are unchanged.

--- a/internal/dispatch/probation_test.go
+++ b/internal/dispatch/probation_test.go
@@ -40,6 +40,23 @@
 	return innocent, killed
 }
 
+// turnsTogether returns a killer for which two daemons would try it within a few
+// milliseconds of each other.
+func turnsTogether(a, b *Dispatcher) string {
+	for n := range 10000 {
+		prompt := fmt.Sprint(killer, " ", n)
+		fp := fingerprintOf(prompt)
+		if apart := a.stagger(fp) - b.stagger(fp); apart.Abs() <= 2*time.Millisecond {
+			return prompt
+		}
+	}
+	return ""
+}
+
+func fingerprintOf(prompt string) poison.Fingerprint {
+	return fingerprint(Generate{Team: "t", Model: "m", Prompt: prompt, MaxTokens: answerSize})
+}
+
 // gossipLate is gossip whose words take lateWord on their way.
 func gossipLate(ctx context.Context, from, to *Dispatcher) {
 	const lateWord = 60 * time.Millisecond
@@ -128,6 +145,35 @@
 	})
 })
 
+var _ = Describe("a suspect that two daemons know", func() {
+	// It has killed once. Copies of it come to two daemons, whose waits for a turn end
+	// within the time that word takes: both announce it, neither hears the other's word
+	// repeated, both run it when they have waited long enough, and each loses an engine.
+	It("is tried by one of them", session(6, Ours, func(g Gomega, w *world, d *Dispatcher) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		w.killAt = 0
+		all := []*Dispatcher{d, w.daemon(ctx, "vm2", Ours)}
+		for _, from := range all {
+			go gossip(ctx, from, all)
+		}
+		time.Sleep(time.Second)
+		prompt := turnsTogether(all[0], all[1])
+		for _, at := range all {
+			at.died(fingerprintOf(prompt), poison.Death{Upstream: "e9", BootID: "a"})
+		}
+		var group sync.WaitGroup
+		for _, at := range all {
+			group.Go(func() {
+				_, _, err := ask(at, prompt)
+				g.Expect(problem(err).Reason).To(Equal(Poison))
+			})
+		}
+		group.Wait()
+		g.Expect(w.deaths()).To(Equal(1))
+	}))
+})
+
 var _ = Describe("a lane's upstream", func() {
 	// A peer's word of a moment ago says that nothing runs there; meanwhile it has
 	// placed a request. Only a word made after it heard of the lane counts.
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -54,7 +54,7 @@
 		s.closeLane(m)
 		return nil, contextError(ctx, r.outcome())
 	}
-	if !r.d.try(r.fp, m.target.Name, now) {
+	if !r.d.begin(r.fp, m.target.Name, now) {
 		s.closeLane(m)
 		return nil, nil
 	}
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -42,6 +42,13 @@
 	return ok
 }
 
+// begin is try for a suspect that runs from now on.
+func (d *Dispatcher) begin(fp poison.Fingerprint, on ident.Upstream, now time.Time) bool {
+	d.poisonMu.Lock()
+	defer d.poisonMu.Unlock()
+	return d.keeper.Begin(fp, on, now)
+}
+
 // renew holds on to a suspect; digests that flow anyway tell of it.
 func (d *Dispatcher) renew(fp poison.Fingerprint, on ident.Upstream, now time.Time) {
 	d.poisonMu.Lock()
--- a/internal/poison/mark.go
+++ b/internal/poison/mark.go
@@ -73,6 +73,8 @@
 	Trying      ident.VM       `json:"trying,omitempty"`
 	TryingOn    ident.Upstream `json:"trying_on,omitempty"`
 	TryingUntil time.Time      `json:"trying_until,omitzero"`
+	// begun: this daemon's own attempt runs; before, it only waits for its upstream.
+	begun bool
 }
 
 // Crashes counts the deaths that aren't forgiven.
@@ -122,12 +124,13 @@
 }
 
 func (m *Mark) release() {
-	m.Trying, m.TryingOn, m.TryingUntil = "", "", time.Time{}
+	m.Trying, m.TryingOn, m.TryingUntil, m.begun = "", "", time.Time{}, false
 }
 
 // mergeTrying takes over who tries the suspect. Only the trying daemon itself
-// may end its attempt. Of two others the lower name is kept, so that daemons
-// agree; a daemon's own attempt is under way and isn't given up.
+// may end its attempt. Of two the lower name is kept, so that daemons agree: two that
+// announce a suspect at one moment would both run it, each at the cost of an upstream.
+// An attempt that runs isn't given up; it began when all had heard of it.
 func (m *Mark) mergeTrying(from ident.VM, theirs Mark, self ident.VM, limit time.Time) bool {
 	if theirs.Trying != from {
 		if m.Trying == from {
@@ -136,13 +139,13 @@
 		}
 		return false // hearsay, or nothing
 	}
-	if m.Trying != "" && m.Trying != from && (m.Trying == self || m.Trying < from) {
+	if m.Trying == self && m.begun || m.Trying != "" && m.Trying < from {
 		return false
 	}
 	if theirs.TryingUntil.After(limit) {
 		theirs.TryingUntil = limit
 	}
 	changed := m.Trying != from || m.TryingOn != theirs.TryingOn
-	m.Trying, m.TryingOn, m.TryingUntil = from, theirs.TryingOn, theirs.TryingUntil
+	m.Trying, m.TryingOn, m.TryingUntil, m.begun = from, theirs.TryingOn, theirs.TryingUntil, false
 	return changed
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -116,6 +116,16 @@
 	return true
 }
 
+// Begin is Try for an attempt that runs from now on: it isn't given up any more for
+// that of another daemon.
+func (k *Keeper) Begin(fp Fingerprint, on ident.Upstream, now time.Time) bool {
+	if !k.Try(fp, on, now) {
+		return false
+	}
+	k.marks[fp].begun = true
+	return true
+}
+
 // Tried ends Try. A success clears the request: what it was seen beside did
 // the killing.
 func (k *Keeper) Tried(fp Fingerprint, succeeded bool, now time.Time) {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -163,6 +163,32 @@
 		Expect(b.Admit(1, epoch).Verdict).To(Equal(Suspect))
 	})
 
+	// Two daemons announce a suspect at one moment, before either heard of the other.
+	// Both would wait for an idle upstream and then run it, at the cost of one each.
+	It("leaves a suspect that two daemons announce at once to the lower name", func() {
+		a, b := New(Options{Self: "a"}), New(Options{Self: "b"})
+		for _, k := range []*Keeper{a, b} {
+			k.Died(1, Death{Upstream: "u1"}, epoch)
+		}
+		Expect(a.Try(1, "q", epoch)).To(BeTrue())
+		Expect(b.Try(1, "r", epoch)).To(BeTrue())
+		ofA, ofB := a.Marks(epoch), b.Marks(epoch)
+		a.Merge("b", ofB, epoch)
+		b.Merge("a", ofA, epoch)
+		Expect(b.Begin(1, "r", epoch)).To(BeFalse())
+		Expect(b.Admit(1, epoch).Verdict).To(Equal(Busy))
+		Expect(a.Begin(1, "q", epoch)).To(BeTrue())
+	})
+
+	It("keeps a trial that has begun", func() {
+		b := New(Options{Self: "b"})
+		b.Died(1, Death{Upstream: "u1"}, epoch)
+		Expect(b.Begin(1, "r", epoch)).To(BeTrue())
+		b.Merge("a", []Mark{{Fingerprint: 1, Expires: epoch.Add(time.Minute), Trying: "a", TryingOn: "q", TryingUntil: epoch.Add(time.Second)}}, epoch)
+		Expect(b.Admit(1, epoch).Verdict).To(Equal(Suspect))
+		Expect(b.Try(1, "r", epoch)).To(BeTrue())
+	})
+
 	// It died at token 40. Alone, it gets past that point and is cleared of it,
 	// once; a resend from the start isn't past it at token 16.
 	It("clears who got past the point of its death, once", func() {
