A suspect is cleared only past the furthest of its copies

What callers saw: a third engine lost to a request that kills late in its answer. Copies of it ran on one engine, one ahead of the others, which ended it there. A daemon whose copy was behind tried that one alone, from where it had been; 16 tokens on, still short of the point, all daemons took it for cleared, and it killed two more.

Cause: a mark kept the point of this daemon's own copy alone and told peers nothing of it. Marks now carry how far the furthest copy was. It holds because a daemon runs a suspect alone only after each live peer has spoken since it heard of the trial, and a peer that saw the death says so in that word at the latest.

New daemons understand old ones' words, which have no tokens, as before.

--- a/internal/peer/marks.go
+++ b/internal/peer/marks.go
@@ -20,7 +20,7 @@
 	}
 	for _, d := range m.Deaths {
 		out.Deaths = append(out.Deaths, &peerpb.Death{
-			Upstream: string(d.Upstream), BootId: d.BootID, Forgiven: d.Forgiven,
+			Upstream: string(d.Upstream), BootId: d.BootID, Forgiven: d.Forgiven, Tokens: uint32(d.Tokens),
 		})
 	}
 	return out
@@ -37,6 +37,7 @@
 	for _, d := range m.GetDeaths() {
 		out.Deaths = append(out.Deaths, poison.Death{
 			Upstream: ident.Upstream(d.GetUpstream()), BootID: d.GetBootId(), Forgiven: d.GetForgiven(),
+			Tokens: int(d.GetTokens()),
 		})
 	}
 	return out
--- a/internal/poison/mark.go
+++ b/internal/poison/mark.go
@@ -45,21 +45,23 @@
 	// Forgiven: the request ran alone and succeeded after this death, or got past
 	// the point of it.
 	Forgiven bool `json:"forgiven,omitempty"`
-	// Seen: this daemon's own request died there, when its answer had Tokens.
-	// Peers aren't told either.
-	Seen   bool `json:"-"`
-	Tokens int  `json:"-"`
+	// Seen: this daemon's own request died there. Peers aren't told.
+	Seen bool `json:"-"`
+	// Tokens is how far the answer was, of the copy that was furthest.
+	Tokens int `json:"tokens,omitempty"`
 }
 
 // same says whether two name the end of one process.
 func (d Death) same(o Death) bool { return compareDeaths(d, o) == 0 }
 
-// see takes over where the request was. Of two copies on one process the further
-// one counts.
-func (d *Death) see(o Death) {
-	if o.Seen {
-		d.Seen, d.Tokens = true, max(d.Tokens, o.Tokens)
-	}
+// see takes over where the request was, and reports whether that is news. Of copies on
+// one process, here and at other daemons, the furthest one counts: it is the one that
+// may have killed, and one behind it gets past its own point without showing anything.
+func (d *Death) see(o Death) bool {
+	further := o.Tokens > d.Tokens
+	d.Seen = d.Seen || o.Seen
+	d.Tokens = max(d.Tokens, o.Tokens)
+	return further
 }
 
 // Mark is what daemons tell each other about one suspect request.
@@ -94,8 +96,7 @@
 	if found {
 		news := d.Forgiven && !m.Deaths[i].Forgiven
 		m.Deaths[i].Forgiven = m.Deaths[i].Forgiven || d.Forgiven
-		m.Deaths[i].see(d)
-		return news
+		return m.Deaths[i].see(d) || news
 	}
 	m.Deaths = slices.Insert(m.Deaths, i, d)
 	if len(m.Deaths) > maxDeaths {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -202,7 +202,7 @@
 	}
 	changed := false
 	for _, d := range theirs.Deaths {
-		d.Seen, d.Tokens = false, 0
+		d.Seen = false
 		changed = m.addDeath(d) || changed
 	}
 	// A peer's clock may be ahead: no mark outlives our own expiry.
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -207,6 +207,19 @@
 		Expect(k.Admit(1, epoch).Verdict).To(Equal(Convicted))
 	})
 
+	// Two copies run on one engine, one far ahead, which kills it there. The other one's
+	// daemon tries it from where that was, gets 16 tokens on, and all believe it cleared:
+	// it kills again at the first one's point, and a third time alone.
+	It("clears nobody who didn't get past the furthest copy", func() {
+		a, b := New(Options{Self: "a"}), New(Options{Self: "b"})
+		b.Died(1, Death{Upstream: "u1", Seen: true, Tokens: 450}, epoch)
+		a.Died(1, Death{Upstream: "u1", Seen: true, Tokens: 500}, epoch)
+		Expect(b.Merge("a", a.Marks(epoch), epoch)).To(Equal([]Fingerprint{1}))
+		b.Try(1, "u2", epoch)
+		Expect(b.Passed(1, 450+Proven, epoch)).To(BeFalse())
+		Expect(b.Passed(1, 500+Proven, epoch)).To(BeTrue())
+	})
+
 	It("doesn't clear by a point that it doesn't know", func() {
 		a, b := New(Options{Self: "a"}), New(Options{Self: "b"})
 		a.Died(1, Death{Upstream: "u1", Seen: true, Tokens: 40}, epoch)
