A suspect is tried on a process whose boot ID was just read

What callers saw: a third engine lost, after one that was killed had come back within seconds. The second killing there bore the boot ID of the first, since the daemon hadn't had a report of the new process yet; it passed for the death known already, didn't count, and the trial that followed cost another engine.

Now an upstream is asked for its boot ID right before the trial, one question for each.

The same elsewhere: a first copy on a process that has just started again may name the former one as well. Where two daemons name one such death differently it counts twice; it takes copies of one request at both within 1.5 s of a restart, and isn't mended: answers carry no boot ID.

--- a/internal/dispatch/probation_test.go
+++ b/internal/dispatch/probation_test.go
@@ -174,6 +174,21 @@
 	}))
 })
 
+var _ = Describe("a suspect's trial", func() {
+	// A killer ended an engine, which is back under a new boot ID; the daemon hasn't had a
+	// report since. The trial there ends it again. Taken for the death known already, it
+	// didn't count, and the next trial cost another engine.
+	It("counts on an upstream that has just started again", session(1, Ours, func(g Gomega, w *world, d *Dispatcher) {
+		w.killAt = 0
+		w.kill(w.engines["e0"])
+		d.died(fingerprintOf(killer), poison.Death{Upstream: "e0", BootID: "1"})
+		time.Sleep(restartTime + time.Millisecond)
+		_, _, err := ask(d, killer)
+		g.Expect(problem(err).Reason).To(Equal(Poison))
+		g.Expect(w.deaths()).To(Equal(2))
+	}))
+})
+
 var _ = Describe("a lane's upstream", func() {
 	// A peer's word of a moment ago says that nothing runs there; meanwhile it has
 	// placed a request. Only a word made after it heard of the lane counts.
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -48,13 +48,15 @@
 		return nil, nil // judged anew
 	}
 	s.awaitIdle(ctx, m, r.fp, cleared)
-	now := r.d.o.Now()
+	alive := s.newBoot(ctx, m)
 	if ctx.Err() != nil {
 		r.d.tried(r.fp, false)
 		s.closeLane(m)
 		return nil, contextError(ctx, r.outcome())
 	}
-	if !r.d.begin(r.fp, m.target.Name, now) {
+	now := r.d.o.Now()
+	if !alive || !r.d.begin(r.fp, m.target.Name, now) {
+		r.d.tried(r.fp, false)
 		s.closeLane(m)
 		return nil, nil
 	}
@@ -70,10 +72,17 @@
 	return sl, nil
 }
 
+// newBoot asks an upstream which process it is, false if it doesn't say. Its last report
+// may be of a process that ended since: a death under the suspect would bear that one's
+// boot ID, pass for the death known already, and not count.
+func (s *shard) newBoot(ctx context.Context, m *member) bool {
+	return s.probe(ctx, m, s.d.o.Now()).err == nil
+}
+
 // Several daemons may see one request kill at one moment and would all try it
 // alone at once, each at the cost of an upstream. Each waits for a time of its
-// own, so that the first one's word reaches the others before their turn. What
-// is left: two whose times differ by less than that word takes.
+// own, so that the first one's word reaches the others before their turn. Of two whose
+// times differ by less than that word takes the lower name goes first, see poison.Mark.
 const (
 	staggerLeast = 30 * time.Millisecond
 	staggerRange = 300 // in ms
