Two suspects are not tried on one engine at once

What callers saw: an innocent request, which had only shared an engine with a killer, got the killer's final answer and a Retry-After of ten minutes. Its daemon and the killer's opened lanes on the same engine in the same moment, before either heard of the other's; a third daemon was frozen and repeated no word, so both waited as long as they may and ran there together. The killer ended the engine, and the other one's death counted as one alone.

Now a daemon whose lane another, lower-named one has opened as well gives it up, and the other one isn't taken for idle until it has. It holds because both hear of each other well within QuarantineWait, after which alone a lane is used without all peers' word.

Before: the new test refuses the innocent at either daemon; after: it is answered.

--- a/internal/dispatch/idle.go
+++ b/internal/dispatch/idle.go
@@ -10,12 +10,19 @@
 )
 
 // awaitIdle gives other work on the upstream, ours and peers', some time to end.
-// On one that is cleared already, nothing but what got past probation runs.
-func (s *shard) awaitIdle(ctx context.Context, m *member, fp poison.Fingerprint, cleared bool) {
+// On one that is cleared already, nothing but what got past probation runs. It returns
+// false if the upstream is to be left to another daemon's suspect: two that opened lanes
+// there before they heard of each other would run both beside each other, and if one
+// kills, the other is convicted of it. The lower name stays.
+func (s *shard) awaitIdle(ctx context.Context, m *member, fp poison.Fingerprint, cleared bool) bool {
 	name := m.target.Name
 	until := s.d.o.Now().Add(s.d.o.QuarantineWait)
 	for {
-		said := cleared || s.d.saidClear(fp, name)
+		rival := s.d.rival(name)
+		if rival != "" && rival < s.d.o.Self {
+			return false
+		}
+		said := rival == "" && (cleared || s.d.saidClear(fp, name))
 		s.mu.Lock()
 		u, _ := s.table.Member(name)
 		idle := said && m.inFlight <= s.lanes.passed[name] && u.Peers == 0
@@ -29,7 +36,7 @@
 		s.leaveLanes()
 		moot := s.d.judge(fp).Verdict != poison.Suspect
 		if idle || moot || left <= 0 || ctx.Err() != nil {
-			return
+			return true
 		}
 	}
 }
--- a/internal/dispatch/probation_test.go
+++ b/internal/dispatch/probation_test.go
@@ -43,10 +43,16 @@
 // turnsTogether returns a killer for which two daemons would try it within a few
 // milliseconds of each other.
 func turnsTogether(a, b *Dispatcher) string {
+	return turnWithin(killer, b, func(fp poison.Fingerprint) time.Duration { return a.stagger(fp) })
+}
+
+// turnWithin returns a prompt for which a daemon's turn comes within a few milliseconds
+// of a time that may depend on it.
+func turnWithin(prefix string, d *Dispatcher, of func(poison.Fingerprint) time.Duration) string {
 	for n := range 10000 {
-		prompt := fmt.Sprint(killer, " ", n)
+		prompt := fmt.Sprint(prefix, " ", n)
 		fp := fingerprintOf(prompt)
-		if apart := a.stagger(fp) - b.stagger(fp); apart.Abs() <= 2*time.Millisecond {
+		if apart := d.stagger(fp) - of(fp); apart.Abs() <= 2*time.Millisecond {
 			return prompt
 		}
 	}
@@ -174,6 +180,45 @@
 	}))
 })
 
+var _ = Describe("two suspects of two daemons", func() {
+	// Both ran beside a death. The daemons open a lane on the same engine at the same
+	// moment, each before it hears of the other's. A third daemon is frozen and repeats no
+	// word, so both wait as long as they may and then run there. One suspect kills the
+	// engine; the other one's death there counts as one alone, and its caller is refused
+	// for minutes.
+	for _, killerAt := range []int{0, 1} {
+		It(fmt.Sprint("aren't tried on one engine at once, the killer at daemon ", killerAt+1), session(1, Ours, func(g Gomega, w *world, d *Dispatcher) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			all := []*Dispatcher{d, w.daemon(ctx, "vm2", Ours)}
+			for _, from := range all {
+				go gossip(ctx, from, all)
+			}
+			time.Sleep(time.Second)
+			kills := killer + " 0"
+			turn := all[killerAt].stagger(fingerprintOf(kills))
+			innocent := turnWithin("hello", all[1-killerAt], func(poison.Fingerprint) time.Duration { return turn })
+			for _, prompt := range []string{kills, innocent} {
+				all[0].died(fingerprintOf(prompt), poison.Death{Upstream: "e9", BootID: "a"})
+				all[1].died(fingerprintOf(prompt), poison.Death{Upstream: "e9", BootID: "a"})
+			}
+			for _, at := range all {
+				at.Merge("frozen", Digest{})
+			}
+			var group sync.WaitGroup
+			var seen string
+			var killed, answered error
+			group.Go(func() { _, _, killed = ask(all[killerAt], kills) })
+			group.Go(func() { _, seen, answered = ask(all[1-killerAt], innocent) })
+			group.Wait()
+			g.Expect(problem(killed).Reason).To(Equal(Poison))
+			g.Expect(answered).NotTo(HaveOccurred())
+			g.Expect(seen).To(Equal(whole()))
+			g.Expect(w.deaths()).To(Equal(1))
+		}))
+	}
+})
+
 var _ = Describe("a suspect's trial", func() {
 	// A killer ended an engine, which is back under a new boot ID; the daemon hasn't had a
 	// report since. The trial there ends it again. Taken for the death known already, it
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -47,15 +47,14 @@
 		s.closeLane(m)
 		return nil, nil // judged anew
 	}
-	s.awaitIdle(ctx, m, r.fp, cleared)
-	alive := s.newBoot(ctx, m)
+	ready := s.awaitIdle(ctx, m, r.fp, cleared) && s.newBoot(ctx, m)
 	if ctx.Err() != nil {
 		r.d.tried(r.fp, false)
 		s.closeLane(m)
 		return nil, contextError(ctx, r.outcome())
 	}
 	now := r.d.o.Now()
-	if !alive || !r.d.begin(r.fp, m.target.Name, now) {
+	if !ready || !r.d.begin(r.fp, m.target.Name, now) {
 		r.d.tried(r.fp, false)
 		s.closeLane(m)
 		return nil, nil
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -80,6 +80,14 @@
 	return d.keeper.Unrelated(fp, death, d.o.Now())
 }
 
+// rival returns the other daemon, the lowest-named one, that tries a suspect on an
+// upstream.
+func (d *Dispatcher) rival(on ident.Upstream) ident.VM {
+	d.poisonMu.Lock()
+	defer d.poisonMu.Unlock()
+	return d.keeper.Rival(on, d.o.Now())
+}
+
 // taken returns the upstreams on which peers run suspects alone.
 func (d *Dispatcher) taken(now time.Time) []ident.Upstream {
 	d.poisonMu.Lock()
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -247,6 +247,21 @@
 	return c
 }
 
+// Rival returns the lowest-named other daemon that tries a suspect on an upstream, ""
+// if none does.
+func (k *Keeper) Rival(on ident.Upstream, now time.Time) ident.VM {
+	var lowest ident.VM
+	for _, m := range k.marks {
+		if m.TryingOn != on || m.Trying == k.options.Self || !now.Before(m.TryingUntil) {
+			continue
+		}
+		if lowest == "" || m.Trying < lowest {
+			lowest = m.Trying
+		}
+	}
+	return lowest
+}
+
 // Marks returns copies of the live marks, by fingerprint, for peers.
 func (k *Keeper) Marks(now time.Time) []Mark {
 	out := make([]Mark, 0, len(k.marks))
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -180,6 +180,20 @@
 		Expect(a.Begin(1, "q", epoch)).To(BeTrue())
 	})
 
+	It("names the lowest of the others that try suspects on one upstream", func() {
+		k := New(Options{Self: "b"})
+		until := epoch.Add(time.Second)
+		for fp, vm := range []ident.VM{"c", "a", "d"} {
+			k.Merge(vm, []Mark{{Fingerprint: Fingerprint(fp + 1), Expires: until, Trying: vm, TryingOn: "q", TryingUntil: until}}, epoch)
+		}
+		Expect(k.Rival("q", epoch)).To(BeEquivalentTo("a"))
+		Expect(k.Rival("r", epoch)).To(BeEmpty())
+		Expect(k.Rival("q", until)).To(BeEmpty())
+		k.Died(9, Death{Upstream: "u1"}, epoch)
+		k.Try(9, "s", epoch)
+		Expect(k.Rival("s", epoch)).To(BeEmpty(), "its own")
+	})
+
 	It("keeps a trial that has begun", func() {
 		b := New(Options{Self: "b"})
 		b.Died(1, Death{Upstream: "u1"}, epoch)
