A lane that is clear already still waits for all peers' word

What callers saw: up to four engines lost to one request. After a crash each daemon tries one suspect after the other on a lane that it keeps clear. The same suspect came next at three daemons; on a clear lane a daemon didn't wait until its peers had repeated its announcement, so none heard of the others' trials, and each ran the killer at once.

Cause: 'clear' said that no other work runs on the upstream, and stood for 'everybody knows that I try this suspect' as well. The second is now asked for always. So that innocents don't wait for the next digest each (up to 0.3 s), who hears of a trial says so at once.

--- a/internal/dispatch/idle.go
+++ b/internal/dispatch/idle.go
@@ -10,7 +10,8 @@
 )
 
 // awaitIdle gives other work on the upstream, ours and peers', some time to end.
-// On one that is cleared already, nothing but what got past probation runs. It returns
+// On one that is cleared already, nothing but what got past probation runs; still each
+// peer must have heard that this daemon tries the suspect, or it tries it as well. It returns
 // false if the upstream is to be left to another daemon's suspect: two that opened lanes
 // there before they heard of each other would run both beside each other, and if one
 // kills, the other is convicted of it. The lower name stays.
@@ -22,7 +23,7 @@
 		if rival != "" && rival < s.d.o.Self {
 			return false
 		}
-		said := rival == "" && (cleared || s.d.saidClear(fp, name))
+		said := rival == "" && s.d.saidClear(fp, name, cleared)
 		s.mu.Lock()
 		u, _ := s.table.Member(name)
 		idle := said && m.inFlight <= s.lanes.passed[name] && u.Peers == 0
@@ -45,14 +46,14 @@
 const peerLook = 10 * time.Millisecond
 
 // saidClear says whether each live peer's last word was made after it had heard
-// of the lane, and none of its requests runs there. A word that repeats the mark
-// with this daemon's trial shows both, see Digest. An older word may say that
-// nothing runs there while a request is just being placed.
-func (d *Dispatcher) saidClear(fp poison.Fingerprint, on ident.Upstream) bool {
+// of the lane, and none of its requests runs there, unless that is known. A word that
+// repeats the mark with this daemon's trial shows both, see Digest. An older word may say
+// that nothing runs there while a request is just being placed.
+func (d *Dispatcher) saidClear(fp poison.Fingerprint, on ident.Upstream, cleared bool) bool {
 	d.peers.mu.Lock()
 	defer d.peers.mu.Unlock()
 	for _, h := range d.peers.heard {
-		if h.digest.InFlight[on] > 0 || !d.echoed(h.digest.Poison, fp, on) {
+		if !d.echoed(h.digest.Poison, fp, on) || !cleared && h.digest.InFlight[on] > 0 {
 			return false
 		}
 	}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -82,6 +82,9 @@
 	d.poisonMu.Unlock()
 	for _, fp := range news {
 		d.noteSuspect(fp, "heard of a suspect", func(e *zerolog.Event) { e.Str("peer", string(from)) })
+		if d.triedBy(fp, from) {
+			d.tellUrgent() // it waits for this daemon's word
+		}
 	}
 	taken := d.taken(now)
 	for _, s := range d.allShards() {
--- a/internal/dispatch/probation_test.go
+++ b/internal/dispatch/probation_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
 )
 
@@ -180,6 +181,44 @@
 	}))
 })
 
+// spareLane gives a daemon a lane that was cleared for an earlier suspect.
+func spareLane(d *Dispatcher, on ident.Upstream) {
+	s := d.allShards()[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lanes.spare[on] = true
+	s.members[on].held = true
+	s.refresh(s.members[on])
+}
+
+var _ = Describe("a suspect that waits for a lane at two daemons", func() {
+	// After a crash each daemon tries one suspect after the other, on a lane that stays
+	// clear of other work. The same suspect is next at both: neither heard of the other's
+	// trial, each ran it at once, and each lost an engine.
+	It("is tried by one of them, also on lanes that are clear", session(6, Ours, func(g Gomega, w *world, d *Dispatcher) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		w.killAt = 0
+		all := []*Dispatcher{d, w.daemon(ctx, "vm2", Ours)}
+		for _, from := range all {
+			go gossip(ctx, from, all)
+		}
+		time.Sleep(time.Second)
+		prompt := turnsTogether(all[0], all[1])
+		var group sync.WaitGroup
+		for i, at := range all {
+			at.allShards()[0].seek(1)
+			spareLane(at, ident.Upstream(fmt.Sprint("e", i)))
+			at.died(fingerprintOf(prompt), poison.Death{Upstream: "e9", BootID: "a"})
+			group.Go(func() { _, _, _ = ask(at, prompt) })
+		}
+		group.Wait()
+		g.Expect(w.deaths()).To(Equal(1))
+		_, _, err := ask(d, prompt)
+		g.Expect(problem(err).Reason).To(Equal(Poison))
+	}))
+})
+
 var _ = Describe("two suspects of two daemons", func() {
 	// Both ran beside a death. The daemons open a lane on the same engine at the same
 	// moment, each before it hears of the other's. A third daemon is frozen and repeats no
@@ -243,15 +282,15 @@
 		d.died(7, poison.Death{Upstream: "e9", BootID: "a"})
 		d.Merge("vm2", peer.Digest())
 		Expect(d.try(7, "e0", time.Now())).To(BeTrue())
-		Expect(d.saidClear(7, "e0")).To(BeFalse(), "said before it heard")
+		Expect(d.saidClear(7, "e0", false)).To(BeFalse(), "said before it heard")
 		peer.Merge("vm1", d.Digest())
 		busy := peer.Digest()
 		busy.InFlight["e0"] = 1
 		d.Merge("vm2", busy)
-		Expect(d.saidClear(7, "e0")).To(BeFalse(), "one runs on there")
+		Expect(d.saidClear(7, "e0", false)).To(BeFalse(), "one runs on there")
 		d.Merge("vm2", peer.Digest())
-		Expect(d.saidClear(7, "e0")).To(BeTrue())
-		Expect(d.saidClear(7, "e1")).To(BeFalse())
+		Expect(d.saidClear(7, "e0", false)).To(BeTrue())
+		Expect(d.saidClear(7, "e1", false)).To(BeFalse())
 	})
 
 	// The same with two busy daemons whose words take a while on their way. What
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -80,6 +80,13 @@
 	return d.keeper.Unrelated(fp, death, d.o.Now())
 }
 
+// triedBy says whether another daemon tries a suspect alone.
+func (d *Dispatcher) triedBy(fp poison.Fingerprint, vm ident.VM) bool {
+	d.poisonMu.Lock()
+	defer d.poisonMu.Unlock()
+	return d.keeper.Mark(fp, d.o.Now()).Trying == vm
+}
+
 // rival returns the other daemon, the lowest-named one, that tries a suspect on an
 // upstream.
 func (d *Dispatcher) rival(on ident.Upstream) ident.VM {
