A sample under which engines crash runs alone, and seldom

What callers saw: one sample of a step ended the process of each engine that ran it. Its run was started again at once on the next engine, among the samples that had moved there from the last one; engines crashed as fast as they came back, until the batch's retention ended.

Cause: a broken run counted against the engine alone. Samples may not be given up before their retention, nor kept off engines for five seconds, so the refusal that callers' requests get isn't theirs.

Now an engine that broke off is looked at (one report for all its runs): nothing listens, or another process answers, and it crashed. A sample that lost two in a row without getting two events further runs alone, on the engine with the fewest, one at a time; past the point it is ordinary again, as are those that only shared both. One that crashed an engine alone is tried again after 4 s. While its crash left no other engine, it waits. A cut link is no crash, nor is a run that never began.

The next owner of a partition begins without what the last one knew.

--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -35,6 +35,8 @@
 	ErrFailed = errors.New("batchrun: engine failed the sample")
 	// ErrImpossible: the sample can never be done.
 	ErrImpossible = errors.New("batchrun: sample can't be done")
+	// ErrDown: nothing listens at the engine's address, its process has ended.
+	ErrDown = errors.New("batchrun: engine is down")
 	// ErrSilent: the engine sent nothing for too long.
 	ErrSilent = errors.New("batchrun: engine fell silent")
 )
--- a/internal/batchrun/look.go
+++ b/internal/batchrun/look.go
@@ -222,4 +222,5 @@
 			delete(r.finished, key)
 		}
 	}
+	r.crashes.Keep(func(key sampleKey) bool { return wanted[key.batch] })
 }
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -49,10 +49,12 @@
 		}
 		engines = append(engines, batch.Engine{ID: u.Incarnation(), Version: u.Models[model], Running: e.running, Slots: u.Slots, Pace: speeds[u.Incarnation()]})
 	}
-	for _, start := range r.s.options.Policy.Plan(w.waiting, engines, now) {
+	ordinary, trials := r.trialsLocked(w.waiting)
+	for _, start := range r.s.options.Policy.Plan(ordinary, engines, now) {
 		at := slices.IndexFunc(share, func(u registry.Upstream) bool { return u.Incarnation() == start.Engine })
 		r.startLocked(ctx, model, share[at], start.Waiting)
 	}
+	r.tryLocked(ctx, model, share, trials, now)
 	w.waiting = slices.DeleteFunc(w.waiting, func(x batch.Waiting) bool {
 		return r.runs[sampleKey{x.Batch, x.Index}] != nil
 	})
--- a/internal/batchrun/promises_test.go
+++ b/internal/batchrun/promises_test.go
@@ -214,9 +214,35 @@
 	}
 }
 
+// Engines crash at random besides, and start again under their IDs. Samples that lose one
+// after the other are tried alone; none may be lost, given up or listed in pieces by that.
+func TestPromisesWhileEnginesCrash(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, seed, 3, 4, "m0", "m1")
+				go w.crashEngines(rand.New(rand.NewPCG(seed, 4)), time.Now().Add(30*time.Second))
+				w.playPromises(seed)
+			})
+		})
+	}
+}
+
+func (w *world) crashEngines(random *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+		if id := fmt.Sprint("e", random.IntN(4)); !w.engines.isDown(id) {
+			w.engines.crash(id)
+		}
+	}
+}
+
 func playPromises(t *testing.T, seed uint64, policy Policy) {
-	g := NewWithT(t)
-	w := newWorldWith(t, policy, seed, 4, 3, 4, "m0", "m1")
+	newWorldWith(t, policy, seed, 4, 3, 4, "m0", "m1").playPromises(seed)
+}
+
+func (w *world) playPromises(seed uint64) {
+	g := NewWithT(w.t)
 	w.engines.broken, w.engines.refuses, w.engines.buffered = 0.01, 0.05, 0.5
 	w.scorer.broken = 0.1
 	var trainers sync.WaitGroup
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/crashes"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
@@ -47,6 +48,8 @@
 	estimator *batch.Estimator
 	finished  map[sampleKey]bool // a result is on its way to the log
 	retries   map[sampleKey]rerun
+	crashes   *crashes.Samples[sampleKey]
+	checks    map[string][]brokenRun // by incarnation: runs that broke there while it is looked at
 	engines   map[string]*engine
 	requests  map[string][]batch.Request // of open batches; nil while they are read
 	rejected  []sampleKey                // results that didn't count, under rejectedMu
@@ -98,6 +101,7 @@
 	text     *text
 	began    time.Duration
 	cancel   context.CancelCauseFunc
+	trial    bool          // alone on its engine, see crashes.Samples
 	started  int           // events had when the run began
 	lastAt   time.Duration // of the last event
 }
@@ -108,6 +112,7 @@
 		s: s, part: p, outbox: newOutbox(s.options.Log, s.blobs, p.number, log), inTouch: inTouch, log: log,
 		wakes: make(chan struct{}, 1), runs: map[sampleKey]*run{}, texts: map[sampleKey]*text{}, scores: map[sampleKey]*scoring{}, estimator: batch.NewEstimator(),
 		renewAt: map[string]time.Duration{}, requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]rerun{}, engines: map[string]*engine{},
+		crashes: crashes.NewSamples[sampleKey](), checks: map[string][]brokenRun{},
 	}
 }
 
--- a/internal/batchrun/stream.go
+++ b/internal/batchrun/stream.go
@@ -39,6 +39,7 @@
 	vacantUntil time.Duration // it is to load weights as soon as its runs ended
 	loading     bool
 	orderAfter  time.Duration // no order before
+	trial       bool          // a sample runs alone there, or is about to
 	pace        pace
 	speed       pace // as if it ran one sample: its hardware's, whatever the load
 }
@@ -69,7 +70,7 @@
 }
 
 func (e *engine) unusable(now time.Duration) bool {
-	return e.loading || now < e.fullTo || now < e.vacantUntil || now < e.slowTo
+	return e.trial || e.loading || now < e.fullTo || now < e.vacantUntil || now < e.slowTo
 }
 
 // startLocked begins a run.
@@ -132,6 +133,7 @@
 	}
 	x.lastAt = now
 	x.text.events = append(x.text.events, e)
+	r.progressedLocked(x)
 }
 
 // ended takes a run's end.
@@ -143,6 +145,7 @@
 	delete(r.runs, x.key)
 	e := r.engineLocked(x.engine)
 	e.running--
+	e.trial = e.trial && !x.trial
 	r.logEnd(x, err, now)
 	sampleTime.Observe(now - x.began)
 	if err == nil {
@@ -194,6 +197,10 @@
 		if r.s.options.Policy.On(policy.Suspicion) {
 			r.s.options.Suspects.Failed(x.engine, now)
 		}
+		if r.s.options.Policy.On(policy.Trials) && !errors.Is(err, ErrDown) {
+			again.notBefore = now + checkWait
+			r.checkLocked(x)
+		}
 	}
 	r.retries[x.key] = again
 }
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -57,13 +57,29 @@
 	slower   map[string]float64 // by engine, how many times longer its events take
 	fails    map[string]int
 	ended    map[int]time.Time // by run, when its last event was made
+	// kills holds the samples that end an engine's process, and at which event.
+	kills   map[string]int
+	crashes []engineCrash
+	back    func(id string) // after an engine started again
 }
 
+// engineCrash is the end of an engine's process.
+type engineCrash struct {
+	engine string
+	at     time.Time
+	beside int // samples that ran there with the one that ended it
+}
+
+// crashAway is how long a crashed engine is away.
+const crashAway = 2 * time.Second
+
 type fakeEngine struct {
 	started  int64
 	versions map[string]int64
 	orders   int64
 	busy     bool
+	running  int
+	dead     chan struct{} // closed when the process ends
 }
 
 type fakeRun struct {
@@ -80,9 +96,9 @@
 
 func newFakeEngines(t *testing.T, seed uint64, n int, models []string) *fakeEngines {
 	f := &fakeEngines{t: t, start: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*fakeEngine{},
-		runs: map[int]fakeRun{}, fence: map[string]heldOrder{}, fails: map[string]int{}, ended: map[int]time.Time{}, pace: eventTakes, slower: map[string]float64{}}
+		runs: map[int]fakeRun{}, fence: map[string]heldOrder{}, fails: map[string]int{}, ended: map[int]time.Time{}, pace: eventTakes, slower: map[string]float64{}, kills: map[string]int{}, back: func(string) {}}
 	for i := range n {
-		e := &fakeEngine{started: 1, versions: map[string]int64{}}
+		e := &fakeEngine{started: 1, versions: map[string]int64{}, dead: make(chan struct{})}
 		for _, m := range models {
 			e.versions[m] = 1
 		}
@@ -118,6 +134,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.engines[u.ID]
+	select {
+	case <-e.dead:
+		return 0, ErrDown
+	default:
+	}
 	switch {
 	case e.busy || f.random.Float64() < f.refuses:
 		return 0, ErrRefused
@@ -139,6 +160,8 @@
 	if err != nil {
 		return err
 	}
+	dead, done := f.enter(u.ID)
+	defer done()
 	for n := r.After + 1; n <= length(r.ID); n++ {
 		select {
 		case <-ctx.Done():
@@ -146,8 +169,14 @@
 				return ctx.Err()
 			}
 			ctx = context.Background() // the rest had arrived already
+		case <-dead:
+			return errors.New("connection reset")
 		case <-time.After(time.Duration(f.slowness(u.ID) * float64(f.pace))):
 		}
+		if f.killsAt(r.ID, n) {
+			f.crash(u.ID)
+			return errors.New("connection reset")
+		}
 		if f.chance(f.broken) {
 			return errors.New("stream broke off")
 		}
@@ -160,11 +189,62 @@
 	return nil
 }
 
+// enter counts a run in; the channel closes when the engine's process ends.
+func (f *fakeEngines) enter(engine string) (dead chan struct{}, done func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[engine]
+	e.running++
+	return e.dead, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		e.running--
+	}
+}
+
+func (f *fakeEngines) killsAt(sample string, event int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, kills := f.kills[sample]
+	return kills && event >= at
+}
+
+func (f *fakeEngines) isDown(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case <-f.engines[id].dead:
+		return true
+	default:
+		return false
+	}
+}
+
+// crash ends an engine's process; it starts again under its ID with the weights it had.
+func (f *fakeEngines) crash(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[id]
+	f.crashes = append(f.crashes, engineCrash{id, time.Now(), e.running - 1})
+	close(e.dead)
+	time.AfterFunc(crashAway, func() {
+		f.mu.Lock()
+		f.engines[id] = &fakeEngine{started: e.started + 1, versions: e.versions, dead: make(chan struct{})}
+		f.mu.Unlock()
+		f.back(id)
+	})
+}
+
 // Report tells an engine's state.
 func (f *fakeEngines) Report(_ context.Context, u registry.Upstream) (Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.engines[u.ID]
+	select {
+	case <-e.dead:
+		return Report{}, ErrDown
+	default:
+	}
 	versions := map[string]int64{}
 	for m, v := range e.versions {
 		versions[m] = v
@@ -214,7 +294,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	started := f.engines[id].started + 1
-	f.engines[id] = &fakeEngine{started: started, versions: map[string]int64{model: version}}
+	f.engines[id] = &fakeEngine{started: started, versions: map[string]int64{model: version}, dead: make(chan struct{})}
 }
 
 // lastEventAt is when the last event of a text was made.
@@ -318,6 +398,7 @@
 	}
 	w.engines = newFakeEngines(t, o.seed, o.engines, o.models)
 	w.scorer = &fakeScorer{t: t, engines: w.engines, takes: scoreTakes, fails: map[string]int{}}
+	w.engines.back = w.register
 	for i := range o.vms {
 		v := &vm{name: "vm" + strconv.Itoa(i), client: metastore.NewClient(w.store, callTimeout)}
 		v.client.SetFaults(metastore.Faults{Latency: storeAnswer})
@@ -338,7 +419,7 @@
 	}, []routes.Service{{Name: "engines", Engine: &routes.Engine{Slots: 8, Models: w.models}}}, routes.Limits{}, nil))
 	view.Upstreams(func(r *registry.Registry, now time.Duration) {
 		for id := range w.engines.engines {
-			r.Put(registry.Upstream{ID: id, Started: w.engines.startOf(id), Service: "engines", Address: id, Slots: 8, Models: w.engines.versionsOf(id)})
+			r.Put(w.entryOf(id))
 		}
 	})
 	w.mu.Lock()
@@ -362,6 +443,19 @@
 	}()
 }
 
+// register has the daemons read an engine's newest entry.
+func (w *world) register(id string) {
+	for _, v := range w.vms {
+		if s := v.current(); s != nil {
+			s.options.View.Upstreams(func(r *registry.Registry, _ time.Duration) { r.Put(w.entryOf(id)) })
+		}
+	}
+}
+
+func (w *world) entryOf(id string) registry.Upstream {
+	return registry.Upstream{ID: id, Started: w.engines.startOf(id), Service: "engines", Address: id, Slots: 8, Models: w.engines.versionsOf(id)}
+}
+
 func (f *fakeEngines) startOf(id string) int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -28,11 +28,12 @@
 	Checkpoints Mechanism = "checkpoints"  // unfinished text is written down while it grows
 	Closing     Mechanism = "closing"      // a read waits for the last scores of its step
 	Spot        Mechanism = "spot"         // spot servers are ordered for a step's samples
+	Trials      Mechanism = "trials"       // a sample under which engines crash runs alone
 )
 
 // All returns every mechanism.
 func All() []Mechanism {
-	return []Mechanism{Hedge, Load, Warm, Suspicion, Moves, Hardware, LatestStart, Fitting, Retain, SparedLoads, Demand, Checkpoints, Closing, Spot}
+	return []Mechanism{Hedge, Load, Warm, Suspicion, Moves, Hardware, LatestStart, Fitting, Retain, SparedLoads, Demand, Checkpoints, Closing, Spot, Trials}
 }
 
 // Set is the mechanisms that are switched off. The zero Set is what daemons run.
