Questions where copies run use connections that are kept ready

A question that found no connection waited for one to be made, up to its 50 ms; kept ones were closed after 2 s without a question.

--- a/internal/peer/copies_test.go
+++ b/internal/peer/copies_test.go
@@ -35,6 +35,10 @@
 			Eventually(d.live, generous, often).Should(HaveLen(2))
 		}
 		request := ownedBy(a, "b")
+		for _, d := range []*daemon{a, c} {
+			Eventually(func() error { _, err := d.Place(context.Background(), ownedBy(a, "b")); return err }, generous, often).Should(Succeed())
+		}
+		b.copies.asked = 0
 		for i, d := range []*daemon{a, b, c} {
 			request.Sender.VM = d.options.Self
 			request.Wanted = ident.Upstream([]string{"e1", "e2", "e3"}[i])
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -103,6 +103,7 @@
 		s.stopDial(a.Contact)
 	case membership.Joined:
 		s.options.Log.Info().Str("vm", string(a.VM)).Msg("peer joined")
+		s.copies.warm(a.VM)
 		s.record("peer_joined", a.VM, "")
 	case membership.Left:
 		s.options.Log.Info().Str("vm", string(a.VM)).Stringer("reason", a.Reason).Msg("peer left")
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -135,8 +135,8 @@
 	if err := peerpb.DRPCRegisterPeer(s.mux, &server{s}); err != nil {
 		return fmt.Errorf("peer: register: %w", err)
 	}
-	defer s.copies.close()
 	defer s.work.Wait()
+	defer s.copies.close()
 	defer s.stop()
 	defer context.AfterFunc(ctx, s.stop)()
 	ctx = s.running
