A step's sample waits while another daemon tries it

What callers saw: a trainer's group failed as poison though none of its samples had crashed more than the one engine that it shared with a crash. The step's owner stopped and handed the step over while it tried the sample alone; the next owner's attempt was refused with the reason that a step takes for final, since 'another daemon tries it' and 'convicted' had one.

Read in the code; the new test shows it: 'dispatch: poison (not run)' before, the whole answer after the trial's end now. Callers' requests that haven't begun are refused at once as before.

--- a/internal/dispatch/probation_test.go
+++ b/internal/dispatch/probation_test.go
@@ -219,6 +219,25 @@
 	}))
 })
 
+var _ = Describe("a step's sample that another daemon tries alone", func() {
+	// The step's owner stops and hands the step over while it tries one of the samples. The
+	// next owner's attempt was refused as poison, which is final: the trainer lost the whole
+	// group to a sample that had only shared an engine with a crash.
+	It("waits for the trial's end", session(2, Ours, func(g Gomega, w *world, d *Dispatcher) {
+		g.Expect(d.o.Self).To(BeEquivalentTo("vm1"))
+		request := Generate{ID: "s", Team: "t", Model: "m", Class: Rollout, Prompt: "long", MaxTokens: answerSize}
+		fp := fingerprint(request)
+		d.died(fp, poison.Death{Upstream: "e9", BootID: "a"})
+		until := time.Now().Add(2 * time.Second)
+		trial := poison.Mark{Fingerprint: fp, Expires: time.Now().Add(time.Minute), Trying: "vm0", TryingOn: "e0", TryingUntil: until}
+		d.Merge("vm0", Digest{Poison: []poison.Mark{trial}})
+		answer, err := d.Generate(context.Background(), request, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Text).To(Equal(whole()))
+		g.Expect(time.Now()).To(BeTemporally(">=", until))
+	}))
+})
+
 var _ = Describe("two suspects of two daemons", func() {
 	// Both ran beside a death. The daemons open a lane on the same engine at the same
 	// moment, each before it hears of the other's. A third daemon is frozen and repeats no
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
+	"github.com/dogwoodflow/dogwoodflow/internal/routing"
 )
 
 // probation ends the suspect's time alone once it got past the point where its
@@ -71,9 +72,15 @@
 	return sl, nil
 }
 
-// awaitVerdict waits a moment for the end of another daemon's trial. A request that has
-// begun may have a caller who saw a part of its answer: if it's innocent, as most are
-// that were beside a death, it goes on when the trial shows so.
+// mayAwait says whether a request waits for another daemon's trial of it. One that has
+// begun may have a caller who saw a part of its answer, and a step's sample takes its
+// whole group along when it is refused. Most that were beside a death are innocent, which
+// the trial shows within seconds.
+func (r *run) mayAwait() bool {
+	return !r.hedge && (r.sends.Made > 0 || r.want.route.Class == routing.ClassRollout)
+}
+
+// awaitVerdict waits a moment for the end of another daemon's trial.
 func (r *run) awaitVerdict(ctx context.Context) *Error {
 	waitFor(ctx, nil, peerLook)
 	if ctx.Err() != nil {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -61,7 +61,7 @@
 	}
 	dec := r.d.judge(r.fp)
 	switch {
-	case dec.Verdict == poison.Busy && r.sends.Made > 0 && !r.hedge:
+	case dec.Verdict == poison.Busy && r.mayAwait():
 		return nil, r.awaitVerdict(ctx)
 	case dec.Verdict == poison.Convicted, dec.Verdict == poison.Busy:
 		return nil, poisonError(r.outcome(), dec)
