--- a/internal/dispatch/probation_test.go
+++ b/internal/dispatch/probation_test.go
@@ -156,15 +156,11 @@
 	// It has killed once. Copies of it come to two daemons, whose waits for a turn end
 	// within the time that word takes: both announce it, neither hears the other's word
 	// repeated, both run it when they have waited long enough, and each loses an engine.
-	It("is tried by one of them", session(6, Ours, func(g Gomega, w *world, d *Dispatcher) {
+	It("is tried by one of them", session(6, Ours, func(g Gomega, w *world, _ *Dispatcher) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		w.killAt = 0
-		all := []*Dispatcher{d, w.daemon(ctx, "vm2", Ours)}
-		for _, from := range all {
-			go gossip(ctx, from, all)
-		}
-		time.Sleep(time.Second)
+		all := w.fleet(ctx, 2)
 		prompt := turnsTogether(all[0], all[1])
 		for _, at := range all {
 			at.died(fingerprintOf(prompt), poison.Death{Upstream: "e9", BootID: "a"})
@@ -195,15 +191,11 @@
 	// After a crash each daemon tries one suspect after the other, on a lane that stays
 	// clear of other work. The same suspect is next at both: neither heard of the other's
 	// trial, each ran it at once, and each lost an engine.
-	It("is tried by one of them, also on lanes that are clear", session(6, Ours, func(g Gomega, w *world, d *Dispatcher) {
+	It("is tried by one of them, also on lanes that are clear", session(6, Ours, func(g Gomega, w *world, _ *Dispatcher) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		w.killAt = 0
-		all := []*Dispatcher{d, w.daemon(ctx, "vm2", Ours)}
-		for _, from := range all {
-			go gossip(ctx, from, all)
-		}
-		time.Sleep(time.Second)
+		all := w.fleet(ctx, 2)
 		prompt := turnsTogether(all[0], all[1])
 		var group sync.WaitGroup
 		for i, at := range all {
@@ -214,7 +206,7 @@
 		}
 		group.Wait()
 		g.Expect(w.deaths()).To(Equal(1))
-		_, _, err := ask(d, prompt)
+		_, _, err := ask(all[0], prompt)
 		g.Expect(problem(err).Reason).To(Equal(Poison))
 	}))
 })
@@ -245,14 +237,10 @@
 	// engine; the other one's death there counts as one alone, and its caller is refused
 	// for minutes.
 	for _, killerAt := range []int{0, 1} {
-		It(fmt.Sprint("aren't tried on one engine at once, the killer at daemon ", killerAt+1), session(1, Ours, func(g Gomega, w *world, d *Dispatcher) {
+		It(fmt.Sprint("aren't tried on one engine at once, the killer at daemon ", killerAt+1), session(1, Ours, func(g Gomega, w *world, _ *Dispatcher) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			all := []*Dispatcher{d, w.daemon(ctx, "vm2", Ours)}
-			for _, from := range all {
-				go gossip(ctx, from, all)
-			}
-			time.Sleep(time.Second)
+			all := w.fleet(ctx, 2)
 			kills := killer + " 0"
 			turn := all[killerAt].stagger(fingerprintOf(kills))
 			innocent := turnWithin("hello", all[1-killerAt], func(poison.Fingerprint) time.Duration { return turn })
