--- a/internal/batchrun/trial.go
+++ b/internal/batchrun/trial.go
@@ -44,7 +44,8 @@
 		return
 	}
 	r.work.Go(func() {
-		crashed := r.crashed(x.upstream)
+		crashed, err := r.crashed(x.upstream)
+		r.log.Info().Str("upstream", x.engine).Bool("crashed", crashed).AnErr("answer", err).Msg("engine broke off and was looked at")
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.checkedLocked(x.engine, crashed, r.s.options.Now())
@@ -53,14 +54,14 @@
 
 // crashed says whether an incarnation's process has certainly ended. A connection that
 // was only reset leaves an engine that answers, and a cut one no answer at all.
-func (r *runner) crashed(u registry.Upstream) bool {
+func (r *runner) crashed(u registry.Upstream) (crashed bool, answer error) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	report, err := r.s.options.Engines.Report(ctx, u)
 	if err != nil {
-		return errors.Is(err, ErrDown) || errors.Is(err, ErrReplaced)
+		return errors.Is(err, ErrDown) || errors.Is(err, ErrReplaced), err
 	}
-	return report.Started > u.Started
+	return report.Started > u.Started, nil
 }
 
 func (r *runner) checkedLocked(engine string, crashed bool, now time.Duration) {
