Copies whose place nobody told wait for word of a death as well

What callers would have seen: a third engine lost while the daemon that places a request's copies didn't answer. All copies went to one engine by its name; the first one ended it, the next found it dead, went on to the second name at once, and ended that; the third found both dead and went on to the third after 20 ms, before word of the first death where that is slow.

Now a name that was lost within the last second counts still, and a copy waits for it as it does for the upstream that it was told. An engine known to be down for longer is left out, so that nobody waits for one that is just away.

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
@@ -149,8 +148,7 @@
 
 func (r *run) noteCopy(message string, wanted, at ident.Upstream) {
 	r.d.o.Log.Info().Stringer("fingerprint", r.fp).Str("request", string(r.id)).
-		Str("wanted", string(wanted)).Str("upstream", string(at)).
-		Func(func(e *zerolog.Event) { e.Int("attempts", r.sends.Made) }).Msg(message)
+		Str("wanted", string(wanted)).Str("upstream", string(at)).Int("attempts", r.sends.Made).Msg(message)
 }
 
 func (s *shard) has(name ident.Upstream) bool {
@@ -175,14 +173,18 @@
 }
 
 // firstByHash returns the member that all daemons name alike for a request, whatever its
-// load; "" if there is none.
+// load; "" if there is none. One that was lost a moment ago counts still: copies that find
+// it dead one after the other would hop on to the next name together, faster than word of
+// its death.
 func (s *shard) firstByHash(fp poison.Fingerprint, w *want) ident.Upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.d.o.Now()
 	var best ident.Upstream
 	var highest uint64
 	for _, m := range s.order {
-		if !m.usable() || !m.fits(w) {
+		justLost := !m.eligible && now.Sub(m.lostAt) <= joinWait
+		if !m.usable() && !justLost || !m.fits(w) {
 			continue
 		}
 		if rank := xxhash.Sum64String(fp.String() + "\x00" + string(m.target.Name)); best == "" || rank > highest {
--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -19,23 +19,35 @@
 )
 
 // fleet starts daemons that tell each other everything.
-func (w *world) fleet(ctx context.Context, n int) []*Dispatcher {
+func (w *world) fleet(ctx context.Context, n int) []*Dispatcher { return w.fleetOf(ctx, n, gossip) }
+
+func (w *world) fleetOf(ctx context.Context, n int, tell func(context.Context, *Dispatcher, []*Dispatcher)) []*Dispatcher {
 	var all []*Dispatcher
 	for i := range n {
 		all = append(all, w.daemon(ctx, ident.VM(fmt.Sprint("vm", i+1)), Ours))
 	}
 	for _, from := range all {
-		go gossip(ctx, from, all)
+		go tell(ctx, from, all)
 		from.SetPlacer(&placer{home: all[0], answers: true})
 	}
 	time.Sleep(time.Second)
 	return all
 }
 
+// gossipSlow is gossip whose words take up to a third of a second.
+func gossipSlow(ctx context.Context, from *Dispatcher, all []*Dispatcher) {
+	for _, to := range all {
+		if to != from {
+			go gossipLate(ctx, from, to)
+		}
+	}
+}
+
 // placer asks one daemon for all requests.
 type placer struct {
 	home    *Dispatcher
 	answers bool // false: it says nothing
+	known   bool // that it doesn't answer: it isn't asked
 }
 
 const (
@@ -44,6 +56,9 @@
 )
 
 func (p *placer) Place(ctx context.Context, c poison.Copy) (ident.Upstream, error) {
+	if p.known {
+		return "", errors.New("not asked")
+	}
 	if !p.answers {
 		waitFor(ctx, nil, askGivenUp)
 		return "", errors.New("no answer")
@@ -133,6 +148,26 @@
 		}))
 	}
 
+	// The same while nobody is asked, since who places the copies didn't answer a moment
+	// ago: all go to one engine by its name, find it dead one after the other, and must not
+	// hop on to the next name together.
+	// Word of a death takes longer than a repetition waits.
+	for _, apart := range []time.Duration{0, time.Millisecond, 8 * time.Millisecond, 50 * time.Millisecond} {
+		It(fmt.Sprint("cost two engines when nobody is asked and they come apart by ", apart), session(6, Ours, func(g Gomega, w *world, _ *Dispatcher) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			w.killAt = 0
+			all := w.fleetOf(ctx, 5, gossipSlow)
+			for _, d := range all {
+				d.SetPlacer(&placer{known: true})
+			}
+			for _, err := range sendAtOnce(all, apart) {
+				g.Expect(problem(err).Reason).To(Equal(Poison))
+			}
+			g.Expect(w.deaths()).To(BeNumerically("<=", 2))
+		}))
+	}
+
 	// It ends its engine seconds into its answer, and its copies come seconds apart: they
 	// run on engines of their own when the first one ends. Each would go on to that point
 	// though all daemons know by then what it does.
@@ -236,7 +271,7 @@
 }
 
 // playCopies sends one killer through daemons at random moments, with random views of
-// load, some daemons without an answer from who places copies, and others beside it.
+// load, words that are slow at times, some daemons without an answer from who places copies, and others beside it.
 func playCopies(g Gomega, w *world, seed uint64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -244,12 +279,16 @@
 	w.size = 400
 	w.killAt = []int{0, 1, random.IntN(20), random.IntN(w.size)}[random.IntN(4)]
 	within := []time.Duration{20 * time.Millisecond, 500 * time.Millisecond, 6 * time.Second}[random.IntN(3)]
-	all := w.fleet(ctx, 2+random.IntN(4))
+	tell := gossip
+	if random.IntN(4) == 0 {
+		tell = gossipSlow
+	}
+	all := w.fleetOf(ctx, 2+random.IntN(4), tell)
 	var group sync.WaitGroup
 	var faults faultList
 	for i, d := range all {
 		favour(d, w, ident.Upstream(fmt.Sprint("e", random.IntN(6))))
-		d.SetPlacer(&placer{home: all[0], answers: random.IntN(4) > 0})
+		d.SetPlacer(&placer{home: all[0], answers: random.IntN(4) > 0, known: random.IntN(6) == 0})
 		for range 1 + random.IntN(3) {
 			after := time.Duration(random.Int64N(int64(within)))
 			group.Go(func() {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -15,8 +15,9 @@
 // Dispatcher brings requests to upstreams. Safe for concurrent use.
 //
 // Locks, in the order in which they may be held: leavingMu, peers.mu, mu, shard.mu,
-// poisonMu; copies.mu and flights.mu are held alone. No lock of these is held over a call of the client or the caller's
-// onChunk; the recorder is called under a shard's lock and must not block.
+// poisonMu; copies.mu and flights.mu are held alone. No lock of these is held over a
+// call of the client or the caller's onChunk; the recorder is called under a shard's
+// lock and must not block.
 type Dispatcher struct {
 	o Options
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/outcome"
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
 	"github.com/dogwoodflow/dogwoodflow/internal/retry"
+	"github.com/dogwoodflow/dogwoodflow/internal/routing"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream"
 )
 
@@ -157,7 +158,9 @@
 }
 
 func (r *run) succeeded(sl *slot) {
-	r.d.noteAnswered(r.fp)
+	if r.want.route.Class == routing.ClassProduction {
+		r.d.noteAnswered(r.fp)
+	}
 	alone := sl.lane && !sl.passed
 	if alone {
 		r.d.tried(r.fp, true)
@@ -186,8 +189,7 @@
 	fault := faultOf(err)
 	r.observe(sl, fault)
 	if fault.dead() && r.d.o.Policy != Naive {
-		death, died := r.s.postMortem(sl)
-		if died {
+		if death, died := r.s.postMortem(sl); died {
 			r.died = true
 			r.suspect(sl, death)
 		}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -47,12 +47,13 @@
 type member struct {
 	target     upstream.Target
 	dataCentre ident.DataCentre
-	used       bool // requests go there; else it is owned, or some still run there
-	owned      bool // this daemon gives it orders
-	others     int  // that ran there beside ours, by its last report
-	eligible   bool // by health
-	held       bool // by a quarantine lane
-	peerHeld   bool // by a peer's
+	used       bool      // requests go there; else it is owned, or some still run there
+	owned      bool      // this daemon gives it orders
+	others     int       // that ran there beside ours, by its last report
+	eligible   bool      // by health
+	lostAt     time.Time // when it was eligible last, while it isn't
+	held       bool      // by a quarantine lane
+	peerHeld   bool      // by a peer's
 	weight     float64
 	inFlight   int
 	configured int // limit by settings, 0: found by the controller
@@ -233,6 +234,9 @@
 	switch a := a.(type) {
 	case health.SetEligible:
 		if m := s.members[a.Upstream]; m != nil {
+			if m.eligible && !a.Eligible {
+				m.lostAt = s.d.o.Now()
+			}
 			m.eligible = a.Eligible
 			s.refresh(m)
 		}
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -19,7 +19,7 @@
 
 // noteSuspect writes down what this daemon believes of a suspect, and why. Suspects are
 // bounded by the requests in flight on an upstream that ended.
-func (d *Dispatcher) noteSuspect(fp poison.Fingerprint, m string, more func(*zerolog.Event)) {
+func (d *Dispatcher) noteSuspect(fp poison.Fingerprint, message string, more func(*zerolog.Event)) {
 	now := d.o.Now()
 	d.poisonMu.Lock()
 	verdict := d.keeper.Admit(fp, now).Verdict
@@ -29,7 +29,7 @@
 	if mark.Trying != "" {
 		line = line.Str("trying", string(mark.Trying)).Str("trying_on", string(mark.TryingOn))
 	}
-	line.Func(more).Msg(m)
+	line.Func(more).Msg(message)
 }
 
 func (d *Dispatcher) try(fp poison.Fingerprint, on ident.Upstream, now time.Time) bool {
