--- a/internal/batchrun/policy.go
+++ b/internal/batchrun/policy.go
@@ -29,7 +29,7 @@
 // that Ours is measured against.
 func Naive() Policy {
 	return Policy{
-		Set:  policy.Without(policy.Moves, policy.Hardware, policy.Demand, policy.Retain, policy.SparedLoads, policy.Suspicion),
+		Set:  policy.Without(policy.Moves, policy.Hardware, policy.Demand, policy.Retain, policy.SparedLoads, policy.Suspicion, policy.Trials),
 		Plan: batch.PlanInTurn, Loads: loads.DecideAtOnce,
 	}
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -49,8 +49,9 @@
 // Invariants:
 //   - a fingerprint with two deaths not forgiven is never admitted until its
 //     mark expires, so a request that kills at its start, at a token or at its end
-//     costs at most two upstreams (plus copies that other daemons had in flight
-//     before they heard of the first death);
+//     costs at most two upstreams; copies that other daemons have in flight before
+//     they hear of the first death run on the same upstream (see Places), or are
+//     stopped when they do;
 //   - a mark's deaths are a set and forgiving only grows, so merging is
 //     commutative, idempotent, and the same whatever order peers are heard in;
 //   - at most one daemon runs a suspect once the marks have spread.
