Newest records of keys are read page by page; a page that fails is read again alone

A view of 10,003 servers comes in 51 pages of 200 keys. One that failed began the read anew: at two failures in a hundred pages a whole read comes through once in three tries, at one in three never. Now the read goes on behind the last page that came. Each page names its partition, so that a keyed topic may have several.

Test: 700 keys in four pages, each third page refused: whole within a second and with one reset; with the old read the fourth page never comes.

--- a/internal/crashes/crashes_test.go
+++ b/internal/crashes/crashes_test.go
@@ -144,7 +144,7 @@
 		w.daemon("first").Crashed(w.ctx, 7, "u")
 		client := metastore.NewClient(w.store, time.Second)
 		kept := func() []store.Entry {
-			snapshot, err := client.Newest(w.ctx, topic)
+			snapshot, err := client.Newest(w.ctx, topic, 0, "")
 			g.Expect(err).NotTo(HaveOccurred())
 			return snapshot.Entries
 		}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -86,6 +86,7 @@
 	mu      sync.Mutex
 	next    int64 // offset of the next record to apply
 	loaded  bool
+	keys    reload        // of a keyed topic whose newest records are being read
 	began   time.Duration // when Run began to read from the oldest record
 	bytes   int           // of the records applied until the view was whole
 	current time.Duration // boottime at which the view was last known to be whole
@@ -109,6 +110,7 @@
 	defer f.mu.Unlock()
 	f.next = 0
 	f.loaded = false
+	f.keys = reload{}
 	f.bytes = 0
 	f.lost = false
 	f.failing = 0
@@ -138,7 +140,7 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	if f.options.Keyed && !f.Loaded() {
+	if f.options.Keyed && (!f.Loaded() || f.reloading()) {
 		return f.reload(ctx)
 	}
 	return f.read(ctx, f.nextWait())
@@ -165,7 +167,7 @@
 
 // pause spreads the reads of a busy partition.
 func (f *Follower) pause(ctx context.Context) {
-	if !f.Loaded() {
+	if !f.Loaded() || f.reloading() {
 		return
 	}
 	pause.For(ctx, f.options.Pause)
@@ -196,26 +198,63 @@
 	return !f.lost && f.failing == 0
 }
 
-// reload takes the newest record of each key.
+// reload is how far the newest records of a topic's keys were read. A page that fails is
+// read again alone: thousands of keys come in dozens of pages, and from the first one on
+// again none of them would come through where some reads in a hundred fail.
+type reload struct {
+	begun   bool
+	end     int64 // of the partition at the first page; what came since is read after it
+	after   string
+	entries []store.Entry
+}
+
+// reload reads the next page of the newest records, and takes them when all are there.
 func (f *Follower) reload(ctx context.Context) error {
-	snapshot, err := f.options.Log.Newest(ctx, f.options.Topic)
+	after := f.reloaded()
+	page, err := f.options.Log.Newest(ctx, f.options.Topic, f.options.Part, after)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.loaded && snapshot.End < f.next {
+	if after != f.keys.after {
+		return nil // another read was faster
+	}
+	if !f.keys.begun {
+		f.keys = reload{begun: true, end: page.End}
+	}
+	f.keys.entries = append(f.keys.entries, page.Entries...)
+	f.keys.after = page.Last()
+	if page.More {
+		return nil
+	}
+	whole := f.keys
+	f.keys = reload{}
+	if f.loaded && whole.end < f.next {
 		return nil
 	}
-	f.options.Sink.Reset(snapshot.Entries)
-	f.next = snapshot.End
-	for _, e := range snapshot.Entries {
+	f.options.Sink.Reset(whole.entries)
+	f.next = whole.end
+	for _, e := range whole.entries {
 		f.bytes += len(e.Value)
 	}
 	f.markWholeLocked()
 	return nil
 }
 
+// reloaded is the key behind which the next page begins.
+func (f *Follower) reloaded() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.keys.after
+}
+
+func (f *Follower) reloading() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.keys.begun
+}
+
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
 	from := f.Next()
 	page, err := f.options.Log.Read(ctx, f.options.Topic, f.options.Part, store.ReadFrom{Offset: from, MaxBytes: pageBytes, Wait: wait})
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -206,3 +206,35 @@
 	c.reads++
 	return c.Log.Read(ctx, topic, part, from)
 }
+
+// everyThird refuses each third page of newest records.
+type everyThird struct {
+	store.Log
+	calls int
+}
+
+func (l *everyThird) Newest(ctx context.Context, topic string, part int, after string) (store.NewestPage, error) {
+	if l.calls++; l.calls%3 == 0 {
+		return store.NewestPage{}, store.ErrNotDone
+	}
+	return l.Log.Newest(ctx, topic, part, after)
+}
+
+// Guards against a view of many keys that never is whole because each page that fails
+// begins the whole read anew.
+func TestPagesOfKeysThatFailAreReadAgainAlone(t *testing.T) {
+	const keys = 700
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSetup(true, "keyed.x")
+		for n := range keys {
+			g.Expect(s.store.Put("keyed.x", fmt.Sprint("key", n), []byte("v"))).To(Succeed())
+		}
+		s.follower.options.Log = &everyThird{Log: s.client}
+		s.run(t)
+		time.Sleep(time.Second)
+		g.Expect(s.follower.Loaded()).To(BeTrue())
+		g.Expect(s.sink.keys).To(HaveLen(keys))
+		g.Expect(s.sink.resets).To(Equal(1))
+	})
+}
--- a/internal/standin/metastore/client.go
+++ b/internal/standin/metastore/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"sync"
 	"time"
@@ -146,7 +147,7 @@
 	for {
 		page, changed, err := c.store.read(topic, part, from)
 		if err == nil && len(page.Records) > 0 {
-			return c.transfer(ctx, topic, page)
+			return page, c.transfer(ctx, topic, bytesOf(page.Records))
 		}
 		if err != nil || from.Wait == 0 {
 			return page, err
@@ -161,28 +162,43 @@
 	}
 }
 
-// transfer takes as long as the page's bytes do behind those of other reads. A client
+// transfer takes as long as a read's bytes do behind those of other reads. A client
 // gives up after its timeout; the bytes are on their way all the same.
-func (c *Client) transfer(ctx context.Context, topic string, page store.Page) (store.Page, error) {
-	bytes := 0
-	for _, r := range page.Records {
-		bytes += len(r)
-	}
+func (c *Client) transfer(ctx context.Context, topic string, bytes int) error {
 	takes := c.store.meter.transfer(topic, bytes, time.Now())
 	pause.For(ctx, min(takes, c.timeout))
 	if takes > c.timeout || ctx.Err() != nil {
-		return store.Page{}, fmt.Errorf("%w: read not through in time", store.ErrUnknown)
+		return fmt.Errorf("%w: read not through in time", store.ErrUnknown)
 	}
-	return page, nil
+	return nil
+}
+
+func bytesOf(records [][]byte) int {
+	n := 0
+	for _, r := range records {
+		n += len(r)
+	}
+	return n
 }
 
-// Newest returns the newest record of each key.
-func (c *Client) Newest(ctx context.Context, topic string) (store.Snapshot, error) {
+// Newest returns the newest records of keys behind a key.
+func (c *Client) Newest(ctx context.Context, topic string, part int, after string) (store.NewestPage, error) {
 	c.count(Calls{Reads: 1})
 	if _, err := c.enter(ctx); err != nil {
-		return store.Snapshot{}, err
+		return store.NewestPage{}, err
 	}
-	return c.store.newest(topic), nil
+	if !c.store.meter.admitRead(time.Now()) {
+		return store.NewestPage{}, fmt.Errorf("%w: too many reads", store.ErrNotDone)
+	}
+	page := c.store.newest(topic, part, after)
+	bytes := 0
+	for _, e := range page.Entries {
+		bytes += len(e.Key) + base64.StdEncoding.EncodedLen(len(e.Value))
+	}
+	if err := c.transfer(ctx, topic, bytes); err != nil {
+		return store.NewestPage{}, err
+	}
+	return page, nil
 }
 
 // Join enters or stays in a group.
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -108,20 +108,28 @@
 	return err
 }
 
-func (s *Store) newest(topic string) store.Snapshot {
+// newestPageEntries is how many keys a page of the newest records has at most.
+const newestPageEntries = 200
+
+func (s *Store) newest(topic string, part int, after string) store.NewestPage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.logLocked(topic, 0)
+	l := s.logLocked(topic, part)
 	byKey := maps.Clone(l.kept)
 	if byKey == nil {
 		byKey = map[string]store.Entry{}
 	}
 	l.addNewest(byKey, l.records)
-	out := store.Snapshot{End: l.end()}
+	out := store.NewestPage{End: l.end()}
 	for _, key := range slices.Sorted(maps.Keys(byKey)) {
-		if len(byKey[key].Value) > 0 {
-			out.Entries = append(out.Entries, byKey[key])
+		if len(byKey[key].Value) == 0 || key <= after {
+			continue
+		}
+		if len(out.Entries) == newestPageEntries {
+			out.More = true
+			break
 		}
+		out.Entries = append(out.Entries, byKey[key])
 	}
 	return out
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -58,11 +58,20 @@
 	Offset int64
 }
 
-// Snapshot holds the newest record of each key. It isn't of one moment: each
-// entry is at least as new as End was when the call began.
-type Snapshot struct {
+// NewestPage holds the newest records of some keys, sorted by key. Pages aren't of one
+// moment: each entry is at least as new as End was when its page was read.
+type NewestPage struct {
 	Entries []Entry
-	End     int64
+	More    bool  // further keys follow
+	End     int64 // offset behind the partition's last record
+}
+
+// Last is the last key of the page, "" for an empty one.
+func (p NewestPage) Last() string {
+	if len(p.Entries) == 0 {
+		return ""
+	}
+	return p.Entries[len(p.Entries)-1].Key
 }
 
 // Log is a set of topics with numbered partitions.
@@ -74,8 +83,9 @@
 	AppendAt(ctx context.Context, topic string, part int, at int64, records [][]byte) (int64, error)
 	// Read returns records from an offset on. The error may be a *TrimmedError.
 	Read(ctx context.Context, topic string, part int, from ReadFrom) (Page, error)
-	// Newest returns the newest record of each key of a keyed topic.
-	Newest(ctx context.Context, topic string) (Snapshot, error)
+	// Newest returns the newest records of the keys of a keyed topic's partition that
+	// come after a key, as many as the store gives at once.
+	Newest(ctx context.Context, topic string, part int, after string) (NewestPage, error)
 }
 
 // Assignment is a member's share of the partitions of a group.
