--- a/internal/batchrun/answer.go
+++ b/internal/batchrun/answer.go
@@ -128,7 +128,7 @@
 // it has its answer.
 func (s *Service) locate(ctx context.Context, id string) (at answerer, release func(), err error) {
 	if p := s.find(id); p != nil {
-		return s.Here(), p.hold(), nil
+		return s.Here(), p.follower.Hold(), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, locateWait)
 	defer cancel()
@@ -238,7 +238,7 @@
 	var list []*partition
 	for _, n := range parts {
 		list = append(list, s.parts[n])
-		held = append(held, s.parts[n].hold())
+		held = append(held, s.parts[n].follower.Hold())
 	}
 	confirmed := s.Here().confirm(ctx, list)
 	search.Followed(s.find(id) != nil, confirmed)
--- a/internal/batchrun/answer_test.go
+++ b/internal/batchrun/answer_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 	"github.com/dogwoodflow/dogwoodflow/internal/locate"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
 
@@ -141,7 +142,7 @@
 		}
 		g.Expect(s.End(ctx, "b")).To(Succeed())
 		g.Expect(s.End(ctx, "none")).To(MatchError(ErrNotFound))
-		g.Expect(s.partitionOf("m0").loaded()).To(BeFalse(), "it has not read the partition")
+		g.Expect(s.partitionOf("m0").follower.Loaded()).To(BeFalse(), "it has not read the partition")
 	})
 }
 
@@ -184,7 +185,7 @@
 			g.Expect(page.Total).To(Equal(len(items)))
 			peers.setSilent(owner.name, false)
 			time.Sleep(2*linger + 5*time.Second)
-			g.Expect(other.current().partitionOf("m0").loaded()).To(BeFalse(), "silent after %v: it does not follow the partition for good", silentAfter)
+			g.Expect(other.current().partitionOf("m0").follower.Loaded()).To(BeFalse(), "silent after %v: it does not follow the partition for good", silentAfter)
 		}
 	})
 }
@@ -300,10 +301,10 @@
 		other.client.SetFaults(metastore.Faults{Cut: true})
 		_, err := other.current().Results(ctx, "b", 0, 0)
 		g.Expect(err).To(MatchError(ErrUnsure))
-		time.Sleep(2 * lingerLook)
+		time.Sleep(2 * follow.LookInterval)
 		other.client.SetFaults(metastore.Faults{Latency: storeAnswer})
-		time.Sleep(lingerLook)
-		g.Expect(other.current().partitionOf("m0").isFollowed()).To(BeFalse())
+		time.Sleep(follow.LookInterval)
+		g.Expect(other.current().partitionOf("m0").follower.Following()).To(BeFalse())
 	})
 }
 
--- a/internal/batchrun/here.go
+++ b/internal/batchrun/here.go
@@ -47,8 +47,8 @@
 	)
 	for _, p := range parts {
 		work.Go(func() error {
-			defer p.hold()()
-			if p.await(ctx) != nil || p.follower.CatchUp(ctx) != nil {
+			defer p.follower.Hold()()
+			if p.follower.Await(ctx) != nil || p.follower.CatchUp(ctx) != nil {
 				return nil // not confirmed
 			}
 			mu.Lock()
@@ -66,7 +66,7 @@
 func (s *Service) loadedParts() []*partition {
 	var out []*partition
 	for _, p := range s.parts {
-		if p.loaded() {
+		if p.follower.Loaded() {
 			out = append(out, p)
 		}
 	}
@@ -81,7 +81,7 @@
 	if p = h.s.find(id); p == nil {
 		return nil, nil, errors.Join(ErrUnsure, errNotHeld)
 	}
-	return p, p.hold(), nil
+	return p, p.follower.Hold(), nil
 }
 
 // End ends a batch; ending it again changes nothing. Errors: ErrUnsure, ErrNotRun, ErrUnknown.
--- a/internal/batchrun/inspect.go
+++ b/internal/batchrun/inspect.go
@@ -118,7 +118,7 @@
 func (s *Service) Views() []inspect.View {
 	var out []inspect.View
 	for _, p := range s.parts {
-		if p.isFollowed() {
+		if p.follower.Following() {
 			out = append(out, p.follower.Inspect())
 		}
 	}
--- a/internal/batchrun/inspect_test.go
+++ b/internal/batchrun/inspect_test.go
@@ -32,7 +32,7 @@
 		g.Expect(owner.Owns()).To(ContainElement(detail.Part))
 		g.Expect(other.Owns()).NotTo(ContainElement(detail.Part))
 		g.Expect(other.Inspect()).To(BeEmpty(), "it doesn't follow the partition")
-		defer other.parts[detail.Part].hold()()
+		defer other.parts[detail.Part].follower.Hold()()
 		time.Sleep(30 * time.Second)
 		list := other.Inspect()
 		g.Expect(list).To(HaveLen(1))
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -235,7 +235,7 @@
 	}
 	for _, part := range parts {
 		if o.held[part] == nil && part < len(o.s.parts) {
-			o.held[part] = o.s.parts[part].hold()
+			o.held[part] = o.s.parts[part].follower.Hold()
 		}
 	}
 }
@@ -260,7 +260,7 @@
 	for part := range o.held {
 		switch {
 		case o.draining || o.runners[part] != nil:
-		case !o.s.parts[part].loaded():
+		case !o.s.parts[part].follower.Loaded():
 			waiting = true
 		default:
 			o.runners[part] = newRunner(o.s, o.s.parts[part], o.inTouch)
--- a/internal/batchrun/partition.go
+++ b/internal/batchrun/partition.go
@@ -1,7 +1,6 @@
 package batchrun
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -10,24 +9,17 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
-
-	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 // partition is the state of one partition of the batches' topic at this daemon.
 type partition struct {
 	number   int
-	follower *follow.Follower
+	follower *follow.Held // followed by its owner, and by whoever finds no owner to ask
 	now      func() time.Duration
 	log      zerolog.Logger
 
-	needs chan struct{} // wakes run when a hold begins
-
-	mu        sync.Mutex
-	following bool          // the log is read, the fold is of what was read since
-	holds     int           // who needs the view now
-	released  time.Duration // when the last hold ended
-	live      bool          // records are applied as they are written, not replayed
+	mu   sync.Mutex
+	live bool // records are applied as they are written, not replayed
 
 	fold    *batch.Fold
 	waiters map[string]chan struct{} // by batch, closed at its next change
@@ -36,146 +28,29 @@
 	onIgnored func(sampleKey)
 }
 
-func newPartition(number int, now func() time.Duration, log zerolog.Logger) *partition {
-	return &partition{number: number, now: now, log: log, needs: make(chan struct{}, 1), fold: batch.NewFold(), waiters: map[string]chan struct{}{}}
-}
-
-const (
-	// linger is how long a partition is followed on after the last need of it: a daemon
-	// that had to answer for a batch itself is asked for the same one again within
-	// seconds.
-	linger = 10 * time.Second
-	// lingerLook is between two looks whether anybody still needs the view.
-	lingerLook = time.Second
-)
-
-// run follows the log whenever somebody here needs the view, until the context ends. A
-// daemon follows the partitions that it owns. Were it to follow all of them, the reads
-// and bytes of a fleet would grow with its daemons times the partitions, and daemons that
-// start together would need minutes of the store's whole rate.
-func (p *partition) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-p.needs:
-			p.session(ctx)
-		}
-	}
-}
-
-// session follows the log from its oldest record until nobody needs the view any more,
-// and then forgets it.
-func (p *partition) session(ctx context.Context) {
-	if !p.begin() {
-		return
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go func() {
-		p.follower.Run(ctx)
-		close(done)
-	}()
-	for ctx.Err() == nil && !p.end() {
-		pause.For(ctx, lingerLook)
-	}
-	cancel()
-	<-done
-	p.forget()
+func newPartition(number int, o Options) *partition {
+	p := &partition{number: number, now: o.Now, log: o.Logger, fold: batch.NewFold(), waiters: map[string]chan struct{}{}}
+	p.follower = follow.NewHeld(follow.HeldOptions{
+		Options: follow.Options{Log: o.Log, Topic: batchTopic, Part: number, Sink: p, Relaxed: p.relaxed, OnWhole: p.markLive, Now: o.Now, Logger: o.Logger},
+		Linger:  linger, OnForget: p.forget,
+	})
+	return p
 }
 
-// begin reports whether somebody needs the view, which is followed from now on.
-func (p *partition) begin() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.following = p.holds > 0
-	return p.following
-}
-
-// end reports whether nobody has needed the view for a while, which isn't followed from
-// now on: whoever holds it next waits for a new session. A view that isn't whole is of no
-// use to those that come: they are daemons without a way to the store or to the owner, and
-// all of them would read on when an outage ends.
-func (p *partition) end() bool {
-	whole := p.follower.Loaded()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.holds > 0 || whole && p.now()-p.released < linger {
-		return false
-	}
-	p.following = false
-	return true
-}
+// linger is how long a partition is followed on after the last need of it: a daemon that
+// had to answer for a batch itself is asked for the same one again within seconds.
+const linger = 10 * time.Second
 
 // forget drops what was read. Nobody holds the view.
 func (p *partition) forget() {
 	p.mu.Lock()
-	p.following = false
+	defer p.mu.Unlock()
 	p.live = false
 	p.fold = batch.NewFold()
 	for id, w := range p.waiters {
 		close(w)
 		delete(p.waiters, id)
 	}
-	p.mu.Unlock()
-	p.follower.Restart()
-	p.log.Info().Int("part", p.number).Msg("partition not followed any more")
-	p.wakeRun()
-}
-
-// hold keeps the view followed until release is called once.
-func (p *partition) hold() (release func()) {
-	p.mu.Lock()
-	p.holds++
-	p.mu.Unlock()
-	p.wakeRun()
-	return sync.OnceFunc(func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.holds--
-		p.released = p.now()
-	})
-}
-
-func (p *partition) wakeRun() {
-	select {
-	case p.needs <- struct{}{}:
-	default:
-	}
-}
-
-// loaded reports whether the view was whole once since it's followed.
-func (p *partition) loaded() bool {
-	// Not under mu: records are applied under the follower's lock.
-	return p.isFollowed() && p.follower.Loaded()
-}
-
-func (p *partition) isFollowed() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.following
-}
-
-// held reports whether somebody here needs the view now.
-func (p *partition) held() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.following && p.holds > 0
-}
-
-// await waits until the view, which the caller holds, is whole.
-func (p *partition) await(ctx context.Context) error {
-	for {
-		changed := p.follower.Changed()
-		if p.loaded() {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
 }
 
 // Record applies a record of the log.
--- a/internal/batchrun/read_test.go
+++ b/internal/batchrun/read_test.go
@@ -44,7 +44,7 @@
 			owner, reader = reader, owner
 		}
 		part := reader.current().partitionOf("m0")
-		defer part.hold()() // it answered for the batch a moment ago
+		defer part.follower.Hold()() // it answered for the batch a moment ago
 		time.Sleep(100 * time.Millisecond)
 		reader.client.SetFaults(metastore.Faults{Cut: true})
 		time.Sleep(follow.PollWait + 10*time.Millisecond) // reads hang from here on
--- a/internal/batchrun/rescue_test.go
+++ b/internal/batchrun/rescue_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
@@ -57,7 +56,7 @@
 		view := fleet.New(func() time.Duration { return time.Minute })
 		config := routes.New(1, nil, []routes.Service{{Name: "engines", Engine: &routes.Engine{Slots: 8, Models: []string{"m0"}}}}, routes.Limits{}, nil)
 		o := Options{Parts: 1, Now: func() time.Duration { return time.Minute }, View: view, Suspects: health.NewSuspects(), Policy: Ours(policy.Set{})}
-		r := newRunner(New(o), newPartition(0, o.Now, zerolog.Nop()), func() bool { return inTouch })
+		r := newRunner(New(o), newPartition(0, o), func() bool { return inTouch })
 		for i, gap := range []time.Duration{400 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond} {
 			u := registry.Upstream{ID: fmt.Sprint("e", i), Service: "engines", Address: fmt.Sprint("a", i), Slots: 8}
 			view.Upstreams(func(reg *registry.Registry, _ time.Duration) { reg.Put(u) })
--- a/internal/batchrun/scale_test.go
+++ b/internal/batchrun/scale_test.go
@@ -158,7 +158,7 @@
 		defer f.stop()
 		for _, s := range f.services {
 			for _, p := range s.parts {
-				defer p.hold()()
+				defer p.follower.Hold()()
 			}
 		}
 		for until := time.Now().Add(4 * scaleRecovery); time.Now().Before(until); time.Sleep(time.Second) {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -9,7 +9,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
-	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/loads"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
@@ -76,9 +75,7 @@
 func New(o Options) *Service {
 	s := &Service{options: o, blobs: newBlobs(o.Log, o.Parts)}
 	for n := range o.Parts {
-		p := newPartition(n, o.Now, o.Logger)
-		p.follower = follow.New(follow.Options{Log: o.Log, Topic: batchTopic, Part: n, Sink: p, Relaxed: p.relaxed, OnWhole: p.markLive, Now: o.Now, Logger: o.Logger})
-		s.parts = append(s.parts, p)
+		s.parts = append(s.parts, newPartition(n, o))
 	}
 	s.orders = newOrders(o)
 	s.owner = newOwner(s)
@@ -93,7 +90,7 @@
 func (s *Service) Run(ctx context.Context) {
 	var g errgroup.Group
 	for _, p := range s.parts {
-		g.Go(func() error { p.run(ctx); return nil })
+		g.Go(func() error { p.follower.Run(ctx); return nil })
 	}
 	g.Go(func() error { s.orders.follower.Run(ctx); return nil })
 	g.Go(func() error { s.owner.run(ctx); return nil })
@@ -138,7 +135,7 @@
 func (s *Service) Lag() time.Duration {
 	largest := s.orders.follower.Lag()
 	for _, p := range s.parts {
-		if p.held() && p.loaded() {
+		if p.follower.Held() && p.follower.Loaded() {
 			largest = max(largest, p.follower.Lag())
 		}
 	}
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -83,7 +83,7 @@
 	if p.has(id) {
 		return true
 	}
-	if p.loaded() || s.options.Peers == nil {
+	if p.follower.Loaded() || s.options.Peers == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askWait)
@@ -126,7 +126,7 @@
 			return 0, nil, errors.Join(ErrNotRun, err)
 		}
 	}
-	if p.held() { // the owner needs them, and nobody else
+	if p.follower.Held() { // the owner needs them, and nobody else
 		for i, data := range packed {
 			s.blobs.put(p.number, at+int64(i), data)
 		}
--- a/internal/batchrun/submit_test.go
+++ b/internal/batchrun/submit_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
@@ -273,7 +272,8 @@
 // process before: with it, a step waits seconds for engines that are ready.
 func TestSuspicionEndsWithTheStart(t *testing.T) {
 	g := NewWithT(t)
-	r := newRunner(New(Options{Parts: 1, Suspects: health.NewSuspects(), Now: func() time.Duration { return 0 }}), newPartition(0, func() time.Duration { return 0 }, zerolog.Nop()), func() bool { return true })
+	o := Options{Parts: 1, Suspects: health.NewSuspects(), Now: func() time.Duration { return 0 }}
+	r := newRunner(New(o), newPartition(0, o), func() bool { return true })
 	before := registry.Upstream{ID: "e0", Started: 1}
 	after := registry.Upstream{ID: "e0", Started: 2}
 	e := r.engineLocked(before.Incarnation())
