Claims are followed by owners only; the partitions of models have a topic of their own

Every daemon read every claim, wish and load, because the same topic tells which partition a model has. Now the partitions of models stand in keyed.homes (a record a model, for good: writing them down again each 45 s is gone, a changed demand is noted as before), and the claims are held by those that own a partition: P times the loads.

A claim bars other VMs for 4 s from when it was read. A daemon that begins to follow at a take-over would take every claim for new and order nothing for 4 s; members of the group therefore note the log's end once a second (16 bytes and a record at most), which tells a lower bound of each record's age and where to begin.

TestNewOwnerKnowsTheAgeOfClaims fails without it (2.3 s barred).

--- a/internal/batchrun/answer.go
+++ b/internal/batchrun/answer.go
@@ -132,7 +132,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, locateWait)
 	defer cancel()
-	homes := s.orders.homeParts()
+	homes := s.homes.parts()
 	at, release, err = s.search(ctx, id, homes)
 	if !errors.Is(err, ErrNotFound) {
 		return at, release, err
--- a/internal/batchrun/claimer_test.go
+++ b/internal/batchrun/claimer_test.go
@@ -94,3 +94,24 @@
 		g.Expect(w.store.End(claimsTopic, 0)).To(Equal(end+5), "each stands once in the log")
 	})
 }
+
+// Guards against a partition that stands still after its owner's death because the next
+// owner, which has not followed the claims' log before, takes every claim in it for new.
+func TestNewOwnerKnowsTheAgeOfClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorldOf(t, worldOptions{seed: 1, parts: 1, vms: 2, engines: 4, models: []string{"m0"}})
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		w.publish("m0", 2)
+		time.Sleep(10 * time.Second) // all engines were claimed and loaded, and no claim bars any more
+		owner, other := ownerAndOther(w, "m0")
+		g.Expect(other.current().orders.follower.Following()).To(BeFalse(), "only owners follow the claims")
+		w.kill(owner)
+		time.Sleep(3 * time.Second)
+		g.Expect(other.current().Owns()).To(Equal([]int{0}))
+		for id := range w.engines.engines {
+			g.Expect(other.current().orders.barred(id)).To(BeZero(), id)
+		}
+	})
+}
--- a/internal/batchrun/look.go
+++ b/internal/batchrun/look.go
@@ -50,7 +50,7 @@
 			switch home := r.s.partitionOf(m); {
 			case home == r.part:
 				out[m] = &modelWork{service: service.Name}
-				r.renewHomeLocked(ctx, m)
+				r.noteDemandLocked(ctx, m)
 			case home == nil && published[m] > 0 && r.part.number == 0:
 				r.settleLocked(ctx, m)
 			}
--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -18,24 +18,69 @@
 // orders claims engines and gives them orders.
 type orders struct {
 	options  Options
-	follower *follow.Follower
+	follower *follow.Held // held by owners of partitions
 	claimer  *claimer
 
 	mu     sync.Mutex
 	claims *loads.Claims
-	homes  *loads.Homes
+	tail   *loads.Tail // of the claims' log
 	// relaxed reports whether this daemon owns no partition, and so orders nothing.
 	relaxed func() bool
 	loading map[string]bool // engines that this VM loads for another's wish
 }
 
 func newOrders(o Options) *orders {
-	x := &orders{options: o, claims: loads.NewClaims(o.VM, o.OrderLease), homes: loads.NewHomes(o.Parts), loading: map[string]bool{}}
+	// A load that a record told of shows in the engine's own entry by then, and a claim
+	// bars nobody any more.
+	keep := 2 * loads.BarredFor(o.OrderLease)
+	x := &orders{options: o, claims: loads.NewClaims(o.VM, o.OrderLease), tail: loads.NewTail(keep), loading: map[string]bool{}}
 	x.claimer = newClaimer(x)
-	x.follower = follow.New(follow.Options{Log: o.Log, Topic: claimsTopic, Sink: x, Relaxed: func() bool { return x.relaxed() }, Now: o.Now, Logger: o.Logger})
+	x.follower = follow.NewHeld(follow.HeldOptions{
+		Options: follow.Options{
+			Log: o.Log, Topic: claimsTopic, Sink: x, From: x.from, Relaxed: func() bool { return x.relaxed() }, Now: o.Now, Logger: o.Logger,
+		},
+		Linger: keep, OnForget: x.forgetClaims,
+	})
 	return x
 }
 
+// from is where the claims' log is read on when this daemon becomes an owner.
+func (x *orders) from() int64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.tail.From(x.options.Now())
+}
+
+// forgetClaims drops the fold of the claims' log, which isn't followed any more.
+func (x *orders) forgetClaims() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.claims = loads.NewClaims(x.options.VM, x.options.OrderLease)
+	x.tail.Note(x.follower.Next(), x.options.Now())
+}
+
+// noteEnd notes the end of the claims' log while it isn't followed.
+func (x *orders) noteEnd(ctx context.Context) {
+	if x.follower.Following() {
+		return
+	}
+	x.mu.Lock()
+	last := x.tail.Last()
+	x.mu.Unlock()
+	page, err := x.options.Log.Read(ctx, claimsTopic, 0, store.ReadFrom{Offset: last, MaxBytes: 1})
+	var trimmed *store.TrimmedError
+	if errors.As(err, &trimmed) {
+		page, err = store.Page{End: trimmed.First}, nil
+	}
+	if err != nil {
+		x.options.Logger.Debug().Err(err).Msg("end of the claims' log not read")
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.tail.Note(page.End, x.options.Now())
+}
+
 // Record applies a record of the claims' log.
 func (x *orders) Record(offset int64, data []byte) {
 	r, err := loads.Decode(data)
@@ -46,11 +91,7 @@
 	switch {
 	case r.Claim != nil:
 		x.mu.Lock()
-		x.claims.Apply(offset, *r.Claim, x.options.Now())
-		x.mu.Unlock()
-	case r.Home != nil:
-		x.mu.Lock()
-		x.homes.Apply(*r.Home)
+		x.claims.Apply(offset, *r.Claim, x.tail.WrittenBy(offset, x.options.Now()))
 		x.mu.Unlock()
 	case r.Wish != nil:
 		go x.grant(*r.Wish) // it asks the follower, whose lock is held here
@@ -81,56 +122,6 @@
 	retain  bool // its runs go on meanwhile
 }
 
-func (x *orders) home(model string) (part int, ok bool) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.homes.Of(model)
-}
-
-// homeParts returns the partitions that models have, sorted.
-func (x *orders) homeParts() []int {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.homes.Parts()
-}
-
-// demand returns the samples of a batch of each model.
-func (x *orders) demand() map[string]int {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.homes.Demand()
-}
-
-// settle gives a model a partition unless it has one; samples are those of its batch, 0
-// if it has none yet. The append is conditional:
-// two daemons that meet a new model at once agree on one record's partition.
-func (x *orders) settle(ctx context.Context, model string, samples int) (int, error) {
-	var err error
-	for range claimTries {
-		if part, ok := x.home(model); ok {
-			return part, nil
-		}
-		next := x.follower.Next()
-		x.mu.Lock()
-		home := x.homes.Next(model)
-		home.Samples = samples
-		x.mu.Unlock()
-		var data []byte
-		if data, err = loads.Encode(loads.Record{Home: &home}); err != nil {
-			return 0, err
-		}
-		if _, err = x.options.Log.AppendAt(ctx, claimsTopic, 0, next, [][]byte{data}); errors.Is(err, store.ErrNotDone) {
-			return 0, err
-		}
-		if err := x.follower.CatchUp(ctx); err != nil {
-			return 0, err
-		}
-	}
-	return 0, errors.Join(errNoHome, err)
-}
-
-var errNoHome = errors.New("no partition could be assigned to the model")
-
 const (
 	// loadPoll is between two looks at an engine that loads; reports are some
 	// hundred ms old, so more would tell no more.
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -41,6 +41,7 @@
 	generation int64
 	runners    map[int]*runner
 	held       map[int]func() // releases of the owned partitions' views
+	claims     func()         // release of the claims' view, nil while nothing is owned
 	contact    time.Duration  // boottime of the start of the last join that was answered
 	first      time.Duration  // boottime of the first such join
 	draining   bool
@@ -50,6 +51,8 @@
 	clearing time.Duration // since when they are looked for, 0: not yet
 	asked    bool          // of a small VM: it should be in the group
 	askAgain time.Duration
+	// noteAgain is when the end of the claims' log is looked at again.
+	noteAgain time.Duration
 }
 
 func newOwner(s *Service) *owner {
@@ -66,13 +69,14 @@
 		// Not before orders could be given. Partitions are run one by one as their views
 		// are read: waiting for all of them, daemons that start together join over
 		// seconds, and each that joins moves partitions which others had begun to run.
-		if !o.s.orders.follower.Loaded() {
+		if !o.s.homes.follower.Loaded() {
 			pause.For(ctx, loadedLook)
 			continue
 		}
 		if o.wanted(ctx) {
 			o.clear(ctx)
 			o.join(ctx)
+			o.noteClaims(ctx)
 			n++
 		}
 		o.awaitJoin(ctx, interval)
@@ -203,6 +207,23 @@
 	o.startLoaded(ctx)
 }
 
+// noteClaimsEvery is between two looks of a member that owns nothing at the end of the
+// claims' log: a partition that it takes over stands still for so long more at most.
+const noteClaimsEvery = 1 * time.Second
+
+// noteClaims keeps the age of the claims known for the partition that this daemon may own
+// next.
+func (o *owner) noteClaims(ctx context.Context) {
+	now := o.s.options.Now()
+	if now < o.noteAgain {
+		return
+	}
+	o.noteAgain = now + noteClaimsEvery
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	o.s.orders.noteEnd(ctx)
+}
+
 func (o *owner) call(ctx context.Context) (store.Assignment, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -238,6 +259,9 @@
 			o.held[part] = o.s.parts[part].follower.Hold()
 		}
 	}
+	if len(o.held) > 0 && o.claims == nil {
+		o.claims = o.s.orders.follower.Hold()
+	}
 }
 
 // letGo ends the hold on the views of partitions that aren't owned any more.
@@ -250,6 +274,10 @@
 			delete(o.held, part)
 		}
 	}
+	if len(o.held) == 0 && o.claims != nil {
+		o.claims()
+		o.claims = nil
+	}
 }
 
 // startLoaded runs the owned partitions whose views are whole. It reports whether others
@@ -260,7 +288,7 @@
 	for part := range o.held {
 		switch {
 		case o.draining || o.runners[part] != nil:
-		case !o.s.parts[part].follower.Loaded():
+		case !o.s.parts[part].follower.Loaded() || !o.s.orders.follower.Loaded():
 			waiting = true
 		default:
 			o.runners[part] = newRunner(o.s, o.s.parts[part], o.inTouch)
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -33,7 +33,7 @@
 	if !r.s.options.Policy.On(policy.Demand) {
 		return nil
 	}
-	return r.s.orders.demand()
+	return r.s.homes.demand()
 }
 
 func (r *runner) placeLocked(ctx context.Context, model string, share []registry.Upstream, w *modelWork, now time.Duration) {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -40,7 +40,7 @@
 	mu       sync.Mutex
 	stopping bool
 	settling bool                     // a model without a partition is being given one
-	renewAt  map[string]time.Duration // by model: when its partition is written down again
+	noteAt   map[string]time.Duration // by model: not before its demand may be noted again
 	runs     map[sampleKey]*run
 	texts    map[sampleKey]*text
 	scores   map[sampleKey]*scoring
@@ -111,7 +111,7 @@
 	return &runner{
 		s: s, part: p, outbox: newOutbox(s.options.Log, s.blobs, p.number, log), inTouch: inTouch, log: log,
 		wakes: make(chan struct{}, 1), runs: map[sampleKey]*run{}, texts: map[sampleKey]*text{}, scores: map[sampleKey]*scoring{}, estimator: batch.NewEstimator(),
-		renewAt: map[string]time.Duration{}, requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]rerun{}, engines: map[string]*engine{},
+		noteAt: map[string]time.Duration{}, requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]rerun{}, engines: map[string]*engine{},
 		crashes: crashes.NewSamples[sampleKey](), checks: map[string][]brokenRun{},
 	}
 }
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -18,9 +18,10 @@
 
 // Topics of the shared log.
 const (
-	batchTopic  = "batches" // records, which every daemon follows
-	textTopic   = "texts"   // blobs that the records name
-	claimsTopic = "claims"
+	batchTopic  = "batches"                   // records, which the owners of the partitions follow
+	textTopic   = "texts"                     // blobs that the records name
+	claimsTopic = "claims"                    // on engines and duties, wishes for loads: of owners only
+	homesTopic  = store.KeyedPrefix + "homes" // partitions of models, which every daemon follows
 	ownersGroup = "batch-owners"
 )
 
@@ -66,6 +67,7 @@
 	parts     []*partition
 	blobs     *blobs
 	orders    *orders
+	homes     *homes
 	owner     *owner
 	directory *directory
 	shares    *shares
@@ -78,6 +80,7 @@
 		s.parts = append(s.parts, newPartition(n, o))
 	}
 	s.orders = newOrders(o)
+	s.homes = newHomes(o)
 	s.owner = newOwner(s)
 	s.orders.relaxed = s.owner.idle
 	s.directory = newDirectory(o.Membership)
@@ -92,6 +95,7 @@
 	for _, p := range s.parts {
 		g.Go(func() error { p.follower.Run(ctx); return nil })
 	}
+	g.Go(func() error { s.homes.follower.Run(ctx); return nil })
 	g.Go(func() error { s.orders.follower.Run(ctx); return nil })
 	g.Go(func() error { s.owner.run(ctx); return nil })
 	g.Go(func() error { s.forget(ctx); return nil })
@@ -108,7 +112,7 @@
 func (s *Service) Barred(duty string) time.Duration { return s.orders.barred(duty) }
 
 // Demand returns the samples of a batch by model, for those that are known.
-func (s *Service) Demand() map[string]int { return s.orders.demand() }
+func (s *Service) Demand() map[string]int { return s.homes.demand() }
 
 // Drain hands the owned partitions over to other daemons.
 func (s *Service) Drain(ctx context.Context) { s.owner.drain(ctx) }
@@ -133,7 +137,10 @@
 
 // Lag is the largest lag of a view that this daemon needs.
 func (s *Service) Lag() time.Duration {
-	largest := s.orders.follower.Lag()
+	largest := s.homes.follower.Lag()
+	if s.orders.follower.Held() && s.orders.follower.Loaded() {
+		largest = max(largest, s.orders.follower.Lag())
+	}
 	for _, p := range s.parts {
 		if p.follower.Held() && p.follower.Loaded() {
 			largest = max(largest, p.follower.Lag())
@@ -144,12 +151,12 @@
 
 // Loaded reports whether it is known which partitions have batches, so that any call on
 // one can be answered or passed on.
-func (s *Service) Loaded() bool { return s.orders.follower.Loaded() }
+func (s *Service) Loaded() bool { return s.homes.follower.Loaded() }
 
 // partitionOf is the same for all batches of a model, so that one daemon runs them
 // and reused samples meet their earlier text. It is nil for a model without batches.
 func (s *Service) partitionOf(model string) *partition {
-	part, ok := s.orders.home(model)
+	part, ok := s.homes.of(model)
 	if !ok {
 		return nil
 	}
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -57,7 +57,7 @@
 func (s *Service) submit(ctx context.Context, id string, head batch.Head, items []batch.Item, requests []batch.Request) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitWait)
 	defer cancel()
-	part, err := s.orders.settle(ctx, head.Model, len(items))
+	part, err := s.homes.settle(ctx, head.Model, len(items))
 	if err != nil {
 		return errors.Join(ErrNotRun, err)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -70,6 +70,9 @@
 	// OnWhole, if set, is called when the view is whole for the first time since Run began
 	// with the oldest record. It must not call the Follower.
 	OnWhole func()
+	// From, if set, is the offset of the first record that is needed when Run begins to
+	// follow, 0: the oldest one. The topic has no keys.
+	From func() int64
 	// Relaxed, if set, reports whether nobody here depends on the view now.
 	Relaxed func() bool
 	// Pause is waited after records before the next read.
@@ -118,9 +121,7 @@
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.mu.Lock()
-	f.began = f.options.Now()
-	f.mu.Unlock()
+	f.begin()
 	failures := 0
 	for ctx.Err() == nil {
 		err := f.step(ctx)
@@ -139,6 +140,15 @@
 	}
 }
 
+func (f *Follower) begin() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.began = f.options.Now()
+	if f.next == 0 && f.options.From != nil {
+		f.next = f.options.From()
+	}
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	if f.options.Keyed && (!f.Loaded() || f.reloading()) {
 		return f.reload(ctx)
--- a/internal/loads/claims.go
+++ b/internal/loads/claims.go
@@ -71,7 +71,6 @@
 	Claim  *Claim  `cbor:"1,keyasint,omitempty"`
 	Wish   *Wish   `cbor:"2,keyasint,omitempty"`
 	Loaded *Loaded `cbor:"3,keyasint,omitempty"`
-	Home   *Home   `cbor:"4,keyasint,omitempty"`
 }
 
 // ErrMalformed says that a record can't be read.
@@ -89,6 +88,9 @@
 	return r, nil
 }
 
+// BarredFor is how long a claim that was just read bars other VMs from its subject.
+func BarredFor(lease time.Duration) time.Duration { return ClaimLife + lease + ClaimMargin }
+
 // Claims is the fold of the claims' log.
 type Claims struct {
 	self  string
@@ -119,7 +121,7 @@
 	if !ok || h.holder == c.self {
 		return 0
 	}
-	return max(0, h.read+ClaimLife+c.lease+ClaimMargin-now)
+	return max(0, h.read+BarredFor(c.lease)-now)
 }
 
 // Holder returns who claimed a subject last.
@@ -140,7 +142,7 @@
 // Forget drops the claims that bar nobody any more and that nobody asks for.
 func (c *Claims) Forget(now time.Duration) {
 	for subject, h := range c.last {
-		if now > h.read+max(claimMemory, ClaimLife+c.lease+ClaimMargin) {
+		if now > h.read+max(claimMemory, BarredFor(c.lease)) {
 			delete(c.last, subject)
 		}
 	}
--- a/internal/loads/homes.go
+++ b/internal/loads/homes.go
@@ -1,9 +1,12 @@
 package loads
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"slices"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Home assigns a model to a partition of the batches' topic. The first record of a
@@ -16,6 +19,18 @@
 	Samples int `cbor:"3,keyasint,omitempty"`
 }
 
+// EncodeHome turns a record into log data.
+func EncodeHome(h Home) ([]byte, error) { return cbor.Marshal(h) }
+
+// DecodeHome reads log data. Error: ErrMalformed.
+func DecodeHome(data []byte) (Home, error) {
+	var h Home
+	if err := cbor.Unmarshal(data, &h); err != nil {
+		return Home{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return h, nil
+}
+
 // Homes is the fold of these records.
 type Homes struct {
 	parts   int
@@ -38,12 +53,17 @@
 	if _, known := h.byModel[r.Model]; !known && r.Part >= 0 && r.Part < h.parts {
 		h.byModel[r.Model] = r.Part
 	}
-	noted := h.demand[r.Model]
-	if r.Samples > 0 && (noted == 0 || math.Abs(float64(r.Samples-noted)) > demandChange*float64(noted)) {
+	if h.Differs(r) {
 		h.demand[r.Model] = r.Samples
 	}
 }
 
+// Differs reports whether a record would change the known demand of its model.
+func (h *Homes) Differs(r Home) bool {
+	noted := h.demand[r.Model]
+	return r.Samples > 0 && (noted == 0 || math.Abs(float64(r.Samples-noted)) > demandChange*float64(noted))
+}
+
 // Demand returns the samples of a batch by model, for those that are known.
 func (h *Homes) Demand() map[string]int { return maps.Clone(h.demand) }
 
