Claims are judged by what their daemon had read; loads that ended stand with their model's records

Cause: a claim was appended on the condition that the claims' log hadn't grown, and each load that ended appended a record there too. The more models load, the fewer claims come through: with p other appends a second a try that takes 9 ms succeeds with exp(-0.009 p).

Now a claim is appended without a condition and names the offset up to which its daemon had read (Seen). It is void if another VM's valid claim on the same subject stands between that offset and its own: whoever reads the log judges alike, and only claims on one subject conflict. Its daemon reads it back by its token before it acts. Loads that ended are records of the model's partition, whose next owner is the one that needs them; the owner's own go with its other records.

--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -254,6 +254,7 @@
 		Result{Batch: "b", Item: 1, State: Completed, Link: Link{From: 1, Writer: "w"}, Segment: Segment{At: -1}, Score: "s"},
 		Failed{Batch: "b", Item: 2, Attempt: "a", Reward: true},
 		Ended{Batch: "b"},
+		Loaded{Engine: "e", Model: "m", Version: 3, Started: 7},
 	} {
 		g := NewWithT(t)
 		data, err := Encode(r)
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -27,6 +27,7 @@
 	kindResult
 	kindFailed
 	kindEnded
+	kindLoaded
 )
 
 // Accepted is a part of an accepted batch. The parts of one batch are appended
@@ -186,6 +187,17 @@
 	Batch string `cbor:"1,keyasint"`
 }
 
+// Loaded says that an engine serves a version of the partition's model, ahead of the
+// engine's own next entry.
+type Loaded struct {
+	Engine  string `cbor:"1,keyasint"` // ID
+	Model   string `cbor:"2,keyasint"`
+	Version int64  `cbor:"3,keyasint"`
+	// Started is the start of the engine that loaded it, 0 unknown: one that has started
+	// again since may not serve it.
+	Started int64 `cbor:"4,keyasint,omitempty"`
+}
+
 // Encode turns one of the record types of this package into log data.
 func Encode(record any) ([]byte, error) {
 	kind, err := kindOf(record)
@@ -211,6 +223,8 @@
 		return kindFailed, nil
 	case Ended:
 		return kindEnded, nil
+	case Loaded:
+		return kindLoaded, nil
 	}
 	return 0, fmt.Errorf("batch: no record type: %T", record)
 }
@@ -231,6 +245,8 @@
 		return decode[Failed](data[1:])
 	case kindEnded:
 		return decode[Ended](data[1:])
+	case kindLoaded:
+		return decode[Loaded](data[1:])
 	}
 	return nil, fmt.Errorf("%w: kind %d", ErrMalformed, data[0])
 }
--- a/internal/batchrun/claimer.go
+++ b/internal/batchrun/claimer.go
@@ -3,22 +3,16 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/loads"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 )
 
-// claimTries bounds the appends of claims that met other daemons' records. After the
-// loss of all VMs every owner claims at once; a try takes two answers of the store, some
-// 10 ms.
-const claimTries = 12
-
-// claimer appends claims on engines and on duties. Claims that are wanted while an append is under way
-// go with the next one: each append is made on the condition that the claims' log hasn't
-// grown, so a hundred claims of one VM at once, as for new weights on a large service,
-// would make each other's appends fail, with a read after each failure. It is safe for
-// concurrent use.
+// claimer appends claims on engines and on duties. Claims that are wanted while an append is
+// under way go with the next one: a hundred claims of one VM at once, as for new weights on
+// a large service, take two calls. It is safe for concurrent use.
 type claimer struct {
 	orders *orders
 
@@ -30,6 +24,7 @@
 // claim is what is to be claimed, and the outcome.
 type claim struct {
 	subject string
+	token   uint64
 	done    chan struct{}
 	permit  loads.Permit
 	err     error
@@ -40,7 +35,7 @@
 // claim claims a subject. It doesn't end before the append: a claim that is in the log
 // bars the subject for other VMs, whoever waits for it here.
 func (c *claimer) claim(ctx context.Context, subject string) (loads.Permit, error) {
-	wanted := &claim{subject: subject, done: make(chan struct{})}
+	wanted := &claim{subject: subject, token: rand.Uint64(), done: make(chan struct{})}
 	c.mu.Lock()
 	c.waiting = append(c.waiting, wanted)
 	first := !c.busy
@@ -71,33 +66,38 @@
 	}
 }
 
-// append claims subjects together, those that no other VM claimed.
+// append claims subjects together, those that no other VM holds, and reads back which of
+// the claims are valid.
 func (c *claimer) append(ctx context.Context, claims []*claim) {
-	for try := 0; len(claims) > 0; try++ {
-		began, at := c.orders.options.Now(), c.orders.follower.Next()
-		claims = c.allowed(claims) // what was claimed since makes the append fail
-		if len(claims) == 0 {
-			return
-		}
-		err := c.appendAt(ctx, at, claims)
-		if err == nil || errors.Is(err, store.ErrUnknown) && c.orders.holds(ctx, claims, at) {
-			for i, x := range claims {
-				x.permit = loads.Permit{Fence: fenceOf(at + int64(i)), Until: began + loads.ClaimLife}
-			}
-			return
-		}
-		var conflict *store.ConflictError
-		if errors.As(err, &conflict) && try < claimTries {
-			err = c.orders.follower.CatchUp(ctx)
-			if err == nil {
-				continue
-			}
-		}
-		for _, x := range claims {
-			x.err = err
-		}
+	began, seen := c.orders.options.Now(), c.orders.follower.Next()
+	claims = c.allowed(claims) // by what was read up to seen, or more
+	if len(claims) == 0 {
+		return
+	}
+	err := c.write(ctx, seen, claims)
+	if err != nil && !errors.Is(err, store.ErrUnknown) {
+		fail(claims, err)
+		return
+	}
+	if err := c.orders.follower.CatchUp(ctx); err != nil {
+		fail(claims, err)
 		return
 	}
+	c.orders.mu.Lock()
+	defer c.orders.mu.Unlock()
+	for _, x := range claims {
+		if offset, ok := c.orders.claims.Holds(x.subject, x.token); ok {
+			x.permit = loads.Permit{Fence: fenceOf(offset), Until: began + loads.ClaimLife}
+			continue
+		}
+		x.err = errors.Join(errBarred, err)
+	}
+}
+
+func fail(claims []*claim, err error) {
+	for _, x := range claims {
+		x.err = err
+	}
 }
 
 // allowed drops the claims on subjects that another VM holds.
@@ -113,10 +113,10 @@
 	return out
 }
 
-func (c *claimer) appendAt(ctx context.Context, at int64, claims []*claim) error {
+func (c *claimer) write(ctx context.Context, seen int64, claims []*claim) error {
 	var records [][]byte
 	for _, x := range claims {
-		data, err := loads.Encode(loads.Record{Claim: &loads.Claim{Subject: x.subject, Holder: c.orders.options.VM}})
+		data, err := loads.Encode(loads.Record{Claim: &loads.Claim{Subject: x.subject, Holder: c.orders.options.VM, Seen: seen, Token: x.token}})
 		if err != nil {
 			return err
 		}
@@ -124,26 +124,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, store.FirstAnswer)
 	defer cancel()
-	_, err := c.orders.options.Log.AppendAt(ctx, claimsTopic, 0, at, records)
+	_, err := c.orders.options.Log.Append(ctx, claimsTopic, 0, records)
 	return err
 }
 
 // fenceOf is the fencing number of the claim at an offset. Offsets begin with 0, which
 // engines take for a missing number.
 func fenceOf(offset int64) int64 { return offset + 1 }
-
-// holds looks claims whose append had no answer up in the log.
-func (x *orders) holds(ctx context.Context, claims []*claim, at int64) bool {
-	if x.follower.CatchUp(ctx) != nil {
-		return false
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for i, c := range claims {
-		holder, offset, ok := x.claims.Holder(c.subject)
-		if !ok || holder != x.options.VM || offset != at+int64(i) {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/batchrun/claimer_test.go
+++ b/internal/batchrun/claimer_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
 )
 
@@ -115,3 +118,53 @@
 		}
 	})
 }
+
+// Guards against claims that fail because every load that ends appends a record of its own
+// behind which each claim has to be made again: the more models, the fewer claims come
+// through. Owners claim some dozens of engines twice a second and load as many, by as many
+// models as the largest fleet has and by twice as many.
+func TestClaimsComeThroughBesideManyLoads(t *testing.T) {
+	const (
+		bursts   = 20
+		engines  = 30 // of a burst
+		interval = 500 * time.Millisecond
+	)
+	for _, owners := range []int{8, 16} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			var models []string
+			for i := range owners {
+				models = append(models, fmt.Sprint("m", i))
+			}
+			w := newWorldOf(t, worldOptions{seed: 1, parts: 24, vms: 24, engines: 24, models: models})
+			defer w.stop()
+			time.Sleep(2 * time.Second)
+			var (
+				work   sync.WaitGroup
+				failed atomic.Int32
+			)
+			for i, v := range w.vms[:owners] {
+				home, err := v.current().homes.settle(context.Background(), models[i], engines)
+				g.Expect(err).NotTo(HaveOccurred())
+				for burst := range bursts {
+					for e := range engines {
+						work.Go(func() {
+							time.Sleep(time.Duration(burst)*interval + time.Duration(rand.IntN(int(interval))/engines))
+							engine := fmt.Sprint("engine-", i, "-", e)
+							if _, err := v.current().orders.claimer.claim(context.Background(), engine); err != nil {
+								failed.Add(1)
+							}
+							time.Sleep(time.Duration(rand.IntN(int(interval))))
+							if err := v.current().orders.tellLoaded(context.Background(), home, batch.Loaded{Engine: engine, Model: models[i], Version: 1}); err != nil {
+								failed.Add(1)
+							}
+						})
+					}
+				}
+			}
+			work.Wait()
+			t.Logf("%d owners: %d of %d claims failed", owners, failed.Load(), owners*bursts*engines)
+			g.Expect(failed.Load()).To(BeZero())
+		})
+	}
+}
--- a/internal/batchrun/homes.go
+++ b/internal/batchrun/homes.go
@@ -88,6 +88,9 @@
 	return h.fold.Demand()
 }
 
+// settleTries bounds the appends that met another daemon's record.
+const settleTries = 12
+
 var errNoHome = errors.New("no partition could be assigned to the model")
 
 // settle gives a model a partition unless it has one; samples are those of its batch, 0
@@ -95,7 +98,7 @@
 // agree on one record's partition.
 func (h *homes) settle(ctx context.Context, model string, samples int) (int, error) {
 	var err error
-	for range claimTries {
+	for range settleTries {
 		if part, ok := h.of(model); ok {
 			return part, nil
 		}
--- a/internal/batchrun/orders.go
+++ b/internal/batchrun/orders.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 	"github.com/dogwoodflow/dogwoodflow/internal/loads"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
@@ -95,10 +97,6 @@
 		x.mu.Unlock()
 	case r.Wish != nil:
 		go x.grant(*r.Wish) // it asks the follower, whose lock is held here
-	case r.Loaded != nil:
-		x.options.View.Upstreams(func(reg *registry.Registry, _ time.Duration) {
-			reg.Loaded(r.Loaded.Engine, r.Loaded.Started, r.Loaded.Model, r.Loaded.Version)
-		})
 	}
 }
 
@@ -120,6 +118,7 @@
 	model   string
 	version int64
 	retain  bool // its runs go on meanwhile
+	part    int  // partition of the model
 }
 
 const (
@@ -132,9 +131,9 @@
 	loadLimit = 8 * time.Second
 )
 
-// load makes an engine serve a version, by the VM that may order it now, and tells
-// everybody once the engine reports it.
-func (x *orders) load(ctx context.Context, u registry.Upstream, w weights) error {
+// load makes an engine serve a version, by the VM that may order it now. tell is called if
+// this VM has loaded it.
+func (x *orders) load(ctx context.Context, u registry.Upstream, w weights, tell func(batch.Loaded) error) error {
 	if x.barred(u.Address) > 0 {
 		return x.wish(ctx, u.ID, w)
 	}
@@ -142,9 +141,14 @@
 	if err != nil {
 		return err
 	}
-	model, version := w.model, w.version
-	x.options.View.Upstreams(func(reg *registry.Registry, _ time.Duration) { reg.Loaded(u.ID, u.Started, model, version) })
-	return x.tell(ctx, loads.Record{Loaded: &loads.Loaded{Engine: u.ID, Started: u.Started, Model: model, Version: version}})
+	l := batch.Loaded{Engine: u.ID, Started: u.Started, Model: w.model, Version: w.version}
+	loaded(x.options.View, l)
+	return tell(l)
+}
+
+// loaded notes a load that ended.
+func loaded(view *fleet.View, l batch.Loaded) {
+	view.Upstreams(func(reg *registry.Registry, _ time.Duration) { reg.Loaded(l.Engine, l.Started, l.Model, l.Version) })
 }
 
 // loadNow claims the engine and orders it. It returns what it loaded: a version that was
@@ -247,7 +251,7 @@
 	e.loading = true
 	r.work.Go(func() {
 		began := time.Now()
-		err := r.s.orders.load(ctx, u, w)
+		err := r.s.orders.load(ctx, u, w, func(l batch.Loaded) error { r.outbox.add(l); return nil })
 		line := r.log.Info()
 		if err != nil {
 			line = r.log.Warn().Err(err)
@@ -266,3 +270,14 @@
 		r.wake()
 	})
 }
+
+// tellLoaded tells the next owner of a model's partition of a load. It stands among the
+// partition's records: behind each record of the claims' log claims have to be made again.
+func (x *orders) tellLoaded(ctx context.Context, part int, l batch.Loaded) error {
+	data, err := batch.Encode(l)
+	if err != nil {
+		return err
+	}
+	_, err = store.AppendRepeatable(ctx, x.options.Log, batchTopic, part, [][]byte{data}, 1)
+	return err
+}
--- a/internal/batchrun/partition.go
+++ b/internal/batchrun/partition.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/follow"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 )
@@ -15,6 +16,7 @@
 type partition struct {
 	number   int
 	follower *follow.Held // followed by its owner, and by whoever finds no owner to ask
+	fleet    *fleet.View
 	now      func() time.Duration
 	log      zerolog.Logger
 
@@ -29,7 +31,7 @@
 }
 
 func newPartition(number int, o Options) *partition {
-	p := &partition{number: number, now: o.Now, log: o.Logger, fold: batch.NewFold(), waiters: map[string]chan struct{}{}}
+	p := &partition{number: number, fleet: o.View, now: o.Now, log: o.Logger, fold: batch.NewFold(), waiters: map[string]chan struct{}{}}
 	p.follower = follow.NewHeld(follow.HeldOptions{
 		Options: follow.Options{Log: o.Log, Topic: batchTopic, Part: number, Sink: p, Relaxed: p.relaxed, OnWhole: p.markLive, Now: o.Now, Logger: o.Logger},
 		Linger:  linger, OnForget: p.forget,
@@ -60,6 +62,10 @@
 		p.log.Error().Err(err).Int("part", p.number).Int64("offset", offset).Msg("record skipped")
 		return
 	}
+	if l, ok := record.(batch.Loaded); ok {
+		loaded(p.fleet, l)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	changed := p.fold.Apply(record, p.now())
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -84,7 +84,7 @@
 	plan := r.s.options.Policy.Loads(in)
 	for _, id := range plan.Load {
 		at := slices.IndexFunc(share, func(u registry.Upstream) bool { return u.Incarnation() == id })
-		r.orderLocked(ctx, share[at], weights{model, in.Newest, in.Retain})
+		r.orderLocked(ctx, share[at], weights{model, in.Newest, in.Retain, r.part.number})
 	}
 	for _, id := range plan.Vacate {
 		r.vacateLocked(id, now)
--- a/internal/batchrun/wishes.go
+++ b/internal/batchrun/wishes.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/loads"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 )
@@ -29,7 +30,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), loadLimit)
 	defer cancel()
 	began := time.Now()
-	err := x.load(ctx, u, weights{w.Model, w.Version, w.Retain})
+	err := x.load(ctx, u, weights{w.Model, w.Version, w.Retain, w.Part}, func(l batch.Loaded) error { return x.tellLoaded(ctx, w.Part, l) })
 	x.options.Logger.Info().Str("upstream", w.Engine).Str("model", w.Model).Int64("version", w.Version).
 		Dur("took", time.Since(began)).Err(err).Msg("load for another VM ended")
 	x.mu.Lock()
@@ -43,7 +44,7 @@
 
 // wish asks the engine's last holder for a load and waits until it is done.
 func (x *orders) wish(ctx context.Context, engine string, w weights) error {
-	if err := x.tell(ctx, loads.Record{Wish: &loads.Wish{Engine: engine, Model: w.model, Version: w.version, Retain: w.retain}}); err != nil {
+	if err := x.tell(ctx, loads.Record{Wish: &loads.Wish{Engine: engine, Model: w.model, Version: w.version, Retain: w.retain, Part: w.part}}); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wishWait)
--- a/internal/loads/claims.go
+++ b/internal/loads/claims.go
@@ -5,13 +5,21 @@
 // # Claims
 //
 // Before each order a daemon appends a claim on the engine, as before each call of a duty
-// on the duty, on the condition that the log ends where the daemon has read to. The
-// claim's offset is the order's fencing number: numbers grow, and no two claims share
-// one. The order must leave within ClaimLife of the append's start, by a clock that goes on while the
-// VM is suspended. A claim of another VM bars the engine for ClaimLife + the
-// lease + ClaimMargin after it was read, so that no engine hears of two holders
-// within the lease: the other's last order left at most ClaimLife after its claim,
-// and its claim was in the log before it was read here.
+// on the duty. A claim names the offset up to which its daemon had read the log then; it is
+// void if another VM's valid claim on the same subject stands between that offset and its
+// own, so whoever reads the log judges alike. The daemon reads its claim back before it
+// acts. The claim's offset is the order's fencing number: numbers grow, and no two claims
+// share one.
+//
+// The order must leave within ClaimLife of the append's start, by a clock that goes on while
+// the VM is suspended. A valid claim of another VM bars the engine for ClaimLife + the lease
+// + ClaimMargin after it was read, so that no engine hears of two holders within the lease:
+// the other's last order left at most ClaimLife after its claim, and its claim was in the
+// log before it was read here.
+//
+// Were claims appended on the condition that the log hasn't grown, each claim on any engine
+// would make all others that are on their way fail, and the more models load, the fewer come
+// through.
 package loads
 
 import (
@@ -36,6 +44,10 @@
 	// two VMs' orders would hear of two holders within the lease. Or it names a duty.
 	Subject string `cbor:"1,keyasint"`
 	Holder  string `cbor:"2,keyasint"` // VM
+	// Seen is the offset behind the last record that the VM had read.
+	Seen int64 `cbor:"3,keyasint"`
+	// Token is of this claim alone, so that one whose append had no answer is found.
+	Token uint64 `cbor:"4,keyasint"`
 }
 
 // Permit is a claim that this VM holds.
@@ -54,23 +66,14 @@
 	Version int64  `cbor:"3,keyasint"`
 	// Retain: runs may go on during the load.
 	Retain bool `cbor:"4,keyasint,omitempty"`
-}
-
-// Loaded tells that an engine serves a version, ahead of its own next entry.
-type Loaded struct {
-	Engine  string `cbor:"1,keyasint"` // ID
-	Model   string `cbor:"2,keyasint"`
-	Version int64  `cbor:"3,keyasint"`
-	// Started is the start of the engine that loaded them, 0 unknown: one that has
-	// started again since may not serve them.
-	Started int64 `cbor:"4,keyasint,omitempty"`
+	// Part is the partition of the model, whose owner wants to hear of the load.
+	Part int `cbor:"5,keyasint,omitempty"`
 }
 
 // Record is an entry of the claims' log. Exactly one field is set.
 type Record struct {
-	Claim  *Claim  `cbor:"1,keyasint,omitempty"`
-	Wish   *Wish   `cbor:"2,keyasint,omitempty"`
-	Loaded *Loaded `cbor:"3,keyasint,omitempty"`
+	Claim *Claim `cbor:"1,keyasint,omitempty"`
+	Wish  *Wish  `cbor:"2,keyasint,omitempty"`
 }
 
 // ErrMalformed says that a record can't be read.
@@ -100,6 +103,7 @@
 
 type held struct {
 	holder string
+	token  uint64
 	offset int64
 	read   time.Duration
 }
@@ -110,9 +114,13 @@
 	return &Claims{self: self, lease: lease, last: map[string]held{}}
 }
 
-// Apply takes the claim at an offset, read at a time.
+// Apply takes the claim at an offset, read at a time. A void claim changes nothing.
 func (c *Claims) Apply(offset int64, claim Claim, read time.Duration) {
-	c.last[claim.Subject] = held{claim.Holder, offset, read}
+	last, ok := c.last[claim.Subject]
+	if ok && last.holder != claim.Holder && last.offset >= claim.Seen {
+		return
+	}
+	c.last[claim.Subject] = held{claim.Holder, claim.Token, offset, read}
 }
 
 // Barred returns how long this VM must still not claim a subject, 0 if it may.
@@ -130,6 +138,13 @@
 	return h.holder, h.offset, ok
 }
 
+// Holds returns the offset of this VM's claim with a token, false if it isn't the last valid
+// one on its subject.
+func (c *Claims) Holds(subject string, token uint64) (offset int64, ok bool) {
+	h, ok := c.last[subject]
+	return h.offset, ok && h.holder == c.self && h.token == token
+}
+
 // Age returns for how long the last claim on a subject has been known here.
 func (c *Claims) Age(subject string, now time.Duration) time.Duration {
 	return now - c.last[subject].read
