An owner's look walks the engines that its models can use, not the fleet's

Cause: each change of any upstream dropped all sorted lists, so that each look of an owner, dozens a second, sorted 9,543 engines anew, put them into a map by address, sorted these, compared them with the last ones and named the engines behind each model's share; a change of the addresses divided all of them again (76,000 ranked pairs). The registry also walked every start it remembers at each question.

Now a service's upstreams are kept in the order of a hash of their address, changed one by one; models are divided those that they can use together (Useful), the first ones in that order; a change of weights alone touches the asked model's engines.

The hash stands once, in package spread, for loads, registry and relay.

--- a/internal/batchrun/share.go
+++ b/internal/batchrun/share.go
@@ -13,22 +13,30 @@
 
 // shares holds the live engines of each service as they are divided among its models. An
 // owner asks for its share at each look, dozens of times a second. Made anew at each look,
-// the division of a thousand engines took more than a core; it depends on their addresses
-// alone, which change a few times a minute. What the engines serve changes with each load,
-// and is filled in then. It is safe for concurrent use.
+// the division of a thousand engines took more than a core; it depends on the addresses of
+// the engines that the models can use, a part of a large fleet's, which change seldom. What
+// the engines serve changes with each load, and is filled in then. It is safe for concurrent
+// use.
 type shares struct {
 	view *fleet.View
 
 	mu        sync.Mutex
-	byService map[string]share
+	byService map[string]*share
+	divisions int // made so far
 }
 
 // share is what is known of one service.
 type share struct {
-	changes   uint64 // of the upstreams
-	input     division
-	addresses map[string][]string // by model, as they were divided
-	engines   map[string][]registry.Upstream
+	members uint64 // of the service, see registry.Members
+	input   division
+	ids     map[string][]string // by model, as they were divided
+	filled  map[string]filled   // by model
+}
+
+// filled is a model's engines as they are now.
+type filled struct {
+	changes uint64 // of the upstreams
+	engines []registry.Upstream
 }
 
 // division is what a service's engines are divided by.
@@ -36,63 +44,61 @@
 	shape   *routes.Engine
 	demand  map[string]int // samples of a batch by model, nil: equally
 	engines []string       // addresses, sorted
+	byModel map[string][]string
 }
 
-func newShares(view *fleet.View) *shares {
-	return &shares{view: view, byService: map[string]share{}}
+// divide sets byModel, which depends on the other fields alone, and reports whether it had to
+// be made anew.
+func (d *division) divide(before *share) bool {
+	if before != nil && before.input.shape == d.shape && maps.Equal(before.input.demand, d.demand) && slices.Equal(before.input.engines, d.engines) {
+		d.byModel = before.input.byModel
+		return false
+	}
+	d.byModel = loads.Share(d.engines, d.shape.Models, d.demand, d.shape.Slots)
+	return true
 }
 
-// sameOutcome reports whether two divisions have the same outcome.
-func (d division) sameOutcome(o division) bool {
-	return d.shape == o.shape && maps.Equal(d.demand, o.demand) && slices.Equal(d.engines, o.engines)
+func newShares(view *fleet.View) *shares {
+	return &shares{view: view, byService: map[string]*share{}}
 }
 
 // of returns the engines that serve a model. The list must not be changed.
 func (s *shares) of(service string, shape *routes.Engine, demand map[string]int, model string) []registry.Upstream {
-	changes := s.view.UpstreamChanges()
+	members, changes := s.view.Members(service), s.view.UpstreamChanges()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.byService[service]
-	if known.engines != nil && known.changes == changes && known.input.shape == shape && maps.Equal(known.input.demand, demand) {
-		return known.engines[model]
+	if known == nil || known.members != members || known.input.shape != shape || !maps.Equal(known.input.demand, demand) {
+		known = s.divide(service, shape, demand, known)
+		known.members = members
+		s.byService[service] = known
 	}
-	byAddress := liveByAddress(s.view.Of(service))
-	input := division{shape: shape, demand: demand, engines: slices.Sorted(maps.Keys(byAddress))}
-	if known.engines == nil || !known.input.sameOutcome(input) {
-		known.input = input
-		known.addresses = loads.Share(input.engines, shape.Models, demand, shape.Slots)
+	if f, ok := known.filled[model]; ok && f.changes == changes {
+		return f.engines
 	}
-	known.changes = changes
-	known.engines = fill(known.addresses, byAddress, shape)
-	s.byService[service] = known
-	return known.engines[model]
-}
-
-// liveByAddress returns the engines that aren't leaving, the newest one of an address: the
-// entry of the one before may not have lapsed yet.
-func liveByAddress(engines []registry.Upstream) map[string]registry.Upstream {
-	out := map[string]registry.Upstream{}
-	for _, u := range engines {
-		if u.Leaving {
-			continue
-		}
-		if other, twice := out[u.Address]; !twice || u.Started >= other.Started {
-			out[u.Address] = u
+	engines := s.view.List(known.ids[model])
+	for i := range engines {
+		if engines[i].Slots == 0 {
+			engines[i].Slots = shape.Slots
 		}
 	}
-	return out
+	known.filled[model] = filled{changes, engines}
+	return engines
 }
 
-// fill names the engines behind divided addresses.
-func fill(divided map[string][]string, byAddress map[string]registry.Upstream, shape *routes.Engine) map[string][]registry.Upstream {
-	out := map[string][]registry.Upstream{}
-	for model, addresses := range divided {
+// divide divides a service's engines, by addresses that divided before as they were then.
+func (s *shares) divide(service string, shape *routes.Engine, demand map[string]int, before *share) *share {
+	byAddress := map[string]string{}
+	for _, u := range s.view.Sample(service, loads.Useful(shape.Models, demand, shape.Slots)) {
+		byAddress[u.Address] = u.ID
+	}
+	out := &share{input: division{shape: shape, demand: demand, engines: slices.Sorted(maps.Keys(byAddress))}, ids: map[string][]string{}, filled: map[string]filled{}}
+	if out.input.divide(before) {
+		s.divisions++
+	}
+	for model, addresses := range out.input.byModel {
 		for _, a := range addresses {
-			u := byAddress[a]
-			if u.Slots == 0 {
-				u.Slots = shape.Slots
-			}
-			out[model] = append(out[model], u)
+			out.ids[model] = append(out.ids[model], byAddress[a])
 		}
 	}
 	return out
--- a/internal/batchrun/share_test.go
+++ b/internal/batchrun/share_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
+	"github.com/dogwoodflow/dogwoodflow/internal/loads"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 )
@@ -80,3 +81,53 @@
 		})
 	}
 }
+
+// Guards against a look of an owner that walks every engine of the fleet because the weights
+// of one have changed, or because one that it doesn't use has come or gone: at thousands of
+// loads and hundreds of replaced engines its samples wait for it. What a look allocates, and
+// how often engines are divided, may not grow with the engines.
+func TestLookDoesNotGrowWithTheFleet(t *testing.T) {
+	const models, samples, slots = 8, 160, 6
+	perLook := map[int]float64{}
+	for _, engines := range []int{10_000, 20_000} {
+		g := NewWithT(t)
+		view := fleet.New(func() time.Duration { return 0 })
+		at := func(i int) registry.Upstream {
+			return registry.Upstream{ID: fmt.Sprint("e", i), Service: "engines", Address: fmt.Sprintf("10.%d.%d.%d:1", i>>16, i>>8&255, i&255), Slots: slots, Models: map[string]int64{"m0": 1}}
+		}
+		view.Upstreams(func(r *registry.Registry, _ time.Duration) {
+			for i := range engines {
+				r.Put(at(i))
+			}
+		})
+		shape, demand := &routes.Engine{Slots: slots}, map[string]int{}
+		for i := range models {
+			m := fmt.Sprint("m", i)
+			shape.Models, demand[m] = append(shape.Models, m), samples
+		}
+		s := newShares(view)
+		first := s.of("engines", shape, demand, "m0")
+		g.Expect(first).To(HaveLen(loads.Useful([]string{"m0"}, demand, slots)))
+		version := int64(1)
+		perLook[engines] = testing.AllocsPerRun(100, func() {
+			version++
+			view.Upstreams(func(r *registry.Registry, _ time.Duration) { r.Loaded("e17", 0, "m0", version) })
+			s.of("engines", shape, demand, "m0")
+		})
+		g.Expect(perLook[engines]).To(BeNumerically("<", 100), "a load elsewhere, %d engines", engines)
+
+		before := s.divisions
+		const replaced = 200 // of which few are among those that the models use
+		for i := range replaced {
+			view.Upstreams(func(r *registry.Registry, now time.Duration) {
+				r.Remove(fmt.Sprint("e", i), now)
+				r.Put(at(engines + i))
+			})
+			s.of("engines", shape, demand, "m0")
+		}
+		used := float64(models*len(first)) / float64(engines)
+		// Each of them leaves one place and takes another.
+		g.Expect(float64(s.divisions-before)).To(BeNumerically("<", 2*2*replaced*used), "%d engines", engines)
+	}
+	NewWithT(t).Expect(perLook[20_000]).To(BeNumerically("<=", perLook[10_000]+1))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -139,6 +139,34 @@
 	return v.upstreams.Of(service)
 }
 
+// Members counts the changes of a service's upstreams but for those of their weights.
+func (v *View) Members(service string) uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.upstreams.Expire(v.now())
+	return v.upstreams.Members(service)
+}
+
+// Sample returns so many of a service's upstreams that aren't leaving, see registry.Sample.
+func (v *View) Sample(service string, n int) []registry.Upstream {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.upstreams.Sample(service, n)
+}
+
+// List returns upstreams by their IDs, without those that aren't known.
+func (v *View) List(ids []string) []registry.Upstream {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]registry.Upstream, 0, len(ids))
+	for _, id := range ids {
+		if u, ok := v.upstreams.Get(id); ok {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // Get returns one upstream.
 func (v *View) Get(id string) (registry.Upstream, bool) {
 	v.mu.Lock()
--- a/internal/loads/share.go
+++ b/internal/loads/share.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/spread"
 )
 
 // Share divides the engines of a service among its models, so that a new version
@@ -85,6 +86,19 @@
 	return max(1, (roomForDemand*samples+slots-1)/slots)
 }
 
+// Useful is how many engines a service's models can use together.
+func Useful(models []string, demand map[string]int, slots int) int {
+	sum := 0
+	for _, m := range models {
+		room := roomOf(demand[m], slots)
+		if room == math.MaxInt {
+			return room
+		}
+		sum += room
+	}
+	return sum
+}
+
 func weightsOf(models []string, demand map[string]int) []float64 {
 	known, sum := 0, 0
 	for _, m := range models {
@@ -122,7 +136,7 @@
 	for _, e := range engines {
 		owner := new(string)
 		for _, m := range models {
-			pairs = append(pairs, pair{e, m, hash(e, m), owner})
+			pairs = append(pairs, pair{e, m, spread.Hash(e, m), owner})
 		}
 	}
 	slices.SortFunc(pairs, func(a, b pair) int {
@@ -130,21 +144,3 @@
 	})
 	return pairs
 }
-
-func hash(parts ...string) uint64 {
-	h := fnv.New64a()
-	for _, p := range parts {
-		_, _ = h.Write([]byte(p)) // a hash's Write never fails
-		_, _ = h.Write([]byte{0})
-	}
-	return mix(h.Sum64())
-}
-
-// mix spreads FNV's low entropy for short, similar strings over all bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -51,25 +51,29 @@
 	gone time.Duration // when its entry was removed, 0: it has one
 }
 
+// goneStart is an ID whose entry was removed.
+type goneStart struct {
+	id string
+	at time.Duration
+}
+
 // Registry is the view of all upstreams.
 type Registry struct {
 	upstreams map[string]Upstream
 	starts    map[string]start // by ID, of those that tell theirs
+	gone      []goneStart      // in the order of time, to be forgotten
 	// lapsed entries were removed while the store was away.
 	lapsed map[string]time.Duration // ID -> when it goes unless registered again
 	away   bool
 	until  time.Duration // end of the grace after the store's return
 
-	changes uint64 // of the upstreams
-	// lists are the upstreams by service, sorted, made when they're asked for and dropped
-	// at a change. Each call and each look of an owner asks; thousands of upstreams sorted
-	// anew took an owner's whole processor.
-	lists map[string][]Upstream
+	changes  uint64 // of the upstreams
+	services map[string]*members
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{upstreams: map[string]Upstream{}, starts: map[string]start{}, lapsed: map[string]time.Duration{}, lists: map[string][]Upstream{}}
+	return &Registry{upstreams: map[string]Upstream{}, starts: map[string]start{}, lapsed: map[string]time.Duration{}, services: map[string]*members{}}
 }
 
 // Changes counts the changes of the upstreams: while it stays the same, so do they.
@@ -77,22 +81,32 @@
 
 // set takes an upstream as it is now.
 func (r *Registry) set(u Upstream) {
-	if old, ok := r.upstreams[u.ID]; ok && old.equal(u) {
+	old, known := r.upstreams[u.ID]
+	if known && old.equal(u) {
 		return
 	}
+	if known && old.Service != u.Service {
+		r.of(old.Service).remove(old)
+		known = false
+	}
 	r.upstreams[u.ID] = u
-	r.changed()
-}
-
-func (r *Registry) changed() {
+	r.of(u.Service).set(old, known, u)
 	r.changes++
-	clear(r.lists)
 }
 
-func (u Upstream) equal(o Upstream) bool {
-	if !maps.Equal(u.Models, o.Models) {
-		return false
+func (r *Registry) of(service string) *members {
+	m := r.services[service]
+	if m == nil {
+		m = &members{byID: map[string]Upstream{}}
+		r.services[service] = m
 	}
+	return m
+}
+
+func (u Upstream) equal(o Upstream) bool { return u.samePlace(o) && maps.Equal(u.Models, o.Models) }
+
+// samePlace reports whether two states of an upstream differ by weights at most.
+func (u Upstream) samePlace(o Upstream) bool {
 	return u.ID == o.ID && u.Started == o.Started && u.Service == o.Service && u.Address == o.Address &&
 		u.DataCentre == o.DataCentre && u.Slots == o.Slots && u.Leaving == o.Leaving && u.Spot == o.Spot
 }
@@ -176,13 +190,15 @@
 }
 
 func (r *Registry) drop(id string, now time.Duration) {
-	if _, ok := r.upstreams[id]; ok {
+	if u, ok := r.upstreams[id]; ok {
 		delete(r.upstreams, id)
-		r.changed()
+		r.of(u.Service).remove(u)
+		r.changes++
 	}
 	if s, ok := r.starts[id]; ok {
 		s.gone = now
 		r.starts[id] = s
+		r.gone = append(r.gone, goneStart{id, now})
 	}
 }
 
@@ -242,10 +258,11 @@
 			r.drop(id, now)
 		}
 	}
-	for id, s := range r.starts {
-		if s.gone != 0 && now-s.gone > startMemory {
-			delete(r.starts, id)
+	for len(r.gone) > 0 && now-r.gone[0].at > startMemory {
+		if first := r.gone[0]; r.starts[first.id].gone == first.at {
+			delete(r.starts, first.id)
 		}
+		r.gone = r.gone[1:]
 	}
 }
 
@@ -260,19 +277,15 @@
 
 // Of returns the upstreams of a service sorted by ID, leaving ones included. The list
 // may be given to others too and must not be changed.
-func (r *Registry) Of(service string) []Upstream {
-	if list, ok := r.lists[service]; ok {
-		return list
-	}
-	var out []Upstream
-	for _, u := range r.upstreams {
-		if u.Service == service {
-			out = append(out, u)
-		}
-	}
-	r.lists[service] = sorted(out)
-	return out
-}
+func (r *Registry) Of(service string) []Upstream { return r.of(service).all() }
+
+// Members counts the changes of a service's upstreams but for those of their weights: while
+// it stays the same, so does what Sample returns, weights aside.
+func (r *Registry) Members(service string) uint64 { return r.of(service).changes }
+
+// Sample returns so many of a service's upstreams that aren't leaving, one for each address:
+// the same ones at every daemon that knows the same upstreams, and few others after a change.
+func (r *Registry) Sample(service string, n int) []Upstream { return r.of(service).sample(n) }
 
 // All returns every live upstream, by ID.
 func (r *Registry) All() []Upstream {
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -3,13 +3,14 @@
 import (
 	"bytes"
 	"cmp"
-	"hash/fnv"
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
+	"github.com/dogwoodflow/dogwoodflow/internal/spread"
 )
 
 // sliceUpstreams is how many upstreams of a service a slice has at least, in the mean of the
@@ -88,30 +89,14 @@
 	weights := make([]uint64, a.slices)
 	order := make([]uint16, a.slices)
 	for i := range order {
-		weights[i], order[i] = hash(id, i), uint16(i)
+		weights[i], order[i] = spread.Hash(id, strconv.Itoa(i)), uint16(i)
 	}
 	slices.SortFunc(order, func(x, y uint16) int { return cmp.Compare(weights[y], weights[x]) })
 	return order
 }
 
-func hash(id string, salt int) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id)) // a hash's Write never fails
-	_, _ = h.Write([]byte{byte(salt), byte(salt >> 8)})
-	return mix(h.Sum64())
-}
-
-// mix spreads FNV's low entropy for short, similar strings over all bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // sliceOf is the slice that a VM's daemon reads.
-func sliceOf(vm string, slices int) int { return int(hash(vm, slices) % uint64(slices)) }
+func sliceOf(vm string, slices int) int { return int(spread.Hash(vm) % uint64(slices)) }
 
 // change is a record to write; without a value it drops the key.
 type change struct {
