Usage counts a send without an answer only if it had begun by the expected wait

Cause: each send whose outcome was unknown counted as a run, at the time of its send. Calls that were cancelled in an upstream's queue (hedges that lost, callers that left, time limits, broken connections, status 504 at the time limit) were therefore counted though no upstream ran them, and runs that began after a wait could fall into the window of their send. The start was also measured with a clock that stops while the VM is suspended.

The balancer reports waits as unknown until it is connected to LeastWait.QueueTime; until then unanswered sends still count.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 	crashes   CrashTracker
 	usage     UsageRecorder
 	balancer  *balancer
+	waits     waitEstimator
 	policy    policy.Set
 	hedges    *hedgeBudget
 	now       func() time.Duration
@@ -145,7 +146,8 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, usage: o.Usage, balancer: newBalancer(o.DataCentre, o.Policy, o.Suspects), policy: o.Policy, hedges: newHedgeBudget(), now: o.Now, log: o.Logger}
+	b := newBalancer(o.DataCentre, o.Policy, o.Suspects)
+	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, usage: o.Usage, balancer: b, waits: b, policy: o.Policy, hedges: newHedgeBudget(), now: o.Now, log: o.Logger}
 }
 
 // limitDeadline brings the deadline of a call that started at startedAt within the timeout
@@ -259,11 +261,10 @@
 	a.sendRecords = append(a.sendRecords, sendRecord{upstream: u.Incarnation(), load: load, loadAge: loadAge, startedAt: startedAt})
 	a.sends.Begin()
 	a.inFlight++
+	transmission := a.g.beginTransmission(u)
 	go func() {
 		response, err := a.g.upstreams.Call(ctx, u, a.call, a.route.Kind != routes.Safe)
-		if mayHaveRun(response, err) {
-			a.g.countRun(a.call, startedAt)
-		}
+		a.g.countRun(a.call, transmission, response, err)
 		a.g.recordSend(ctx, u, a.call, response, err)
 		a.results <- sendResult{u, response, err, time.Since(startedAt)}
 	}()
@@ -280,13 +281,6 @@
 	return !errors.As(err, &f) || f.Sent
 }
 
-// countRun counts a run of a customer's request that began at startedAt.
-func (g *Gateway) countRun(call *Call, startedAt time.Time) {
-	if g.usage != nil && call.Customer != "" {
-		g.usage.RecordRun(call.Customer, time.Since(startedAt))
-	}
-}
-
 // recordSend updates the balancer, the hedge budget and the crash tracker with the outcome
 // of a send.
 func (g *Gateway) recordSend(ctx context.Context, u registry.Upstream, call *Call, response *Response, err error) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -132,16 +132,14 @@
 // send sends the call to one upstream and forwards the stream. It returns the final result,
 // or nil and the action to take.
 func (s *activeStream) send(ctx context.Context, u registry.Upstream) (*StreamResult, streamAction) {
-	startedAt := time.Now()
+	transmission := s.g.beginTransmission(u)
 	stream, err := s.g.upstreams.Open(ctx, u, s.call, Resume{Resumable: s.rule.Repeatable, LastEventID: s.lastEventID, Version: s.requiredVersion()})
 	if err != nil {
 		s.g.recordSend(ctx, u, s.call, nil, err)
 		return nil, s.handleFailure(u, err)
 	}
 	if stream.Events == nil {
-		if !stream.NotRun {
-			s.g.countRun(s.call, startedAt)
-		}
+		s.g.countRun(s.call, transmission, &stream.Response, nil)
 		s.g.recordSend(ctx, u, s.call, &stream.Response, nil)
 		return s.handleNonStream(u, &stream.Response)
 	}
@@ -200,7 +198,7 @@
 			return err
 		}
 		if first {
-			s.g.countRun(s.call, time.Now())
+			s.g.recordRun(s.call, 0)
 		}
 		if e.ID != s.lastEventID+1 {
 			return &exchange.Failure{Kind: exchange.Malformed, Sent: true, Err: errEventOrder}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -28,7 +28,7 @@
 type streamBehaviour struct {
 	status      int   // it responds with this status and no stream, 0: it streams
 	notRun      bool  // that response states that the request was not run
-	breakAfter  int   // the stream breaks after this event, 0: never
+	breakAfter  int   // the stream breaks after this event, 0: never, -1: before the first
 	hangAfter   int   // the stream hangs after this event, 0: never
 	skip        int   // this event is left out, 0: none
 	version     int64 // model weight version; it status calls that require another one
@@ -86,7 +86,7 @@
 
 func (e *fakeEvents) Next() (Event, error) {
 	switch {
-	case e.behaviour.breakAfter > 0 && e.last >= e.behaviour.breakAfter:
+	case e.behaviour.breakAfter != 0 && e.last >= e.behaviour.breakAfter:
 		return Event{}, &exchange.Failure{Kind: exchange.Reset, Sent: true, Err: errors.New("test")}
 	case e.behaviour.hangAfter > 0 && e.last >= e.behaviour.hangAfter:
 		<-e.ctx.Done()
