gateway: a status 504 of an upstream counts as a run

Cause: the platform's page says that an upstream's 504 at the time limit counts as run, and that it states 'not run' for a request whose limit passed in its queue.

--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
@@ -65,9 +64,7 @@
 	switch {
 	case !mayHaveRun(response, err):
 		return usage.NotRun
-	case err != nil, response.Status == http.StatusGatewayTimeout:
-		// An upstream may respond with status 504 to a request whose time limit passed in its
-		// queue.
+	case err != nil:
 		return usage.Unanswered
 	}
 	return usage.Answered
