--- a/internal/limits/overload.go
+++ b/internal/limits/overload.go
@@ -45,10 +45,13 @@
 	// refusedRate is the rate per second at which refusals lower the logarithm of the
 	// fraction. A full queue hides how high the load is, so the linear gains are too slow
 	// there; refusals end without delay once the load is below the capacity.
-	refusedRate = 4.0
-	// refusedCredit is the longest time for which one refusal lowers the fraction, so that
-	// a single refusal, for example by one uneven upstream, has little effect.
-	refusedCredit = 60 * time.Millisecond
+	refusedRate = 3.5
+	// refusedCredit is the time for which one refusal lowers the fraction, so that a single
+	// refusal, for example by one uneven upstream, has little effect. It grows with each
+	// refusal that follows without a low estimate between them, up to maxRefusedCredit, so
+	// that daemons with few calls follow a steep overload too.
+	refusedCredit    = 60 * time.Millisecond
+	maxRefusedCredit = 120 * time.Millisecond
 	// estimateCredit is the longest time for which one estimate lowers the fraction.
 	estimateCredit = 200 * time.Millisecond
 
@@ -58,8 +61,8 @@
 	// while the queues are empty: rate per second, and its increase per second. A short
 	// gap thus does not cause the next overload, and the end of a peak at six times the
 	// capacity is followed within a second.
-	emptyRate         = 0.8
-	emptyAcceleration = 9.0
+	emptyRate         = 1.0
+	emptyAcceleration = 12.0
 )
 
 // OverloadOptions configures an Overload.
@@ -92,14 +95,17 @@
 	integral   float64 // logarithm of the fraction without the proportional part, at most 0
 	deviation  float64 // last deviation in targets
 	target     time.Duration
-	refused    bool // the last observation was a refusal
 	observed   bool // there was an observation
 	observedAt time.Duration
-	firstAt    time.Duration // first observation since the data was last outdated
-	empty      bool
-	emptySince time.Duration
-	below      bool // the fraction was below 1 at belowAt
-	belowAt    time.Duration
+	// refusals is the number of refusals since the last estimate below refusedDeviation.
+	// They lower the fraction until refusedUntil.
+	refusals     int
+	refusedUntil time.Duration
+	firstAt      time.Duration // first observation since the data was last outdated
+	empty        bool
+	emptySince   time.Duration
+	below        bool // the fraction was below 1 at belowAt
+	belowAt      time.Duration
 }
 
 // NewOverload returns a controller that admits all calls.
@@ -122,18 +128,23 @@
 		o.target = target
 	}
 	deviation := float64(max(0, queueTime))/float64(o.target) - 1
-	o.observe(min(maxDeviation, deviation), false, now)
+	if deviation < refusedDeviation {
+		o.refusals, o.refusedUntil = 0, now
+	}
+	o.observe(min(maxDeviation, deviation), now)
 }
 
 // Refused is called when an upstream refused a call because its queue was full. It is
 // evidence of a queue time of at least twice the target.
 func (o *Overload) Refused(now time.Duration) {
 	now = o.settle(now)
-	o.observe(max(refusedDeviation, o.deviation), true, now)
+	o.refusals++
+	o.refusedUntil = now + min(maxRefusedCredit, time.Duration(o.refusals)*refusedCredit)
+	o.observe(max(refusedDeviation, o.deviation), now)
 }
 
 // observe records an observation. The caller has settled the integral.
-func (o *Overload) observe(deviation float64, refused bool, now time.Duration) {
+func (o *Overload) observe(deviation float64, now time.Duration) {
 	if !o.observed || now-o.observedAt > maxEstimateAge {
 		o.firstAt, o.empty = now, false
 	}
@@ -141,7 +152,7 @@
 	if empty && !o.empty {
 		o.emptySince = now
 	}
-	o.deviation, o.refused, o.empty = deviation, refused, empty
+	o.deviation, o.empty = deviation, empty
 	o.observed, o.observedAt = true, now
 	if o.level(now) < 0 {
 		o.below, o.belowAt = true, now
@@ -159,7 +170,7 @@
 		o.below, o.belowAt = true, min(now, until)
 	}
 	if now-o.observedAt > maxEstimateAge {
-		o.integral, o.deviation, o.refused = o.level(now), 0, false
+		o.integral, o.deviation, o.refusals = o.level(now), 0, 0
 		return now
 	}
 	o.integral = o.integralAt(now)
@@ -174,8 +185,8 @@
 	case o.empty:
 		from, to := (o.observedAt - o.emptySince).Seconds(), (now - o.emptySince).Seconds()
 		change = emptyRate*(to-from) + emptyAcceleration/2*(to*to-from*from)
-	case o.refused:
-		change = -refusedRate * min(elapsed, refusedCredit).Seconds()
+	case o.refusedUntil > o.observedAt:
+		change = -refusedRate * min(elapsed, o.refusedUntil-o.observedAt).Seconds()
 	default:
 		change = -integralGain * o.gainTarget() * o.deviation * min(elapsed, estimateCredit).Seconds()
 	}
@@ -254,7 +265,8 @@
 		level = min(level, o.integral)
 	} else {
 		o.observed, o.observedAt, o.firstAt = true, now, now
-		o.deviation, o.refused, o.empty = 0, false, false
+		o.deviation, o.empty = 0, false
+		o.refusals, o.refusedUntil = 0, now
 	}
 	o.integral = level
 	if level < 0 {
