--- a/internal/limits/admitter.go
+++ b/internal/limits/admitter.go
@@ -49,6 +49,9 @@
 	return admit
 }
 
+// Customers returns the number of remembered pairs of customer and level.
+func (a *Admitter) Customers() int { return len(a.entries) }
+
 // sweep forgets customers not seen for admitterTTL, at most once a second.
 func (a *Admitter) sweep(now time.Duration) {
 	if now-a.sweptAt < time.Second {
--- a/internal/limits/fractions.go
+++ b/internal/limits/fractions.go
@@ -12,6 +12,9 @@
 	// levels could use everything, and the part of the admitted calls that all lower
 	// levels together keep.
 	lowerLevelShare = 0.1
+	// maxPasses bounds the passes of Fractions over the levels. Two are enough with two
+	// levels; with more, what is not divided after the second is below a thousandth.
+	maxPasses = 6
 )
 
 // Demand is the rate of calls of a customer at one level, in calls per second.
@@ -97,12 +100,12 @@
 	}
 
 	// What a customer may use at a lower level is bounded by its fraction at more urgent
-	// levels. The second pass gives what is left over because of that to the upper levels.
+	// levels. Further passes give what is left over because of that to the upper levels.
 	reserved := make([]float64, len(levels))
 	for i := 1; i < len(levels); i++ {
 		reserved[i] = guaranteed * levels[i].total
 	}
-	for range 2 {
+	for range maxPasses {
 		left, later := budget, sumOf(reserved)
 		bounds := map[string]float64{}
 		for i := range levels {
@@ -110,6 +113,9 @@
 			levels[i].divide(max(0, left-later), bounds)
 			left -= levels[i].used
 		}
+		if left <= roundingError*budget {
+			break
+		}
 		for i := 1; i < len(levels); i++ {
 			reserved[i] = min(reserved[i], levels[i].used)
 		}
@@ -147,25 +153,26 @@
 func (l *levelDemand) divide(budget float64, bounds map[string]float64) {
 	wanted := make([]float64, len(l.demands))
 	order := make([]int, len(l.demands))
-	var weight float64
 	for i, d := range l.demands {
 		order[i], wanted[i] = i, d.Rate
 		if bound, ok := bounds[d.Customer]; ok {
 			wanted[i] *= bound
 		}
-		weight += d.Weight
 	}
 	// In the order of demand by weight, each customer gets the smaller of its demand and
 	// its part of what is left.
 	slices.SortStableFunc(order, func(a, b int) int {
 		return cmp.Compare(wanted[a]/l.demands[a].Weight, wanted[b]/l.demands[b].Weight)
 	})
+	weights := make([]float64, len(order)+1) // of the customers from each place in the order on
+	for place := len(order) - 1; place >= 0; place-- {
+		weights[place] = weights[place+1] + l.demands[order[place]].Weight
+	}
 	l.granted, l.used = make([]float64, len(l.demands)), 0
-	for _, i := range order {
+	for place, i := range order {
 		d := l.demands[i]
-		l.granted[i] = min(wanted[i], max(0, budget-l.used)*d.Weight/weight)
+		l.granted[i] = min(wanted[i], max(0, budget-l.used)*d.Weight/weights[place])
 		l.used += l.granted[i]
-		weight = max(d.Weight, weight-d.Weight) // never zero by rounding
 		bounds[d.Customer] = l.granted[i] / d.Rate
 	}
 }
