--- /dev/null
+++ b/internal/admission/status.go
@@ -0,0 +1,96 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxCounted bounds the customers whose calls are counted; further ones count as "".
+const maxCounted = 1024
+
+// Counts are the calls of a customer since the start of the daemon.
+type Counts struct {
+	Admitted int64 `json:"admitted"`
+	// Of the refused calls, those outside of the customer's share, and those that could not
+	// have been answered in time.
+	RefusedShare    int64 `json:"refused_share"`
+	RefusedDeadline int64 `json:"refused_deadline"`
+}
+
+// CustomerStatus describes the calls of a customer at one level.
+type CustomerStatus struct {
+	Customer string  `json:"customer"` // "" for calls without one
+	Level    int     `json:"level"`    // 2 x priority, plus 1 for calls that are late
+	Rate     float64 `json:"rate"`     // own calls per second
+	Fraction float64 `json:"fraction"` // of them that is admitted
+	Counts           // of all levels
+}
+
+// Status describes the admission to a service for operators.
+type Status struct {
+	Service     string           `json:"service"`
+	Admitted    float64          `json:"admitted"` // fraction of all calls
+	Contended   bool             `json:"contended"`
+	QueueTimeMS float64          `json:"queue_time_ms"` // -1: unknown
+	RunTimeMS   float64          `json:"run_time_ms"`
+	Source      Source           `json:"source"`
+	SourceAgeMS int64            `json:"source_age_ms"` // -1 while all calls are admitted
+	Daemons     int              `json:"daemons"`       // whose demand is known
+	Customers   []CustomerStatus `json:"customers"`
+}
+
+func (s *Service) count(customer string, refused Reason) {
+	c := s.counts[customer]
+	if c == nil {
+		if len(s.counts) >= maxCounted {
+			customer = ""
+		}
+		if c = s.counts[customer]; c == nil {
+			c = &Counts{}
+			s.counts[customer] = c
+		}
+	}
+	switch refused {
+	case Share:
+		c.RefusedShare++
+	case Deadline:
+		c.RefusedDeadline++
+	default:
+		c.Admitted++
+	}
+}
+
+// Status returns the state of the admission.
+func (s *Service) Status(service string, load Load, now time.Duration) Status {
+	out := Status{
+		Service: service, Admitted: s.overload.Admitted(now), Contended: s.overload.Contended(now), QueueTimeMS: -1,
+		RunTimeMS: milliseconds(load.RunTime), Source: OwnDemand, SourceAgeMS: -1, Daemons: 1, Customers: []CustomerStatus{},
+	}
+	if load.Known {
+		out.QueueTimeMS = milliseconds(load.QueueTime)
+	}
+	if out.Admitted < 1 {
+		s.updateShares(out.Admitted, now)
+		out.SourceAgeMS = (now - s.sharesAt).Milliseconds()
+	}
+	if s.fleetFresh(now) {
+		out.Source, out.SourceAgeMS, out.Daemons = FleetDemand, (now - s.fleetAt).Milliseconds(), s.fleet.Daemons
+	}
+	for _, d := range s.demand.Demands(now) {
+		entry := CustomerStatus{Customer: d.Customer, Level: d.Level, Rate: d.Rate, Fraction: 1}
+		if out.Admitted < 1 {
+			entry.Fraction = s.shares.Admit(d.Customer, d.Level)
+		}
+		if c := s.counts[d.Customer]; c != nil {
+			entry.Counts = *c
+		}
+		out.Customers = append(out.Customers, entry)
+	}
+	slices.SortFunc(out.Customers, func(a, b CustomerStatus) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Level, b.Level))
+	})
+	return out
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/limits/demandmeter.go
+++ b/internal/limits/demandmeter.go
@@ -18,12 +18,6 @@
 	maxMeteredFlows = 1024
 )
 
-// flowID identifies the calls of a customer at one level.
-type flowID struct {
-	customer string
-	level    int
-}
-
 // decayingRate is a rate that decays exponentially between events.
 type decayingRate struct {
 	perSecond float64
@@ -42,22 +36,22 @@
 // DemandMeter measures the rate of the calls that arrive, by customer and level. It is not
 // safe for concurrent use.
 type DemandMeter struct {
-	flows map[flowID]*decayingRate
+	flows map[customerLevel]*decayingRate
 }
 
 // NewDemandMeter returns a meter that has seen no call.
-func NewDemandMeter() *DemandMeter { return &DemandMeter{flows: map[flowID]*decayingRate{}} }
+func NewDemandMeter() *DemandMeter { return &DemandMeter{flows: map[customerLevel]*decayingRate{}} }
 
 // Add records the arrival of a call.
 func (m *DemandMeter) Add(customer string, level int, now time.Duration) {
-	id := flowID{customer, level}
+	id := customerLevel{customer, level}
 	rate := m.flows[id]
 	if rate == nil {
 		if len(m.flows) >= maxMeteredFlows {
 			m.trim(now)
 		}
 		if len(m.flows) >= maxMeteredFlows {
-			id = flowID{"", level}
+			id = customerLevel{"", level}
 			rate = m.flows[id]
 		}
 		if rate == nil {
