internal/upstream/loadreport: load reports with three or four figures

Cause: upstreams of some deployments report a fourth figure, how long work takes there in percent of the usual. loadOf parsed three figures only, so the load of these upstreams was unknown to the gateway and it chose by its own calls in flight alone.

Response.Load is a *loadreport.Report, nil if unknown. Weighed: a report with -1 for unknown, as before; a pointer cannot be taken for a load by accident. The choice of an upstream still uses running plus waiting only.

Tests that passed 0 or 3 as load pass the same load as a report.

--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream/loadreport"
 )
 
 // reportedLoadTTL is how long a load reported by an upstream is used. Requests take tens
@@ -138,15 +139,15 @@
 }
 
 // recordSuccess notes a response and clears suspicion of the upstream. load is the load
-// reported with the response, -1 if there was none.
-func (b *balancer) recordSuccess(incarnation string, load int, now time.Duration) {
+// reported with the response, nil if there was none.
+func (b *balancer) recordSuccess(incarnation string, load *loadreport.Report, now time.Duration) {
 	b.suspects.Succeeded(incarnation)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state := b.stateLocked(incarnation, now)
 	state.lastResponseAt = now
-	if load >= 0 {
-		state.reportedLoad, state.reportedAt = load, now
+	if load != nil {
+		state.reportedLoad, state.reportedAt = load.Load(), now
 	}
 }
 
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -38,7 +38,7 @@
 		return nil, &exchange.Failure{Kind: exchange.Dial, Err: errors.New("connection refused")}
 	}
 	if string(c.Body) != "killer" {
-		return &Response{Status: http.StatusOK, Load: -1}, nil
+		return &Response{Status: http.StatusOK}, nil
 	}
 	f.killers++
 	f.down[u.ID] = !f.resetOnly
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/retry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/exchange"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream/loadreport"
 )
 
 // Call is a caller's request with its body read.
@@ -43,8 +44,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	NotRun bool // the upstream states that it did not run the request
-	Load   int  // requests running and queued at the upstream, as it reports them; -1: unknown
+	NotRun bool               // the upstream states that it did not run the request
+	Load   *loadreport.Report // as the upstream reports it with this response, nil: unknown
 	// ServerErrors is the number of upstreams that ran the call and responded with status 500,
 	// this one included.
 	ServerErrors int
@@ -322,7 +323,7 @@
 		a.sends.MarkNotRun()
 		a.lastResponse = r.response
 		a.g.log.Info().Str("request", a.call.ID).Str("upstream", r.upstream.Incarnation()).Int("status", r.response.Status).
-			Int("load", r.response.Load).Msg("upstream refused")
+			Int("load", loadForLog(r.response.Load)).Msg("upstream refused")
 		return nil
 	case r.response.Status >= 500 && a.route.Kind == routes.Safe && a.maySendAgain():
 		a.lastResponse = r.response
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/exchange"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream/loadreport"
 )
 
 // fakeUpstreams respond by the behaviour set for their ID and count the sends.
@@ -73,7 +74,7 @@
 		case <-ctx.Done():
 			return nil, &exchange.Failure{Kind: exchange.Cancelled, Sent: true, Err: ctx.Err()}
 		case <-time.After(delay):
-			return &Response{Status: 200, Load: 1}, nil
+			return &Response{Status: 200, Load: &loadreport.Report{Running: 1, Slots: 6, Slowdown: 1}}, nil
 		}
 	}
 }
@@ -81,7 +82,7 @@
 // status responds with a status at once.
 func status(code int, notRun bool) behaviour {
 	return func(context.Context) (*Response, error) {
-		return &Response{Status: code, NotRun: notRun, Load: -1}, nil
+		return &Response{Status: code, NotRun: notRun}, nil
 	}
 }
 
@@ -308,15 +309,15 @@
 	now := time.Minute
 	first, _ := b.pick(candidates, nil, now)
 	b.release(first.ID, now)
-	b.recordSuccess(first.ID, 0, now)
+	b.recordSuccess(first.ID, &loadreport.Report{Slots: 6, Slowdown: 1}, now)
 	for range 20 {
 		now += 4 * time.Second
 		u, _ := b.pick(candidates, nil, now)
 		g.Expect(u.ID).To(Equal(first.ID))
 		b.release(u.ID, now)
-		b.recordSuccess(u.ID, 0, now)
+		b.recordSuccess(u.ID, &loadreport.Report{Slots: 6, Slowdown: 1}, now)
 	}
-	b.recordSuccess(first.ID, 3, now)
+	b.recordSuccess(first.ID, &loadreport.Report{Running: 3, Slots: 6, Slowdown: 1}, now)
 	u, _ := b.pick(candidates, nil, now)
 	g.Expect(u.ID).NotTo(Equal(first.ID), "it reported a load of three")
 	u, _ = b.pick(candidates, map[string]bool{u.ID: true}, now+warmDuration+time.Second)
--- a/internal/gateway/send_record.go
+++ b/internal/gateway/send_record.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/exchange"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream/loadreport"
 )
 
 // sendRecord describes one send in the log line of a call that was refused or sent more
@@ -29,6 +30,14 @@
 	return fmt.Sprintf("%s load=%d age=%dms %s after %dms", r.upstream, r.load, r.loadAge.Milliseconds(), outcome, duration.Milliseconds())
 }
 
+// loadForLog returns the reported load as a number for logs, -1 if it is unknown.
+func loadForLog(r *loadreport.Report) int {
+	if r == nil {
+		return -1
+	}
+	return r.Load()
+}
+
 // recordOutcome adds the outcome of a send to its record.
 func (a *activeCall) recordOutcome(r sendResult) {
 	for i := range a.sendRecords {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -67,11 +67,11 @@
 	case b.unreachable:
 		return nil, &exchange.Failure{Kind: exchange.Dial, Err: errors.New("test")}
 	case b.status != 0:
-		return &Stream{Response: Response{Status: b.status, NotRun: b.notRun, Load: -1}}, nil
+		return &Stream{Response: Response{Status: b.status, NotRun: b.notRun}}, nil
 	case r.Version != 0 && r.Version != b.version:
-		return &Stream{Response: Response{Status: http.StatusMisdirectedRequest, NotRun: true, Load: -1}}, nil
+		return &Stream{Response: Response{Status: http.StatusMisdirectedRequest, NotRun: true}}, nil
 	}
-	return &Stream{Response: Response{Status: 200, Load: -1}, Version: b.version, Events: &fakeEvents{f: f, ctx: ctx, behaviour: b, upstream: u.ID, last: r.LastEventID}}, nil
+	return &Stream{Response: Response{Status: 200}, Version: b.version, Events: &fakeEvents{f: f, ctx: ctx, behaviour: b, upstream: u.ID, last: r.LastEventID}}, nil
 }
 
 // fakeEvents is a stream that one upstream produces.
