internal/routing: LeastWait chooses upstreams by expected response time

Cause: the cost function of the balancer is the larger of own calls in flight and reported load. It knows neither slots nor run times, so a slow upstream gets as many calls as its queue holds, daemons with reports of different ages follow them to the same upstream, and an upstream that refuses because of a fault looks idle and attracts calls.

LeastWait expects: cost of the connection and of the data centre, wait in the queue by the last report (moved towards the mean of all reports by its age, corrected by own calls since), run time (learned, scaled by the fourth figure). Differences below half a run time are random once an upstream uses more than half of its slots. balancer.go is a locked wrapper that keeps the policy switches and suspects; if all upstreams are known to be full it falls back to the least full one.

Weighed: see docs/POLICY.md, "Choice of an upstream for calls". The connection stays cheaper than the data centre, as before. Response times of 5xx responses are not learned, as failing fast would make an upstream look fast. A stream's report is used when its header arrives.

--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -8,115 +8,97 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
-	"github.com/dogwoodflow/dogwoodflow/internal/upstream/loadreport"
+	"github.com/dogwoodflow/dogwoodflow/internal/routing"
 )
 
-// reportedLoadTTL is how long a load reported by an upstream is used. Requests take tens
-// of milliseconds, so an older figure says nothing.
-const reportedLoadTTL = 300 * time.Millisecond
-
-// balancer chooses upstreams of services. It is safe for concurrent use.
+// balancer chooses upstreams of services by their expected response times. It is safe for
+// concurrent use.
 //
 // All times passed to it are readings of Options.Now.
 type balancer struct {
 	localDataCentre string // data centre of this VM
 	policy          policy.Set
 	suspects        *health.Suspects
-	picks           int // number of calls of pick, for round robin
-	mu              sync.Mutex
-	// states is keyed by incarnation: a restarted upstream has no request in flight.
-	states map[string]*upstreamState
-}
 
-// upstreamState is what this daemon knows of one incarnation of an upstream.
-type upstreamState struct {
-	inFlight       int           // requests sent by this daemon without an outcome yet
-	reportedLoad   int           // requests running and queued, as last reported by the upstream
-	reportedAt     time.Duration // when it reported reportedLoad, 0: never
-	lastSeenAt     time.Duration // when it was last used or considered
-	lastResponseAt time.Duration // when it last responded to this daemon, 0: never
+	mu        sync.Mutex
+	picks     int // number of calls of pick, for round robin
+	leastWait *routing.LeastWait
 }
 
 func newBalancer(dataCentre string, set policy.Set, suspects *health.Suspects) *balancer {
-	return &balancer{localDataCentre: dataCentre, policy: set, suspects: suspects, states: map[string]*upstreamState{}}
-}
-
-func (b *balancer) stateLocked(incarnation string, now time.Duration) *upstreamState {
-	state := b.states[incarnation]
-	if state == nil {
-		state = &upstreamState{}
-		b.states[incarnation] = state
-	}
-	state.lastSeenAt = now
-	return state
+	return &balancer{localDataCentre: dataCentre, policy: set, suspects: suspects,
+		leastWait: routing.NewLeastWait(routing.LeastWaitOptions{IgnoreConnections: !set.Enabled(policy.Warm)})}
 }
 
-// pick returns the candidate with the lowest cost that is neither leaving nor in tried,
-// and counts a request in flight there until release is called. Suspected upstreams are
-// chosen only if there is no other. It reports false if no candidate is left. tried is
-// keyed by incarnation.
-func (b *balancer) pick(candidates []registry.Upstream, tried map[string]bool, now time.Duration) (registry.Upstream, bool) {
+// pick returns the best candidate that is neither leaving nor in tried, and counts a request
+// in flight there until release is called. Suspected upstreams are chosen only if there is
+// no other. If all are known to be full, it returns the least full one. It reports false if
+// no candidate is left. tried is keyed by incarnation.
+func (b *balancer) pick(upstreams []registry.Upstream, tried map[string]bool, now time.Duration) (registry.Upstream, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, bestCost := -1, 0.0
 	b.picks++
-	for i, u := range candidates {
-		if u.Leaving || tried[u.Incarnation()] {
-			continue
-		}
-		cost := b.costLocked(u, now)
-		if !b.policy.Enabled(policy.Load) {
-			cost = float64((i + b.picks) % len(candidates))
-		}
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
+	candidates := b.candidates(upstreams, tried, now)
+	best := -1
+	if b.policy.Enabled(policy.Load) {
+		best, _ = b.leastWait.Pick(candidates, now, rand.Float64)
+	} else {
+		for n := range candidates {
+			if i := (b.picks + n) % len(candidates); best < 0 && !candidates[i].Tried {
+				best = i
+			}
 		}
 	}
 	if best < 0 {
 		return registry.Upstream{}, false
 	}
-	b.stateLocked(candidates[best].Incarnation(), now).inFlight++
-	return candidates[best], true
+	b.leastWait.Begin(candidates[best].Key, now)
+	return upstreams[best], true
 }
 
-// Costs are in units of one request in flight.
-const (
-	suspectCost = 1e6 // higher than the cost of any upstream that is not suspected
-	remoteCost  = 0.5 // round trip to another data centre
-	tieSpread   = 0.2 // upper bound of a random cost, so that daemons break ties differently
-	// coldCost is added for an upstream that has not responded to this daemon within
-	// warmDuration: a new connection costs a round trip and briefly occupies a slot at the
-	// upstream. Without it, a daemon with a call every few seconds and dozens of upstreams
-	// would open a connection for each call. It is below the cost of another data centre,
-	// and far below that of one request in flight.
-	coldCost = 0.3
-	// warmDuration is how long idle connections are kept to servers that announce a
-	// keep-alive timeout of ten seconds.
-	warmDuration = 8 * time.Second
-)
-
-func (b *balancer) costLocked(u registry.Upstream, now time.Duration) float64 {
-	state := b.stateLocked(u.Incarnation(), now)
-	cost := float64(state.inFlight) + tieSpread*rand.Float64()
-	if now-state.reportedAt < reportedLoadTTL {
-		cost = max(cost, float64(state.reportedLoad))
-	}
-	if b.policy.Enabled(policy.Warm) && (state.lastResponseAt == 0 || now-state.lastResponseAt > warmDuration) {
-		cost += coldCost
+// candidates returns a candidate for each upstream. Those that must not be picked are
+// marked as tried.
+func (b *balancer) candidates(upstreams []registry.Upstream, tried map[string]bool, now time.Duration) []routing.Candidate {
+	out := make([]routing.Candidate, len(upstreams))
+	for i, u := range upstreams {
+		key := u.Incarnation()
+		out[i] = routing.Candidate{Key: key, Slots: u.Slots, Remote: u.DataCentre != b.localDataCentre,
+			Suspect: b.suspects.IsSuspect(key, now), Tried: u.Leaving || tried[key]}
 	}
-	if u.DataCentre != b.localDataCentre {
-		cost += remoteCost
-	}
-	if b.suspects.IsSuspect(u.Incarnation(), now) {
-		cost += suspectCost
+	return out
+}
+
+// hasRoom reports whether some upstream that is not leaving is not known to be full.
+func (b *balancer) hasRoom(upstreams []registry.Upstream, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leastWait.HasRoom(b.candidates(upstreams, nil, now), now)
+}
+
+// queueTime returns the expected wait at an upstream of a call sent now, false if unknown.
+func (b *balancer) queueTime(incarnation string, now time.Duration) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leastWait.QueueTime(incarnation, now)
+}
+
+// serviceQueueTime returns the mean expected wait at the upstreams of a service and the age
+// of the newest report, false if none is known.
+func (b *balancer) serviceQueueTime(upstreams []registry.Upstream, now time.Duration) (queueTime, age time.Duration, ok bool) {
+	keys := make([]string, len(upstreams))
+	for i, u := range upstreams {
+		keys[i] = u.Incarnation()
 	}
-	return cost
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leastWait.ServiceQueueTime(keys, now)
 }
 
 // lastLoad returns the load that an upstream last reported and the age of that report. The
@@ -124,31 +106,42 @@
 func (b *balancer) lastLoad(incarnation string, now time.Duration) (load int, age time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := b.stateLocked(incarnation, now)
-	if state.reportedAt == 0 {
+	report, age, ok := b.leastWait.LastReport(incarnation, now)
+	if !ok {
 		return -1, 0
 	}
-	return state.reportedLoad, now - state.reportedAt
+	return report.Load(), age
 }
 
 // release ends a request that pick counted as in flight.
 func (b *balancer) release(incarnation string, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.stateLocked(incarnation, now).inFlight--
+	b.leastWait.End(incarnation, now)
 }
 
-// recordSuccess notes a response and clears suspicion of the upstream. load is the load
-// reported with the response, nil if there was none.
-func (b *balancer) recordSuccess(incarnation string, load *loadreport.Report, now time.Duration) {
+// recordSuccess notes a response and clears suspicion of the upstream.
+func (b *balancer) recordSuccess(incarnation string, o routing.Observation, now time.Duration) {
 	b.suspects.Succeeded(incarnation)
+	b.observe(incarnation, o, now)
+}
+
+// observe notes a response, or the beginning of one.
+func (b *balancer) observe(incarnation string, o routing.Observation, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := b.stateLocked(incarnation, now)
-	state.lastResponseAt = now
-	if load != nil {
-		state.reportedLoad, state.reportedAt = load.Load(), now
+	b.leastWait.Observe(incarnation, o, now)
+}
+
+// observation returns what a response, received this long after its call was sent, says
+// about the upstream.
+func observation(r *Response, responseTime time.Duration) routing.Observation {
+	// A failed request may end early, and status 421 comes from another incarnation, which
+	// says nothing about a queue.
+	if r.Status >= http.StatusInternalServerError || r.Status == http.StatusMisdirectedRequest {
+		responseTime = 0
 	}
+	return routing.Observation{Load: r.Load, ResponseTime: responseTime, Ran: !r.NotRun || r.Status == http.StatusMisdirectedRequest}
 }
 
 // recordFailure marks an upstream as suspected.
@@ -158,17 +151,10 @@
 	}
 }
 
-// idleStateTTL is how long the state of an upstream is kept that is no longer a candidate.
-const idleStateTTL = time.Minute
-
 // trim drops the state of upstreams that are gone.
 func (b *balancer) trim(now time.Duration) {
 	b.suspects.DropExpired(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for incarnation, state := range b.states {
-		if state.inFlight == 0 && now-state.lastSeenAt > idleStateTTL {
-			delete(b.states, incarnation)
-		}
-	}
+	b.leastWait.Trim(now)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -265,7 +265,7 @@
 		if mayHaveRun(response, err) {
 			a.g.countRun(a.call, startedAt)
 		}
-		a.g.recordSend(ctx, u, a.call, response, err)
+		a.g.recordSend(ctx, u, a.call, response, err, time.Since(startedAt))
 		a.results <- sendResult{u, response, err, time.Since(startedAt)}
 	}()
 	return true
@@ -289,15 +289,16 @@
 }
 
 // recordSend updates the balancer, the hedge budget and the crash tracker with the outcome
-// of a send.
-func (g *Gateway) recordSend(ctx context.Context, u registry.Upstream, call *Call, response *Response, err error) {
+// of a send. responseTime is the time from the send to the response, 0 if it says nothing
+// about the run time.
+func (g *Gateway) recordSend(ctx context.Context, u registry.Upstream, call *Call, response *Response, err error, responseTime time.Duration) {
 	now := g.now()
 	g.balancer.release(u.Incarnation(), now)
 	var f *exchange.Failure
 	switch {
 	case err == nil:
 		g.hedges.recordSuccess()
-		g.balancer.recordSuccess(u.Incarnation(), response.Load, now)
+		g.balancer.recordSuccess(u.Incarnation(), observation(response, responseTime), now)
 		g.clearCrashes(ctx, call, response)
 	case ctx.Err() == nil && errors.As(err, &f) && f.Kind != exchange.Malformed && !f.StaleConn():
 		g.balancer.recordFailure(u.Incarnation(), now)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -135,27 +135,30 @@
 	startedAt := time.Now()
 	stream, err := s.g.upstreams.Open(ctx, u, s.call, Resume{Resumable: s.rule.Repeatable, LastEventID: s.lastEventID, Version: s.requiredVersion()})
 	if err != nil {
-		s.g.recordSend(ctx, u, s.call, nil, err)
+		s.g.recordSend(ctx, u, s.call, nil, err, 0)
 		return nil, s.handleFailure(u, err)
 	}
 	if stream.Events == nil {
 		if !stream.NotRun {
 			s.g.countRun(s.call, startedAt)
 		}
-		s.g.recordSend(ctx, u, s.call, &stream.Response, nil)
+		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, time.Since(startedAt))
 		return s.handleNonStream(u, &stream.Response)
 	}
 	defer stream.Events.Close()
+	// The header's report is out of date when the stream ends.
+	s.g.balancer.observe(u.Incarnation(), observation(&stream.Response, 0), s.g.now())
+	stream.Load = nil
 	err = s.forwardEvents(stream)
 	if err == nil {
-		s.g.recordSend(ctx, u, s.call, &stream.Response, nil)
+		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, time.Since(startedAt))
 		return &StreamResult{}, tryNextUpstream
 	}
 	if errors.Is(err, errCallerGone) {
-		s.g.recordSend(ctx, u, s.call, &stream.Response, nil)
+		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, 0)
 		return &StreamResult{Err: ErrStreamAborted}, abortStream
 	}
-	s.g.recordSend(ctx, u, s.call, nil, err)
+	s.g.recordSend(ctx, u, s.call, nil, err, 0)
 	return nil, s.handleFailure(u, err)
 }
 
