--- /dev/null
+++ b/internal/gateway/admission.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/admission"
+	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
+	"github.com/dogwoodflow/dogwoodflow/internal/policy"
+	"github.com/dogwoodflow/dogwoodflow/internal/routes"
+	"github.com/dogwoodflow/dogwoodflow/internal/shares"
+)
+
+// admissions holds the admission to each service. It is safe for concurrent use.
+type admissions struct {
+	mu       sync.Mutex
+	services map[string]*serviceAdmission
+	changed  chan struct{} // receives a value when another service is contended
+}
+
+// serviceAdmission is the admission to one service under a lock of its own.
+type serviceAdmission struct {
+	name string
+
+	mu        sync.Mutex
+	decisions *admission.Service
+	contended bool // as last logged
+}
+
+func newAdmissions() *admissions {
+	return &admissions{services: map[string]*serviceAdmission{}, changed: make(chan struct{}, 1)}
+}
+
+func (a *admissions) of(service string) *serviceAdmission {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := a.services[service]
+	if s == nil {
+		s = &serviceAdmission{name: service, decisions: admission.NewService()}
+		a.services[service] = s
+	}
+	return s
+}
+
+// all returns the services in the order of their names.
+func (a *admissions) all() []*serviceAdmission {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []*serviceAdmission
+	for _, name := range slices.Sorted(maps.Keys(a.services)) {
+		out = append(out, a.services[name])
+	}
+	return out
+}
+
+var (
+	callsAdmitted        = metrics.Counter("admission_admitted")
+	callsOverShare       = metrics.Counter("admission_refused_share")
+	callsTooLate         = metrics.Counter("admission_refused_deadline")
+	contentionsBegun     = metrics.Counter("admission_contentions")
+	upstreamFullRefusals = metrics.Counter("admission_upstream_full")
+)
+
+// request returns a call as the admission sees it.
+func (c *Call) request(route routes.Route) admission.Request {
+	return admission.Request{
+		Customer: c.Customer, Priority: c.Priority, Route: route.Name, LatencyTarget: route.LatencyTarget,
+		TimeLimit: c.TimeLimit, TimeLeft: time.Until(c.Deadline),
+	}
+}
+
+// serviceLoad returns what is known of a service's upstreams.
+func (g *Gateway) serviceLoad(service string) admission.Load {
+	return g.balancer.serviceLoad(g.view.ByService(service), g.now())
+}
+
+// admit refuses a call that is not among those that the upstreams of its service can answer in
+// time. It returns nil for a call to send.
+func (g *Gateway) admit(call *Call, route routes.Route, service string) *Refusal {
+	if !g.policy.Enabled(policy.Admission) || route.LatencyTarget <= 0 {
+		return nil
+	}
+	s, load, now, request := g.admissions.of(service), g.serviceLoad(service), g.now(), call.request(route)
+	s.mu.Lock()
+	d := s.decisions.Admit(request, load, now, rand.Float64)
+	s.mu.Unlock()
+	g.noteContention(s, now)
+	switch d.Refused {
+	case admission.Admitted:
+		callsAdmitted.Add(1)
+		return nil
+	case admission.Deadline:
+		callsTooLate.Add(1)
+	default:
+		callsOverShare.Add(1)
+	}
+	callsRefused.Add(1)
+	refusal := g.refuseNotRun(call, route, service, "not admitted: "+string(d.Refused))
+	g.log.Warn().Str("request", call.ID).Str("route", route.Name).Str("service", service).Str("customer", call.Customer).Int("level", d.Level).
+		Str("reason", string(d.Refused)).Float64("fraction", d.Fraction).Float64("total", d.Total).Str("source", string(d.Source)).Dur("source_age", d.SourceAge).
+		Dur("queue", d.Load.QueueTime).Dur("queue_age", d.Load.Age).Dur("left", request.TimeLeft).Dur("retry_after", refusal.RetryAfter).
+		Int("status", refusal.Status).Msg("call not admitted")
+	return refusal
+}
+
+// refuseNotRun returns the refusal of a call that has not run, with the time after which its
+// caller should come back.
+func (g *Gateway) refuseNotRun(call *Call, route routes.Route, service, reason string) *Refusal {
+	refusal := &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterNotRun, Reason: reason}
+	load := g.serviceLoad(service)
+	if !g.policy.Enabled(policy.Admission) || !load.Known || route.LatencyTarget <= 0 {
+		return refusal
+	}
+	s := g.admissions.of(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// 0, for no header, if a return could not be served.
+	refusal.RetryAfter, _ = s.decisions.RetryAfter(call.request(route), load, g.now(), rand.Float64())
+	return refusal
+}
+
+// observeLoad passes the load that a response reported to the admission of its service.
+func (g *Gateway) observeLoad(call *Call, service string, response *Response) {
+	if response.Load == nil || !g.policy.Enabled(policy.Admission) {
+		return
+	}
+	s, load, now := g.admissions.of(service), g.serviceLoad(service), g.now()
+	s.mu.Lock()
+	if response.NotRun && response.Status != http.StatusMisdirectedRequest && response.Load.Running >= response.Load.Slots {
+		upstreamFullRefusals.Add(1)
+		s.decisions.RecordFull(now)
+	} else {
+		s.decisions.Observe(load, call.latencyTarget, now)
+	}
+	s.mu.Unlock()
+	g.noteContention(s, now)
+}
+
+// noteContention logs the begin and the end of contention for a service.
+func (g *Gateway) noteContention(s *serviceAdmission, now time.Duration) {
+	s.mu.Lock()
+	contended := s.decisions.Contended(now)
+	if contended == s.contended {
+		s.mu.Unlock()
+		return
+	}
+	s.contended = contended
+	status := s.decisions.Status(s.name, admission.Load{}, now)
+	s.mu.Unlock()
+	message := "service no longer contended"
+	if contended {
+		message = "service contended"
+		contentionsBegun.Add(1)
+		select {
+		case g.admissions.changed <- struct{}{}:
+		default:
+		}
+	}
+	g.log.Info().Str("service", s.name).Float64("admitted", status.Admitted).Str("source", string(status.Source)).Int("daemons", status.Daemons).Msg(message)
+}
+
+// contended reports whether not all calls to a service are admitted. Second copies of calls
+// would then take the place of other callers' first ones.
+func (g *Gateway) contended(service string) bool {
+	s := g.admissions.of(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.decisions.Contended(g.now())
+}
+
+// Contended implements shares.Local.
+func (g *Gateway) Contended(now time.Duration) []string {
+	var out []string
+	for _, s := range g.admissions.all() {
+		s.mu.Lock()
+		if s.decisions.Contended(now) {
+			out = append(out, s.name)
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// Changed implements shares.Local.
+func (g *Gateway) Changed() <-chan struct{} { return g.admissions.changed }
+
+// Snapshot implements shares.Local.
+func (g *Gateway) Snapshot(service string, now time.Duration) (shares.Report, bool) {
+	s := g.admissions.of(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.decisions.Report(now)
+}
+
+// SetFleet implements shares.Sink.
+func (g *Gateway) SetFleet(service string, t shares.Table, at time.Duration) {
+	s, now := g.admissions.of(service), g.now()
+	s.mu.Lock()
+	s.decisions.SetFleet(t, at, now)
+	s.mu.Unlock()
+	g.noteContention(s, now)
+}
+
+// AdmissionStatus describes the admission to each service that calls were sent to.
+func (g *Gateway) AdmissionStatus() []admission.Status {
+	out := []admission.Status{}
+	for _, s := range g.admissions.all() {
+		load, now := g.serviceLoad(s.name), g.now()
+		s.mu.Lock()
+		out = append(out, s.decisions.Status(s.name, load, now))
+		s.mu.Unlock()
+	}
+	return out
+}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -40,9 +40,9 @@
 	return poison.FingerprintOf(c.Host, c.Method, c.Target, string(c.Body))
 }
 
-// admit refuses a request that has crashed too many upstreams. Otherwise each retry by its
+// refuseCrasher refuses a request that has crashed too many upstreams. Otherwise each retry by its
 // caller would take down another upstream that other callers need.
-func (g *Gateway) admit(call *Call) *Refusal {
+func (g *Gateway) refuseCrasher(call *Call) *Refusal {
 	call.requestFingerprint = call.computeFingerprint()
 	if !g.crashes.Blocked(call.requestFingerprint) {
 		return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/retry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/exchange"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream/loadreport"
 )
 
 // Call is a caller's request with its body read.
@@ -33,7 +34,12 @@
 	Body     []byte
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// TimeLimit is for how long the caller waits, as it stated it; 0: it didn't.
+	TimeLimit time.Duration
+	// Priority of the customer or else of the route, 0 is the highest.
+	Priority int
 
+	latencyTarget      time.Duration // of the route
 	requestFingerprint poison.Fingerprint
 	succeeded          atomic.Bool // an upstream ran the request and responded
 }
@@ -43,8 +49,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	NotRun bool // the upstream states that it did not run the request
-	Load   int  // requests running and queued at the upstream, as it reports them; -1: unknown
+	NotRun bool               // the upstream states that it did not run the request
+	Load   *loadreport.Report // as the upstream reports it with this response, nil: unknown
 	// ServerErrors is the number of upstreams that ran the call and responded with status 500,
 	// this one included.
 	ServerErrors int
@@ -114,6 +120,8 @@
 	hedges    *hedgeBudget
 	now       func() time.Duration
 	log       zerolog.Logger
+
+	admissions *admissions
 }
 
 // hedgeBudget limits the hedged requests of all calls together. It is safe for concurrent
@@ -147,28 +155,33 @@
 // New returns a Gateway.
 func New(o Options) *Gateway {
 	b := newBalancer(o.DataCentre, o.Policy, o.Suspects)
-	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, usage: o.Usage, balancer: b, waits: b, policy: o.Policy, hedges: newHedgeBudget(), now: o.Now, log: o.Logger}
+	return &Gateway{view: o.View, upstreams: o.Upstreams, crashes: o.Crashes, usage: o.Usage, balancer: b, waits: b, policy: o.Policy, hedges: newHedgeBudget(), now: o.Now, log: o.Logger, admissions: newAdmissions()}
 }
 
 // limitDeadline brings the deadline of a call that started at startedAt within the timeout
-// of its route, and subtracts deadlineMargin.
+// of its route, and subtracts deadlineMargin. It also notes the latency target of the route.
 func limitDeadline(call *Call, route routes.Route, startedAt time.Time) {
 	if route.Timeout > 0 && call.Deadline.After(startedAt.Add(route.Timeout)) {
 		call.Deadline = startedAt.Add(route.Timeout)
 	}
 	call.Deadline = call.Deadline.Add(-deadlineMargin)
+	call.latencyTarget = route.LatencyTarget
 }
 
 // Do sends a call and returns either the upstream's response or a refusal.
 func (g *Gateway) Do(ctx context.Context, route routes.Route, call *Call) (*Response, *Refusal) {
 	startedAt := time.Now()
-	if refusal := g.admit(call); refusal != nil {
+	if refusal := g.refuseCrasher(call); refusal != nil {
 		return nil, refusal
 	}
 	limitDeadline(call, route, startedAt)
+	service := route.Pick(rand.Float64())
+	if refusal := g.admit(call, route, service); refusal != nil {
+		return nil, refusal
+	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	a := &activeCall{g: g, route: route, call: call, service: route.Pick(rand.Float64()), tried: map[string]bool{}, results: make(chan sendResult, maxSends),
+	a := &activeCall{g: g, route: route, call: call, service: service, tried: map[string]bool{}, results: make(chan sendResult, maxSends),
 		rule: sendRule(route, route.Kind == routes.Safe)}
 	response, refusal := a.run(ctx)
 	if response != nil {
@@ -207,7 +220,7 @@
 
 func (a *activeCall) run(ctx context.Context) (*Response, *Refusal) {
 	if !a.send(ctx) {
-		return nil, &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterNotRun, Reason: "no upstream"}
+		return nil, a.g.refuseNotRun(a.call, a.route, a.service, "no upstream")
 	}
 	hedge := time.NewTimer(a.hedgeDelay())
 	defer hedge.Stop()
@@ -219,14 +232,14 @@
 			if response := a.handleResult(r); response != nil {
 				return response, nil
 			}
-			if a.maySendAgain() && a.send(ctx) {
+			if a.maySendAgain() && a.worthSendingAgain() && a.send(ctx) {
 				continue
 			}
 			if a.inFlight == 0 {
 				return a.finalResult()
 			}
 		case <-hedge.C:
-			if a.rule.Repeatable && a.maySendAgain() && a.g.hedges.tryTake() {
+			if a.rule.Repeatable && a.maySendAgain() && !a.g.contended(a.service) && a.g.hedges.tryTake() {
 				a.send(ctx)
 			}
 		case <-ctx.Done():
@@ -247,6 +260,15 @@
 	return delay
 }
 
+// worthSendingAgain reports false if the call was refused and the remaining upstreams are known
+// to be full. Sending it to each of them in turn would only load them with refusals.
+func (a *activeCall) worthSendingAgain() bool {
+	if a.sends.Runs > 0 || !a.g.policy.Enabled(policy.Admission) || a.route.LatencyTarget <= 0 {
+		return true
+	}
+	return a.g.balancer.hasRoom(a.g.view.ByService(a.service), a.tried, a.g.now())
+}
+
 func (a *activeCall) maySendAgain() bool { return a.rule.StopCause(a.sends) == retry.None }
 
 // send starts a send to an upstream not tried before. It reports false if there is none.
@@ -265,7 +287,7 @@
 	go func() {
 		response, err := a.g.upstreams.Call(ctx, u, a.call, a.route.Kind != routes.Safe)
 		a.g.countRun(a.call, transmission, response, err)
-		a.g.recordSend(ctx, u, a.call, response, err)
+		a.g.recordSend(ctx, u, a.call, response, err, time.Since(startedAt))
 		a.results <- sendResult{u, response, err, time.Since(startedAt)}
 	}()
 	return true
@@ -282,15 +304,17 @@
 }
 
 // recordSend updates the balancer, the hedge budget and the crash tracker with the outcome
-// of a send.
-func (g *Gateway) recordSend(ctx context.Context, u registry.Upstream, call *Call, response *Response, err error) {
+// of a send. responseTime is the time from the send to the response, 0 if it says nothing
+// about the run time.
+func (g *Gateway) recordSend(ctx context.Context, u registry.Upstream, call *Call, response *Response, err error, responseTime time.Duration) {
 	now := g.now()
 	g.balancer.release(u.Incarnation(), now)
 	var f *exchange.Failure
 	switch {
 	case err == nil:
 		g.hedges.recordSuccess()
-		g.balancer.recordSuccess(u.Incarnation(), response.Load, now)
+		g.balancer.recordSuccess(u.Incarnation(), observation(response, responseTime), now)
+		g.observeLoad(call, u.Service, response)
 		g.clearCrashes(ctx, call, response)
 	case ctx.Err() == nil && errors.As(err, &f) && f.Kind != exchange.Malformed && !f.StaleConn():
 		g.balancer.recordFailure(u.Incarnation(), now)
@@ -316,7 +340,7 @@
 		a.sends.MarkNotRun()
 		a.lastResponse = r.response
 		a.g.log.Info().Str("request", a.call.ID).Str("upstream", r.upstream.Incarnation()).Int("status", r.response.Status).
-			Int("load", r.response.Load).Msg("upstream refused")
+			Int("load", loadForLog(r.response.Load)).Msg("upstream refused")
 		return nil
 	case r.response.Status >= 500 && a.route.Kind == routes.Safe && a.maySendAgain():
 		a.lastResponse = r.response
@@ -334,7 +358,7 @@
 	case a.lastResponse != nil && !a.lastResponse.NotRun:
 		return a.lastResponse, nil
 	case a.sends.Runs == 0:
-		return nil, &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterNotRun, Reason: "all upstreams refused"}
+		return nil, a.g.refuseNotRun(a.call, a.route, a.service, "all upstreams refused")
 	default:
 		return nil, &Refusal{Status: http.StatusBadGateway, Reason: "no complete response from an upstream"}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -71,14 +71,18 @@
 // weight version that produced that event.
 func (g *Gateway) Stream(ctx context.Context, route routes.Route, call *Call, after int, writer EventWriter) StreamResult {
 	startedAt := time.Now()
-	if refusal := g.admit(call); refusal != nil {
+	if refusal := g.refuseCrasher(call); refusal != nil {
 		return StreamResult{Refusal: refusal}
 	}
 	limitDeadline(call, route, startedAt)
+	service := route.Pick(rand.Float64())
+	if refusal := g.admit(call, route, service); refusal != nil {
+		return StreamResult{Refusal: refusal}
+	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	s := &activeStream{
-		g: g, route: route, call: call, writer: writer, service: route.Pick(rand.Float64()), tried: map[string]bool{},
+		g: g, route: route, call: call, writer: writer, service: service, tried: map[string]bool{},
 		streamState: streamState{rule: sendRule(route, route.Resumable), lastEventID: after},
 	}
 	result := s.run(ctx)
@@ -121,7 +125,7 @@
 	case s.headerSent:
 		return StreamResult{Err: ErrStreamAborted}
 	case action == refuseNotRun:
-		return StreamResult{Refusal: &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterNotRun, Reason: "no upstream accepted the call"}}
+		return StreamResult{Refusal: s.g.refuseNotRun(s.call, s.route, s.service, "no upstream accepted the call")}
 	case ctx.Err() != nil:
 		return StreamResult{Refusal: &Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline"}}
 	default:
@@ -135,25 +139,28 @@
 	transmission := s.g.beginTransmission(u)
 	stream, err := s.g.upstreams.Open(ctx, u, s.call, Resume{Resumable: s.rule.Repeatable, LastEventID: s.lastEventID, Version: s.requiredVersion()})
 	if err != nil {
-		s.g.recordSend(ctx, u, s.call, nil, err)
+		s.g.recordSend(ctx, u, s.call, nil, err, 0)
 		return nil, s.handleFailure(u, err)
 	}
 	if stream.Events == nil {
 		s.g.countRun(s.call, transmission, &stream.Response, nil)
-		s.g.recordSend(ctx, u, s.call, &stream.Response, nil)
+		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, s.g.now()-transmission.SentAt)
 		return s.handleNonStream(u, &stream.Response)
 	}
 	defer stream.Events.Close()
+	// The header's report is out of date when the stream ends.
+	s.g.balancer.observe(u.Incarnation(), observation(&stream.Response, 0), s.g.now())
+	stream.Load = nil
 	err = s.forwardEvents(stream)
 	if err == nil {
-		s.g.recordSend(ctx, u, s.call, &stream.Response, nil)
+		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, s.g.now()-transmission.SentAt)
 		return &StreamResult{}, tryNextUpstream
 	}
 	if errors.Is(err, errCallerGone) {
-		s.g.recordSend(ctx, u, s.call, &stream.Response, nil)
+		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, 0)
 		return &StreamResult{Err: ErrStreamAborted}, abortStream
 	}
-	s.g.recordSend(ctx, u, s.call, nil, err)
+	s.g.recordSend(ctx, u, s.call, nil, err, 0)
 	return nil, s.handleFailure(u, err)
 }
 
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -15,10 +15,6 @@
 	expectedWait(incarnation string, now time.Duration) (time.Duration, bool)
 }
 
-// expectedWait reports every wait as unknown: the loads that the balancer keeps do not tell
-// running requests from queued ones.
-func (b *balancer) expectedWait(string, time.Duration) (time.Duration, bool) { return 0, false }
-
 var (
 	// Of the customers' sends without an answer, those that were taken not to have begun, and
 	// those that were counted without knowledge of the upstream's queue.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -17,6 +17,7 @@
 	Hedge       Mechanism = "hedge"        // a slow call that may run twice is sent a second time
 	Load        Mechanism = "load"         // calls go to the upstream with the fewest calls; off: to each in turn
 	Warm        Mechanism = "warm"         // calls go to upstreams to which a connection is open
+	Admission   Mechanism = "admission"    // calls that upstreams can't answer in time are refused at once, by customers' shares
 	Suspicion   Mechanism = "suspicion"    // an upstream that failed is avoided for a short time
 	Moves       Mechanism = "moves"        // samples move off engines that are much slower than the others
 	Hardware    Mechanism = "hardware"     // long samples go to the engines that generate tokens fastest
@@ -33,7 +34,7 @@
 
 // All returns every mechanism.
 func All() []Mechanism {
-	return []Mechanism{Hedge, Load, Warm, Suspicion, Moves, Hardware, LatestStart, Fitting, Retain, SparedLoads, Demand, Checkpoints, Closing, Spot, Trials}
+	return []Mechanism{Hedge, Load, Warm, Admission, Suspicion, Moves, Hardware, LatestStart, Fitting, Retain, SparedLoads, Demand, Checkpoints, Closing, Spot, Trials}
 }
 
 // Set says which mechanisms are switched off. Daemons run with the zero Set, in which none
