shares: coordinator, service, drpc transport and wiring

Cause: each daemon knows only its own callers' demand, so fair shares of a contended service differ by the daemon that a call reaches (docs/load-control.md, section 6).

Sums are kept up to date with each report in integers, as summing up 985 reports for each table would take 36 million additions per second (by arithmetic: 985 x 146 entries x 250/s).

--- a/internal/batchpeer/server.go
+++ b/internal/batchpeer/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -47,10 +48,14 @@
 }
 
 // Serve serves calls from other daemons on a listener until the context ends, and closes the
-// listener. It returns when all calls have ended.
-func Serve(ctx context.Context, listener net.Listener, handler Handler, log zerolog.Logger) error {
+// listener. Each of register adds another drpc service. Serve returns when all calls have ended.
+func Serve(ctx context.Context, listener net.Listener, handler Handler, log zerolog.Logger, register ...func(drpc.Mux) error) error {
 	mux := drpcmux.New()
-	if err := peerpb.DRPCRegisterBatches(mux, &server{handler}); err != nil {
+	err := peerpb.DRPCRegisterBatches(mux, &server{handler})
+	for _, r := range register {
+		err = errors.Join(err, r(mux))
+	}
+	if err != nil {
 		return fmt.Errorf("batchpeer: register: %w", err)
 	}
 	options := managerOptions()
--- a/internal/batchrun/directory.go
+++ b/internal/batchrun/directory.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
@@ -25,6 +27,8 @@
 	mu        sync.Mutex
 	addresses map[int]string // by partition
 	readAt    time.Duration  // when addresses was read
+	// backgroundAt is when refreshInBackground last began a read, 0 for never.
+	backgroundAt time.Duration
 }
 
 func newDirectory(m store.Membership) *directory { return &directory{membership: m} }
@@ -70,6 +74,65 @@
 	return result.(map[int]string), nil
 }
 
+const (
+	// coordinatorsRefreshInterval is the time between two reads of the list for Coordinators. A
+	// daemon that no longer owns the partition can go on as coordinator, so the list need not be
+	// newer. It also bounds the calls to a store that is down.
+	coordinatorsRefreshInterval = 3 * time.Second
+	// coordinatorsReadTimeout bounds such a read, which no call waits for to the end.
+	coordinatorsReadTimeout = 1 * time.Second
+)
+
+// Coordinators returns the addresses of the partitions' owners, each once, beginning with that of
+// partition hash(key) mod partitions. It is the same at all daemons whose lists are up to date. A
+// list that is out of date is used while it is read again, and if the store is down. Without any
+// list, Coordinators waits for one until the context ends.
+func (s *Service) Coordinators(ctx context.Context, key string) []string {
+	s.directory.refreshInBackground(ctx, s.options.Now())
+	owners := s.directory.lastKnown()
+	if len(owners) == 0 || s.options.Partitions == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(key) % uint64(s.options.Partitions))
+	var out []string
+	for n := range s.options.Partitions {
+		if address, ok := owners[(first+n)%s.options.Partitions]; ok && !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// refreshInBackground reads the list again if it is older than coordinatorsRefreshInterval. It
+// waits for the read, until the context ends, only if no list is known.
+func (d *directory) refreshInBackground(ctx context.Context, now time.Duration) {
+	d.mu.Lock()
+	newest := max(d.readAt, d.backgroundAt)
+	due := newest == 0 || now-newest >= coordinatorsRefreshInterval
+	if due {
+		d.backgroundAt = now
+	}
+	known := d.addresses != nil
+	d.mu.Unlock()
+	if !due {
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), coordinatorsReadTimeout)
+		defer cancel()
+		_, _ = d.refresh(ctx, now) // without an answer, the last known list is used
+	}()
+	if known {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 const (
 	// memberSeparator separates the parts of a member's name: its VM, an ID of its process,
 	// and the address where other daemons reach it.
--- /dev/null
+++ b/internal/shares/coordinator.go
@@ -0,0 +1,189 @@
+package shares
+
+import (
+	"errors"
+	"slices"
+	"time"
+)
+
+// maxHeld bounds the entries that a coordinator holds for all services and daemons, some 4 MB. 985
+// daemons that each report 150 customers hold 164,000.
+const maxHeld = 1 << 18
+
+// reportCost is the number of entries as which a report without entries counts.
+const reportCost = 16
+
+// ErrFull means that the coordinator holds too many reports to accept another one.
+var ErrFull = errors.New("shares: coordinator is full")
+
+// Coordinator sums up the reports of all daemons. It is pure and not safe for concurrent use.
+type Coordinator struct {
+	services map[string]*fleetDemand
+	held     int           // entries held, with reportCost for each report
+	lastSlot time.Duration // time of the last report that was scheduled
+}
+
+// fleetDemand is the demand of all daemons for one service.
+type fleetDemand struct {
+	reports map[string]*heldReport // by VM
+	// sums is kept up to date with each report: summing up all reports for each table would
+	// take a coordinator of 985 daemons 36 million additions per second.
+	sums map[demandKey]*demandSum
+}
+
+type demandKey struct {
+	customer string
+	level    int
+}
+
+// demandSum is the sum of an entry over all reports. Integers make it exact, so that subtracting a
+// report leaves no rounding error.
+type demandSum struct {
+	key     demandKey
+	units   uint64
+	entries int // number of held entries that are included
+}
+
+type heldReport struct {
+	sequence  uint64
+	expires   time.Duration
+	entries   []heldEntry
+	queueTime time.Duration
+	admitted  float64
+	known     bool
+}
+
+type heldEntry struct {
+	sum   *demandSum
+	units uint64
+}
+
+// NewCoordinator returns a Coordinator without reports.
+func NewCoordinator() *Coordinator { return &Coordinator{services: map[string]*fleetDemand{}} }
+
+// Exchange adds a report, which replaces the VM's previous one, and returns the fleet's demand. A
+// report that is refused changes nothing. A report that was overtaken by a later one of the same
+// VM is ignored.
+func (c *Coordinator) Exchange(r Report, now time.Duration) (Table, error) {
+	if err := r.Validate(); err != nil {
+		return Table{}, err
+	}
+	if f, ok := c.services[r.Service]; ok {
+		c.expire(f, now)
+	}
+	if c.held+len(r.Demands)+reportCost > maxHeld {
+		c.Expire(now)
+		if c.held+len(r.Demands)+reportCost > maxHeld {
+			return Table{}, ErrFull
+		}
+	}
+	f, ok := c.services[r.Service]
+	if !ok {
+		f = &fleetDemand{reports: map[string]*heldReport{}, sums: map[demandKey]*demandSum{}}
+		c.services[r.Service] = f
+	}
+	interval := c.schedule(now)
+	if old, ok := f.reports[r.VM]; !ok || r.Sequence > old.sequence {
+		c.remove(f, r.VM)
+		c.add(f, r, now+validIntervals*interval)
+	}
+	t := f.table()
+	t.NextReport = interval
+	return t, nil
+}
+
+// schedule returns the time until the daemon's next report. Reports are scheduled at least
+// reportSpacing apart, so that those of n daemons are spread over max(MinInterval,
+// n*reportSpacing), also if all daemons are contended from the same moment on.
+func (c *Coordinator) schedule(now time.Duration) time.Duration {
+	c.lastSlot = min(max(c.lastSlot+reportSpacing, now+MinInterval), now+maxInterval)
+	return c.lastSlot - now
+}
+
+// Expire removes expired reports of all services.
+func (c *Coordinator) Expire(now time.Duration) {
+	for name, f := range c.services {
+		c.expire(f, now)
+		if len(f.reports) == 0 {
+			delete(c.services, name)
+		}
+	}
+}
+
+// Empty reports whether no report is held.
+func (c *Coordinator) Empty() bool { return len(c.services) == 0 }
+
+func (c *Coordinator) expire(f *fleetDemand, now time.Duration) {
+	for vm, r := range f.reports {
+		if now >= r.expires {
+			c.remove(f, vm)
+		}
+	}
+}
+
+func (c *Coordinator) add(f *fleetDemand, r Report, expires time.Duration) {
+	held := &heldReport{sequence: r.Sequence, expires: expires, queueTime: r.QueueTime, admitted: r.Admitted, known: r.Known}
+	held.entries = make([]heldEntry, 0, len(r.Demands))
+	for _, d := range r.Demands {
+		held.entries = append(held.entries, f.addSum(d))
+	}
+	f.reports[r.VM] = held
+	c.held += len(held.entries) + reportCost
+}
+
+// addSum adds a demand to its sum.
+func (f *fleetDemand) addSum(d Demand) heldEntry {
+	key := demandKey{d.Customer, d.Level}
+	sum, ok := f.sums[key]
+	if !ok {
+		sum = &demandSum{key: key}
+		f.sums[key] = sum
+	}
+	units := Units(d.Rate)
+	sum.units += units
+	sum.entries++
+	return heldEntry{sum, units}
+}
+
+// remove removes a VM's report, if there is one.
+func (c *Coordinator) remove(f *fleetDemand, vm string) {
+	held, ok := f.reports[vm]
+	if !ok {
+		return
+	}
+	delete(f.reports, vm)
+	c.held -= len(held.entries) + reportCost
+	for _, e := range held.entries {
+		e.sum.units -= e.units
+		if e.sum.entries--; e.sum.entries == 0 {
+			delete(f.sums, e.sum.key)
+		}
+	}
+}
+
+// table returns the fleet's demand, without the time of the next report.
+func (f *fleetDemand) table() Table {
+	t := Table{Daemons: len(f.reports)}
+	measured := 0
+	for _, r := range f.reports {
+		if r.known {
+			measured++
+			t.QueueTime += r.queueTime
+			t.Admitted += r.admitted
+		}
+	}
+	if measured > 0 {
+		t.Known = true
+		t.QueueTime /= time.Duration(measured)
+		t.Admitted = min(1, t.Admitted/float64(measured))
+	}
+	demands := make([]Demand, 0, len(f.sums))
+	for _, sum := range f.sums {
+		if sum.units > 0 {
+			demands = append(demands, Demand{Customer: sum.key.customer, Level: sum.key.level, Rate: min(RateOfUnits(sum.units), maxRate)})
+		}
+	}
+	slices.SortFunc(demands, compareDemands)
+	t.Demands = compact(demands, minShare)
+	return t
+}
--- /dev/null
+++ b/internal/sharespeer/encode.go
@@ -0,0 +1,65 @@
+package sharespeer
+
+import (
+	"math"
+	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/peer/peerpb"
+	"github.com/dogwoodflow/dogwoodflow/internal/shares"
+)
+
+func encodeReport(r shares.Report) *peerpb.DemandReport {
+	return &peerpb.DemandReport{
+		Vm: r.VM, Service: r.Service, Sequence: r.Sequence, Demands: encodeDemands(r.Demands),
+		Known: r.Known, QueueTimeUs: r.QueueTime.Microseconds(), Admitted: r.Admitted,
+	}
+}
+
+func decodeReport(in *peerpb.DemandReport) shares.Report {
+	return shares.Report{
+		VM: in.GetVm(), Service: in.GetService(), Sequence: in.GetSequence(), Demands: decodeDemands(in.GetDemands()),
+		Known: in.GetKnown(), QueueTime: decodeDuration(in.GetQueueTimeUs(), time.Microsecond), Admitted: in.GetAdmitted(),
+	}
+}
+
+func encodeTable(t shares.Table) *peerpb.DemandTable {
+	return &peerpb.DemandTable{
+		Demands: encodeDemands(t.Demands), Known: t.Known, QueueTimeUs: t.QueueTime.Microseconds(), Admitted: t.Admitted,
+		Daemons: uint32(t.Daemons), NextReportMs: uint32(t.NextReport.Milliseconds()),
+	}
+}
+
+func decodeTable(in *peerpb.DemandTable) shares.Table {
+	return shares.Table{
+		Demands: decodeDemands(in.GetDemands()), Known: in.GetKnown(), QueueTime: decodeDuration(in.GetQueueTimeUs(), time.Microsecond), Admitted: in.GetAdmitted(),
+		Daemons: int(in.GetDaemons()), NextReport: decodeDuration(int64(in.GetNextReportMs()), time.Millisecond),
+	}
+}
+
+// decodeDuration returns n units. A number that overflows becomes the largest duration, or the
+// smallest, which validation refuses.
+func decodeDuration(n int64, unit time.Duration) time.Duration {
+	switch limit := math.MaxInt64 / int64(unit); {
+	case n > limit:
+		return math.MaxInt64
+	case n < -limit:
+		return math.MinInt64
+	}
+	return time.Duration(n) * unit
+}
+
+func encodeDemands(demands []shares.Demand) []*peerpb.DemandEntry {
+	out := make([]*peerpb.DemandEntry, 0, len(demands))
+	for _, d := range demands {
+		out = append(out, &peerpb.DemandEntry{Customer: d.Customer, Level: uint32(d.Level), RateMilli: shares.Units(d.Rate), Customers: uint32(d.Customers)})
+	}
+	return out
+}
+
+func decodeDemands(in []*peerpb.DemandEntry) []shares.Demand {
+	out := make([]shares.Demand, 0, len(in))
+	for _, d := range in {
+		out = append(out, shares.Demand{Customer: d.GetCustomer(), Level: int(d.GetLevel()), Rate: shares.RateOfUnits(d.GetRateMilli()), Customers: int(d.GetCustomers())})
+	}
+	return out
+}
