--- a/internal/batchrun/directory.go
+++ b/internal/batchrun/directory.go
@@ -74,14 +74,10 @@
 	return result.(map[int]string), nil
 }
 
-const (
-	// coordinatorsRefreshInterval is the time between two reads of the list for Coordinators. A
-	// daemon that no longer owns the partition can go on as coordinator, so the list need not be
-	// newer. It also bounds the calls to a store that is down.
-	coordinatorsRefreshInterval = 3 * time.Second
-	// coordinatorsReadTimeout bounds such a read, which no call waits for to the end.
-	coordinatorsReadTimeout = 1 * time.Second
-)
+// coordinatorsRefreshInterval is the time between two reads of the list for Coordinators. A daemon
+// that no longer owns the partition can go on as coordinator, so the list need not be newer. It
+// also bounds the calls to a store that is down.
+const coordinatorsRefreshInterval = 3 * time.Second
 
 // Coordinators returns the addresses of the partitions' owners, each once, beginning with that of
 // partition hash(key) mod partitions. It is the same at all daemons whose lists are up to date. A
@@ -120,7 +116,8 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), coordinatorsReadTimeout)
+		// The read may be shared with other callers, so it must not end before theirs would.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 		defer cancel()
 		_, _ = d.refresh(ctx, now) // without an answer, the last known list is used
 	}()
