--- a/internal/gateway/usage_test.go
+++ b/internal/gateway/usage_test.go
@@ -227,7 +227,7 @@
 		var suspended time.Duration
 		gate, _ := setup(func(context.Context) (*Response, error) {
 			suspended = 10 * time.Second
-			return &Response{Status: 200, Load: -1}, nil
+			return &Response{Status: 200}, nil
 		})
 		counter, awake := &runCounter{}, gate.now
 		gate.usage, gate.now = counter, func() time.Duration { return awake() + suspended }
