--- a/internal/limits/overload.go
+++ b/internal/limits/overload.go
@@ -212,7 +212,9 @@
 }
 
 // Admitted returns the fraction of calls to admit; 1 means no contention.
-func (o *Overload) Admitted(now time.Duration) float64 { return math.Exp(o.level(now)) }
+func (o *Overload) Admitted(now time.Duration) float64 {
+	return max(o.options.MinAdmitted, math.Exp(o.level(now)))
+}
 
 // Contended reports whether the fraction is below 1 or was so within the last second.
 func (o *Overload) Contended(now time.Duration) bool {
