internal/routing: run times without the wait of calls sent without a fresh report

Cause: a call that was sent without a fresh report counted as one that did not wait, so its wait was learned as run time. QueueTime is in run times, so usage counts and admission would have been wrong too.

The wait is now that of the queue reported with the answer. Weighed: not to learn from such calls; a slow upstream with a queue answers too rarely for a fresh report, so it would not be found slow.

--- a/internal/routing/leastwait.go
+++ b/internal/routing/leastwait.go
@@ -128,7 +128,7 @@
 // sendRecord is the expected wait of an own call when it was sent.
 type sendRecord struct {
 	at   time.Duration
-	wait float64 // in run times of the upstream
+	wait float64 // in run times of the upstream, -1: unknown
 }
 
 // estimate is what a Pick expects of a candidate.
@@ -324,7 +324,11 @@
 	if len(s.sends) == maxSendRecords {
 		s.sends = append(s.sends[:0], s.sends[1:]...)
 	}
-	s.sends = append(s.sends, sendRecord{now, s.waitInRuns(now)})
+	record := sendRecord{now, -1}
+	if s.reportWeight(now) > 0 {
+		record.wait = s.waitInRuns()
+	}
+	s.sends = append(s.sends, record)
 	s.inFlight++
 	s.change++
 }
@@ -337,11 +341,8 @@
 }
 
 // waitInRuns returns the expected wait of a call sent now by the upstream's last report, in
-// run times. It is 0 without a fresh report.
-func (s *waitState) waitInRuns(now time.Duration) float64 {
-	if s.reportWeight(now) == 0 {
-		return 0
-	}
+// run times.
+func (s *waitState) waitInRuns() float64 {
 	return max(0, float64(s.currentLoad()-s.report.Slots+1)) / float64(s.report.Slots)
 }
 
@@ -388,13 +389,20 @@
 // observeRun adds a response time, less the wait, to the mean run time. The wait is known
 // in run times, so the response time is divided by one more than that.
 func (s *waitState) observeRun(o Observation, now time.Duration) {
-	wait := 0.0
+	wait := -1.0
 	for i := len(s.sends) - 1; i >= 0; i-- {
 		if s.sends[i].at <= now-o.ResponseTime {
 			wait = s.sends[i].wait
 			break
 		}
 	}
+	if wait < 0 {
+		// The queue was probably as long as it is now.
+		wait = 0
+		if o.Load != nil {
+			wait = s.waitInRuns()
+		}
+	}
 	run := float64(o.ResponseTime) / (1 + wait) / s.slowdown
 	if s.runTime == 0 || s.measurementWeight(now) == 0 {
 		s.runTime = time.Duration(run)
@@ -412,7 +420,7 @@
 	if s == nil || s.reportWeight(now) == 0 {
 		return 0, false
 	}
-	return time.Duration(s.waitInRuns(now) * float64(s.expectedRunTime(now))), true
+	return time.Duration(s.waitInRuns() * float64(s.expectedRunTime(now))), true
 }
 
 // ServiceQueueTime returns the mean of QueueTime over the upstreams with a fresh report,
