limits.Queue: priority levels, latest useful start, level changes and figures for operators

Callers' calls are to wait in the queue that dispatch uses, in order of customers' priorities.

Production is divided into levels, each with its own fair queueing across teams. The lowest level that waits starts first, unless another would then miss its one start of 16. Weighed: a counter per level that forces a start at 16 fails when several levels become due at the same start, so a level yields as soon as the others could no longer all be served in time (earliest deadline first). The counter of a level is kept while it is empty, because entries with deadlines of 75 ms expire after one or two starts of a daemon. The estimated wait counts lower and equal levels, bounded by the turns; without the bound a long queue of level 0 would have all others refused on arrival.

--- a/internal/limits/classqueue.go
+++ b/internal/limits/classqueue.go
@@ -1,73 +1,212 @@
 package limits
 
 import (
+	"cmp"
 	"container/heap"
+	"slices"
+	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
 	"github.com/dogwoodflow/dogwoodflow/internal/routing"
 )
 
-// team holds the settings of a team and its queued entries.
+// maxStartsPerTurn is the number of starts of a class of which each waiting level gets at
+// least one. A higher level can therefore take up to a sixteenth of the slots from more
+// urgent ones.
+const maxStartsPerTurn = 16
+
+// team holds the settings of a team and the number of its queued entries.
 type team struct {
+	name     ident.Team
 	weight   float64
-	maxQueue int // maximum number of entries queued in each class
-	flows    [classCount]flow
+	maxQueue int             // maximum number of entries queued in each class
+	lengths  [classCount]int // entries queued, over all levels of a class
 }
 
-func (t *team) flow(c routing.Class) *flow { return &t.flows[c] }
-
 // queued returns the number of entries queued in all classes.
 func (t *team) queued() int {
-	return t.flows[routing.ClassProduction].len() + t.flows[routing.ClassRollout].len()
+	return t.lengths[routing.ClassProduction] + t.lengths[routing.ClassRollout]
 }
 
 // queuedEntry is an entry in a Queue.
 type queuedEntry struct {
 	Entry
 	flow          *flow
+	arrivedAt     time.Time
 	sequence      uint64 // order of arrival
 	flowIndex     int    // position in the heap of the flow
 	deadlineIndex int    // position in deadlineHeap, -1 without a deadline
 }
 
-// flow is the queue of one team in one class, a heap in order of priority.
+// flow is the queue of one team in one level of a class, a heap in the order of
+// startsBefore.
 type flow struct {
 	team    *team
-	name    ident.Team
+	level   *levelQueue
 	entries []*queuedEntry
 	// startTag is the virtual time at which the next entry starts: that of the last
 	// start plus its cost / weight.
 	startTag  float64
-	heapIndex int // position in classQueue.flows, valid while the flow has entries
+	heapIndex int // position in levelQueue.flows, valid while the flow has entries
 }
 
 func (f *flow) len() int { return len(f.entries) }
 
-// classQueue is the queue of one class. Teams share it by start-time fair queueing: the
-// next entry comes from the flow with the lowest start tag, which has been charged least
-// in proportion to its weight.
+// classQueue is the queue of one class, divided into levels. Rollouts have level 0 only.
+//
+// Invariant: allInTime(nil, 0) is true, that is, every waiting level can still get a start
+// before its startsLeft is used up, unless more than maxStartsPerTurn levels wait or waited
+// a few starts ago.
+type classQueue struct {
+	levels []*levelQueue // all levels used so far, in ascending order
+	length int           // entries over all levels
+}
+
+// levelQueue is the queue of one level of a class. Teams share it by start-time fair
+// queueing: the next entry comes from the flow with the lowest start tag, which has been
+// charged least in proportion to its weight.
 //
 // Invariant: flows holds the flows with entries, and none of their start tags is below
 // the virtual time. A flow that was idle resumes at the current virtual time, so that it
 // cannot accumulate credit while idle and then keep others from starting.
-type classQueue struct {
+type levelQueue struct {
+	level       int
 	flows       flowHeap
+	byTeam      map[*team]*flow
 	virtualTime float64
 	length      int // entries over all flows
+	// startsLeft is the number of starts of the class, from the next one on, of which
+	// one must be of this level. It decreases with each start of another level while
+	// this level waits. It is kept while the level is empty: entries with short
+	// deadlines expire after one or two starts, and a level whose entries all expire
+	// would otherwise never get its turn.
+	startsLeft int
 }
 
 // first returns the entry to start next. The queue must not be empty.
-func (c *classQueue) first() *queuedEntry { return c.flows[0].entries[0] }
+func (l *levelQueue) first() *queuedEntry { return l.flows[0].entries[0] }
+
+// flow returns the flow of a team, which is created if needed.
+func (l *levelQueue) flow(t *team) *flow {
+	f, ok := l.byTeam[t]
+	if !ok {
+		f = &flow{team: t, level: l}
+		l.byTeam[t] = f
+	}
+	return f
+}
 
 // charge adds the cost of a started request to its flow and advances the virtual time.
 // This also applies to requests that start without being queued, so that slots which no
 // other team wanted are not counted against a team later.
-func (c *classQueue) charge(f *flow, cost float64) {
-	c.virtualTime = max(c.virtualTime, f.startTag)
-	f.startTag = max(f.startTag, c.virtualTime) + cost/f.team.weight
+func (l *levelQueue) charge(f *flow, cost float64) {
+	l.virtualTime = max(l.virtualTime, f.startTag)
+	f.startTag = max(f.startTag, l.virtualTime) + cost/f.team.weight
 	if f.len() > 0 {
-		heap.Fix(&c.flows, f.heapIndex)
+		heap.Fix(&l.flows, f.heapIndex)
+	}
+}
+
+// level returns the queue of a level, which is created if needed.
+func (c *classQueue) level(level int) *levelQueue {
+	i, ok := slices.BinarySearchFunc(c.levels, level, func(l *levelQueue, level int) int {
+		return cmp.Compare(l.level, level)
+	})
+	if !ok {
+		l := &levelQueue{level: level, byTeam: make(map[*team]*flow), startsLeft: maxStartsPerTurn}
+		c.levels = slices.Insert(c.levels, i, l)
+	}
+	return c.levels[i]
+}
+
+// next returns the level of which an entry starts next: the lowest that waits, or the one
+// with the fewest starts left if another level would otherwise miss its turn. The queue
+// must not be empty.
+func (c *classQueue) next() *levelQueue {
+	var lowest, due *levelQueue
+	waiting := 0
+	for _, l := range c.levels {
+		if l.length == 0 {
+			continue
+		}
+		waiting++
+		if lowest == nil {
+			lowest = l
+		}
+		if due == nil || l.startsLeft < due.startsLeft {
+			due = l
+		}
+	}
+	// With more levels than starts per turn, all take turns.
+	if waiting > maxStartsPerTurn || !c.allInTime(lowest, 1) {
+		return due
+	}
+	return lowest
+}
+
+// allInTime reports whether, after a number of further starts, all waiting levels except
+// the given one could still get a start before their startsLeft is used up. This is so if
+// no k of them have to share fewer than k starts.
+func (c *classQueue) allInTime(except *levelQueue, starts int) bool {
+	for _, l := range c.levels {
+		if l.length == 0 || l == except {
+			continue
+		}
+		sharing := 0
+		for _, other := range c.levels {
+			if other.length > 0 && other != except && other.startsLeft <= l.startsLeft {
+				sharing++
+			}
+		}
+		if sharing > l.startsLeft-starts {
+			return false
+		}
+	}
+	return true
+}
+
+// recordStart charges the flow of a started request and counts the start for the turns of
+// the levels.
+func (c *classQueue) recordStart(f *flow, cost float64) {
+	f.level.charge(f, cost)
+	for _, l := range c.levels {
+		if l.length > 0 {
+			l.startsLeft--
+		}
 	}
+	f.level.startsLeft = maxStartsPerTurn
+}
+
+// insert adds an entry to the flow of its team and level.
+func (c *classQueue) insert(t *team, e *queuedEntry) {
+	l := c.level(e.Level)
+	f := l.flow(t)
+	e.flow = f
+	heap.Push((*entryHeap)(f), e)
+	if f.len() == 1 {
+		f.startTag = max(f.startTag, l.virtualTime)
+		heap.Push(&l.flows, f)
+	}
+	c.length++
+	l.length++
+	t.lengths[e.Class]++
+	// A level that waits again takes its turn up to maxStartsPerTurn starts later if it
+	// would otherwise make a level that has kept waiting miss its own.
+	for l.length == 1 && l.startsLeft < maxStartsPerTurn && !c.allInTime(nil, 0) {
+		l.startsLeft++
+	}
+}
+
+// delete removes an entry from its flow.
+func (c *classQueue) delete(e *queuedEntry) {
+	f, l := e.flow, e.flow.level
+	heap.Remove((*entryHeap)(f), e.flowIndex)
+	if f.len() == 0 {
+		heap.Remove(&l.flows, f.heapIndex)
+	}
+	c.length--
+	l.length--
+	f.team.lengths[e.Class]--
 }
 
 // team returns the state of a team, which is created with defaults if needed.
@@ -76,10 +215,7 @@
 	if ok {
 		return t
 	}
-	t = &team{weight: DefaultWeight, maxQueue: DefaultTeamQueue}
-	for c := range t.flows {
-		t.flows[c] = flow{team: t, name: name}
-	}
+	t = &team{name: name, weight: DefaultWeight, maxQueue: DefaultTeamQueue}
 	q.teams[name] = t
 	return t
 }
@@ -97,16 +233,10 @@
 }
 
 // push adds an entry to the queue.
-func (q *Queue) push(t *team, e Entry) {
+func (q *Queue) push(t *team, e Entry, now time.Time) {
 	q.sequence++
-	f, c := t.flow(e.Class), &q.classQueues[e.Class]
-	entry := &queuedEntry{Entry: e, flow: f, sequence: q.sequence, deadlineIndex: -1}
-	heap.Push((*entryHeap)(f), entry)
-	if f.len() == 1 {
-		f.startTag = max(f.startTag, c.virtualTime)
-		heap.Push(&c.flows, f)
-	}
-	c.length++
+	entry := &queuedEntry{Entry: e, arrivedAt: now, sequence: q.sequence, deadlineIndex: -1}
+	q.classQueues[e.Class].insert(t, entry)
 	q.entries[e.Ticket] = entry
 	if !e.Deadline.IsZero() {
 		heap.Push(&q.deadlines, entry)
@@ -115,12 +245,7 @@
 
 // remove removes an entry from the queue.
 func (q *Queue) remove(e *queuedEntry) {
-	c := &q.classQueues[e.Class]
-	heap.Remove((*entryHeap)(e.flow), e.flowIndex)
-	if e.flow.len() == 0 {
-		heap.Remove(&c.flows, e.flow.heapIndex)
-	}
-	c.length--
+	q.classQueues[e.Class].delete(e)
 	delete(q.entries, e.Ticket)
 	if e.deadlineIndex >= 0 {
 		heap.Remove(&q.deadlines, e.deadlineIndex)
--- a/internal/limits/drain.go
+++ b/internal/limits/drain.go
@@ -66,16 +66,29 @@
 }
 
 // estimateWait estimates how long a new entry of a team would be queued, and returns
-// false if that is unknown. The entry starts after all entries of its team, and after
-// those of other teams in proportion to their weights: with n teams of equal weight and
-// k entries of its own team, after n*k starts, but never more than are queued.
-// Production waits only for production, rollouts for both classes.
-func (q *Queue) estimateWait(t *team, c routing.Class) (time.Duration, bool) {
+// false if that is unknown. The entry starts after all entries of its team and level, and
+// after those of other teams of the level in proportion to their weights: with n teams of
+// equal weight and k entries of its own team, after n*k starts, but never more than are
+// queued. It also waits for all entries of lower levels, but not longer than until its
+// level has had enough turns. Production waits only for production, rollouts for both
+// classes.
+func (q *Queue) estimateWait(t *team, c routing.Class, level int) (time.Duration, bool) {
 	rate, known := q.drainRate(c)
 	if !known {
 		return 0, false
 	}
-	ahead := min(float64(q.classQueues[c].length), float64(t.flow(c).len())*q.activeWeight(t, c)/t.weight)
+	sameLevel, lowerLevels := 0.0, 0.0
+	for _, l := range q.classQueues[c].levels {
+		switch {
+		case l.level < level:
+			lowerLevels += float64(l.length)
+		case l.level == level:
+			sameLevel = min(float64(l.length), float64(l.flow(t).len())*l.activeWeight(t)/t.weight)
+		}
+	}
+	// Without the second bound, a long queue of a lower level would cause all entries of
+	// this level to be refused on arrival, and its turns would remain unused.
+	ahead := min(sameLevel+lowerLevels, (sameLevel+1)*maxStartsPerTurn-1)
 	if c == routing.ClassRollout {
 		ahead += float64(q.classQueues[routing.ClassProduction].length)
 	}
@@ -83,10 +96,10 @@
 }
 
 // activeWeight returns the sum of the weights of the given team and of all others with
-// entries queued in a class.
-func (q *Queue) activeWeight(t *team, c routing.Class) float64 {
+// entries queued in the level.
+func (l *levelQueue) activeWeight(t *team) float64 {
 	sum := 0.0
-	for _, f := range q.classQueues[c].flows {
+	for _, f := range l.flows {
 		if f.team != t {
 			sum += f.team.weight
 		}
--- a/internal/limits/heaps.go
+++ b/internal/limits/heaps.go
@@ -1,7 +1,9 @@
 package limits
 
+import "time"
+
 // entryHeap orders the entries of a flow: stragglers first, then by step deadline, then
-// by arrival.
+// by latest useful start, then by arrival.
 type entryHeap flow
 
 func (h *entryHeap) Len() int { return len(h.entries) }
@@ -14,14 +16,23 @@
 		return a.Straggler
 	}
 	if !a.StepDeadline.Equal(b.StepDeadline) {
-		if a.StepDeadline.IsZero() || b.StepDeadline.IsZero() {
-			return b.StepDeadline.IsZero()
-		}
-		return a.StepDeadline.Before(b.StepDeadline)
+		return earlier(a.StepDeadline, b.StepDeadline)
+	}
+	if !a.LatestStart.Equal(b.LatestStart) {
+		return earlier(a.LatestStart, b.LatestStart)
 	}
 	return a.sequence < b.sequence
 }
 
+// earlier reports whether a is before b, where the zero time comes after all others. The
+// times must differ.
+func earlier(a, b time.Time) bool {
+	if a.IsZero() || b.IsZero() {
+		return b.IsZero()
+	}
+	return a.Before(b)
+}
+
 func (h *entryHeap) Swap(i, j int) {
 	h.entries[i], h.entries[j] = h.entries[j], h.entries[i]
 	h.entries[i].flowIndex, h.entries[j].flowIndex = i, j
@@ -52,7 +63,7 @@
 	if h[i].startTag != h[j].startTag {
 		return h[i].startTag < h[j].startTag
 	}
-	return h[i].name < h[j].name
+	return h[i].team.name < h[j].team.name
 }
 
 func (h flowHeap) Swap(i, j int) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -7,9 +7,10 @@
 //   - Controller adapts the concurrency limit of one upstream to its token times.
 //   - Share divides the limit of an upstream between daemons that learn of each other's
 //     requests with a delay.
-//   - Queue admits requests to an upstream group. Production comes first. Rollouts are
-//     ordered by step deadline and leave a reserve free for production. Teams share
-//     capacity by weight. Requests that cannot start in time are refused early.
+//   - Queue admits requests to an upstream group. Production comes first, in order of
+//     level. Rollouts are ordered by step deadline and leave a reserve free for
+//     production. Teams share capacity by weight. Requests that cannot start in time are
+//     refused early.
 //
 // The package is deterministic: callers pass the time in, there are no clock reads,
 // locks or goroutines, and results do not depend on map order. Nothing in it is safe for
@@ -32,13 +33,22 @@
 	Ticket Ticket
 	Team   ident.Team
 	Class  routing.Class
+	// Level orders production, 0 first; values below 0 count as 0. A level that waits gets
+	// at least one of 16 starts. Rollouts have no levels. A Queue keeps the shares of the
+	// teams in each level used, so the number of different levels should be small.
+	Level int
 	// Deadline is the latest time at which the request may start; zero for none.
 	Deadline time.Time
 	// StepDeadline orders the rollouts of a team, earliest first; zero comes last.
 	StepDeadline time.Time
+	// LatestStart is the latest time at which a start is useful. It orders the requests of
+	// a team and level with equal StepDeadline, earliest first; zero comes last. Only
+	// Deadline causes a request to be refused.
+	LatestStart time.Time
 	// Cost is the expected work in tokens. Values below 1 count as 1.
 	Cost float64
-	// Straggler orders the request before its team's other requests of the class.
+	// Straggler orders the request before its team's other requests of the class and
+	// level.
 	Straggler bool
 }
 
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
@@ -20,9 +21,15 @@
 //   - rollouts start only while rollouts and the peers' requests that are not known to
 //     be production leave the reserve free;
 //   - a rollout starts only if no production entry could start in its place;
+//   - production starts in order of level, except that a level gets at least one of the
+//     next 16 starts of production while it waits; if more than 16 levels wait, they take
+//     turns;
+//   - within a level teams share starts by weight, and a team's entries start in the order
+//     of startsBefore;
 //   - each ticket gets one Admit or Refused, or one Queued and then one start, one
 //     expiry, or a Cancel;
-//   - a team has at most its maximum number of entries queued in each class.
+//   - a team has at most its maximum number of entries queued in each class, over all
+//     levels.
 type Queue struct {
 	options     Options
 	teams       map[ident.Team]*team
@@ -79,33 +86,38 @@
 // run.
 func (q *Queue) SetPeerProduction(n int) { q.peerProduction = max(0, n) }
 
-// Enqueue admits, queues or refuses a request.
+// Enqueue admits, queues or refuses a request. If slots may have been released since the
+// last Next, call Next first: a request is not admitted at once while others are queued,
+// and may be refused because of them.
 func (q *Queue) Enqueue(e Entry, now time.Time) Decision {
 	if e.Class >= classCount {
 		e.Class = routing.ClassRollout
 	}
-	e.Cost = max(1, e.Cost)
+	if e.Class == routing.ClassRollout {
+		e.Level = 0
+	}
+	e.Level, e.Cost = max(0, e.Level), max(1, e.Cost)
 	if q.contains(e.Ticket) {
 		return Decision{Refused: RefuseDuplicate, RetryAfter: MinRetryAfter}
 	}
-	t := q.team(e.Team)
-	if q.classQueues[e.Class].length == 0 && q.canStart(e.Class) && !deadlinePassed(e.Deadline, now) {
-		q.classQueues[e.Class].charge(t.flow(e.Class), e.Cost)
+	t, c := q.team(e.Team), &q.classQueues[e.Class]
+	if c.length == 0 && q.canStart(e.Class) && !deadlinePassed(e.Deadline, now) {
+		c.recordStart(c.level(e.Level).flow(t), e.Cost)
 		q.start(e.Ticket, e.Class, now)
 		return Decision{Admit: true}
 	}
-	wait, known := q.estimateWait(t, e.Class)
+	wait, known := q.estimateWait(t, e.Class, e.Level)
 	if reason := q.refusalReason(t, e, wait, known, now); reason != RefuseNone {
 		return Decision{Refused: reason, RetryAfter: retryAfter(wait, known)}
 	}
-	q.push(t, e)
+	q.push(t, e, now)
 	return Decision{Queued: true}
 }
 
 // refusalReason returns why an entry that cannot start now may not be queued, or
 // RefuseNone if it may. wait is the estimated time in the queue and is valid if known.
 func (q *Queue) refusalReason(t *team, e Entry, wait time.Duration, known bool, now time.Time) RefuseReason {
-	if t.flow(e.Class).len() >= t.maxQueue {
+	if t.lengths[e.Class] >= t.maxQueue {
 		return RefuseTeamFull
 	}
 	// A full queue still accepts entries of a team below its equal share, so that a
@@ -129,13 +141,13 @@
 func (q *Queue) Next(now time.Time) (starts []Ticket, expired []Expired) {
 	for e := q.deadlines.first(); e != nil && deadlinePassed(e.Deadline, now); e = q.deadlines.first() {
 		q.remove(e)
-		wait, known := q.estimateWait(q.team(e.Team), e.Class)
+		wait, known := q.estimateWait(e.flow.team, e.Class, e.Level)
 		expired = append(expired, Expired{Ticket: e.Ticket, RetryAfter: retryAfter(wait, known)})
 	}
 	for c := routing.ClassProduction; c < classCount; c++ {
 		for q.classQueues[c].length > 0 && q.canStart(c) {
-			e := q.classQueues[c].first()
-			q.classQueues[c].charge(e.flow, e.Cost)
+			e := q.classQueues[c].next().first()
+			q.classQueues[c].recordStart(e.flow, e.Cost)
 			q.remove(e)
 			q.start(e.Ticket, c, now)
 			starts = append(starts, e.Ticket)
@@ -178,7 +190,58 @@
 	if !ok {
 		return 0
 	}
-	return t.flow(c).len()
+	return t.lengths[c]
+}
+
+// UpdateLevels changes the levels of a team's queued production entries to those that
+// level returns for them, and returns the number of entries changed. Entries keep their
+// order of arrival. In its new level the team resumes like one that was idle there.
+func (q *Queue) UpdateLevels(name ident.Team, level func(Entry) int) int {
+	t, ok := q.teams[name]
+	if !ok {
+		return 0
+	}
+	c := &q.classQueues[routing.ClassProduction]
+	var changed []*queuedEntry
+	for _, l := range c.levels {
+		if f, ok := l.byTeam[t]; ok {
+			changed = append(changed, f.entries...)
+		}
+	}
+	changed = slices.DeleteFunc(changed, func(e *queuedEntry) bool {
+		old := e.Level
+		e.Level = max(0, level(e.Entry))
+		return e.Level == old
+	})
+	for _, e := range changed {
+		c.delete(e)
+		c.insert(t, e)
+	}
+	return len(changed)
+}
+
+// QueuedByTeam returns the number of queued entries of a class for each team that has
+// any.
+func (q *Queue) QueuedByTeam(c routing.Class) map[ident.Team]int {
+	counts := make(map[ident.Team]int)
+	for name, t := range q.teams {
+		if t.lengths[c] > 0 {
+			counts[name] = t.lengths[c]
+		}
+	}
+	return counts
+}
+
+// OldestWait returns how long the oldest queued entry of a class has waited, or 0 if none
+// is queued. It is a pass over all entries, for operators.
+func (q *Queue) OldestWait(c routing.Class, now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, e := range q.entries {
+		if e.Class == c {
+			oldest = max(oldest, now.Sub(e.arrivedAt))
+		}
+	}
+	return oldest
 }
 
 // NextDeadline returns the earliest deadline of all queued entries, and false if none has
