--- a/internal/limits/classqueue.go
+++ b/internal/limits/classqueue.go
@@ -54,9 +54,9 @@
 
 // classQueue is the queue of one class, divided into levels. Rollouts have level 0 only.
 //
-// Invariant: allInTime(nil, 0) is true, that is, every waiting level can still get a start
-// before its startsLeft is used up, unless more than maxStartsPerTurn levels wait or waited
-// a few starts ago.
+// Invariant: of the waiting levels at most k have a startsLeft of k or less, so that each
+// can still get a start in time. This does not hold while more than maxStartsPerTurn levels
+// wait and for one turn afterwards.
 type classQueue struct {
 	levels []*levelQueue // all levels used so far, in ascending order
 	length int           // entries over all levels
@@ -77,10 +77,12 @@
 	length      int // entries over all flows
 	// startsLeft is the number of starts of the class, from the next one on, of which
 	// one must be of this level. It decreases with each start of another level while
-	// this level waits. It is kept while the level is empty: entries with short
-	// deadlines expire after one or two starts, and a level whose entries all expire
-	// would otherwise never get its turn.
-	startsLeft int
+	// this level waits, or could wait if none of its entries had been refused. It is kept
+	// while the level is empty. Entries that must start within fewer starts than a turn
+	// takes expire or are refused on arrival, and their level would otherwise never get
+	// its turn.
+	startsLeft   int
+	refusedUntil time.Time // latest deadline of a refused entry
 }
 
 // first returns the entry to start next. The queue must not be empty.
@@ -124,12 +126,10 @@
 // must not be empty.
 func (c *classQueue) next() *levelQueue {
 	var lowest, due *levelQueue
-	waiting := 0
 	for _, l := range c.levels {
 		if l.length == 0 {
 			continue
 		}
-		waiting++
 		if lowest == nil {
 			lowest = l
 		}
@@ -138,27 +138,26 @@
 		}
 	}
 	// With more levels than starts per turn, all take turns.
-	if waiting > maxStartsPerTurn || !c.allInTime(lowest, 1) {
+	if c.waitingLevels() > maxStartsPerTurn || !c.canYieldTo(lowest) {
 		return due
 	}
 	return lowest
 }
 
-// allInTime reports whether, after a number of further starts, all waiting levels except
-// the given one could still get a start before their startsLeft is used up. This is so if
-// no k of them have to share fewer than k starts.
-func (c *classQueue) allInTime(except *levelQueue, starts int) bool {
+// canYieldTo reports whether a level may start next without another waiting level missing
+// its turn: after that start, no k other levels have to share fewer than k starts.
+func (c *classQueue) canYieldTo(next *levelQueue) bool {
 	for _, l := range c.levels {
-		if l.length == 0 || l == except {
+		if l.length == 0 || l == next {
 			continue
 		}
 		sharing := 0
 		for _, other := range c.levels {
-			if other.length > 0 && other != except && other.startsLeft <= l.startsLeft {
+			if other.length > 0 && other != next && other.startsLeft <= l.startsLeft {
 				sharing++
 			}
 		}
-		if sharing > l.startsLeft-starts {
+		if sharing > l.startsLeft-1 {
 			return false
 		}
 	}
@@ -167,10 +166,10 @@
 
 // recordStart charges the flow of a started request and counts the start for the turns of
 // the levels.
-func (c *classQueue) recordStart(f *flow, cost float64) {
+func (c *classQueue) recordStart(f *flow, cost float64, now time.Time) {
 	f.level.charge(f, cost)
 	for _, l := range c.levels {
-		if l.length > 0 {
+		if l.length > 0 || l.startsLeft > 1 && now.Before(l.refusedUntil) {
 			l.startsLeft--
 		}
 	}
@@ -190,11 +189,22 @@
 	c.length++
 	l.length++
 	t.lengths[e.Class]++
-	// A level that waits again takes its turn up to maxStartsPerTurn starts later if it
-	// would otherwise make a level that has kept waiting miss its own.
-	for l.length == 1 && l.startsLeft < maxStartsPerTurn && !c.allInTime(nil, 0) {
-		l.startsLeft++
+	if l.length == 1 {
+		// A level that waits again must not make a level that has kept waiting miss its
+		// turn, so it is given at least as many starts as there are levels waiting.
+		l.startsLeft = max(l.startsLeft, min(c.waitingLevels(), maxStartsPerTurn))
+	}
+}
+
+// waitingLevels returns the number of levels with entries queued.
+func (c *classQueue) waitingLevels() int {
+	n := 0
+	for _, l := range c.levels {
+		if l.length > 0 {
+			n++
+		}
 	}
+	return n
 }
 
 // delete removes an entry from its flow.
--- a/internal/limits/drain.go
+++ b/internal/limits/drain.go
@@ -65,30 +65,27 @@
 	return slots / rate, true
 }
 
-// estimateWait estimates how long a new entry of a team would be queued, and returns
-// false if that is unknown. The entry starts after all entries of its team and level, and
-// after those of other teams of the level in proportion to their weights: with n teams of
-// equal weight and k entries of its own team, after n*k starts, but never more than are
-// queued. It also waits for all entries of lower levels, but not longer than until its
-// level has had enough turns. Production waits only for production, rollouts for both
-// classes.
-func (q *Queue) estimateWait(t *team, c routing.Class, level int) (time.Duration, bool) {
+// estimateWait estimates how long a new entry of a flow would be queued, and returns
+// false if that is unknown. The entry starts after all entries of its flow, and after
+// those of other teams of the level in proportion to their weights: with n teams of equal
+// weight and k entries of its own team, after n*k starts, but never more than are queued.
+// It also waits for all entries of lower levels, but not longer than until its level has
+// had enough turns. Production waits only for production, rollouts for both classes.
+func (q *Queue) estimateWait(f *flow, c routing.Class) (time.Duration, bool) {
 	rate, known := q.drainRate(c)
 	if !known {
 		return 0, false
 	}
-	sameLevel, lowerLevels := 0.0, 0.0
+	sameLevel := min(float64(f.level.length), float64(f.len())*f.level.activeWeight(f.team)/f.team.weight)
+	ahead := sameLevel
 	for _, l := range q.classQueues[c].levels {
-		switch {
-		case l.level < level:
-			lowerLevels += float64(l.length)
-		case l.level == level:
-			sameLevel = min(float64(l.length), float64(l.flow(t).len())*l.activeWeight(t)/t.weight)
+		if l.level < f.level.level {
+			ahead += float64(l.length)
 		}
 	}
-	// Without the second bound, a long queue of a lower level would cause all entries of
-	// this level to be refused on arrival, and its turns would remain unused.
-	ahead := min(sameLevel+lowerLevels, (sameLevel+1)*maxStartsPerTurn-1)
+	// Without this bound, a long queue of a lower level would cause all entries of this
+	// level to be refused on arrival, and its turns would remain unused.
+	ahead = min(ahead, float64(max(1, f.level.startsLeft)-1)+sameLevel*maxStartsPerTurn)
 	if c == routing.ClassRollout {
 		ahead += float64(q.classQueues[routing.ClassProduction].length)
 	}
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -100,17 +101,21 @@
 	if q.contains(e.Ticket) {
 		return Decision{Refused: RefuseDuplicate, RetryAfter: MinRetryAfter}
 	}
-	t, c := q.team(e.Team), &q.classQueues[e.Class]
+	c := &q.classQueues[e.Class]
+	f := c.level(e.Level).flow(q.team(e.Team))
 	if c.length == 0 && q.canStart(e.Class) && !deadlinePassed(e.Deadline, now) {
-		c.recordStart(c.level(e.Level).flow(t), e.Cost)
+		c.recordStart(f, e.Cost, now)
 		q.start(e.Ticket, e.Class, now)
 		return Decision{Admit: true}
 	}
-	wait, known := q.estimateWait(t, e.Class, e.Level)
-	if reason := q.refusalReason(t, e, wait, known, now); reason != RefuseNone {
+	wait, known := q.estimateWait(f, e.Class)
+	if reason := q.refusalReason(f.team, e, wait, known, now); reason != RefuseNone {
+		if e.Deadline.After(f.level.refusedUntil) {
+			f.level.refusedUntil = e.Deadline
+		}
 		return Decision{Refused: reason, RetryAfter: retryAfter(wait, known)}
 	}
-	q.push(t, e, now)
+	q.push(f.team, e, now)
 	return Decision{Queued: true}
 }
 
@@ -141,13 +146,13 @@
 func (q *Queue) Next(now time.Time) (starts []Ticket, expired []Expired) {
 	for e := q.deadlines.first(); e != nil && deadlinePassed(e.Deadline, now); e = q.deadlines.first() {
 		q.remove(e)
-		wait, known := q.estimateWait(e.flow.team, e.Class, e.Level)
+		wait, known := q.estimateWait(e.flow, e.Class)
 		expired = append(expired, Expired{Ticket: e.Ticket, RetryAfter: retryAfter(wait, known)})
 	}
 	for c := routing.ClassProduction; c < classCount; c++ {
 		for q.classQueues[c].length > 0 && q.canStart(c) {
 			e := q.classQueues[c].next().first()
-			q.classQueues[c].recordStart(e.flow, e.Cost)
+			q.classQueues[c].recordStart(e.flow, e.Cost, now)
 			q.remove(e)
 			q.start(e.Ticket, c, now)
 			starts = append(starts, e.Ticket)
@@ -195,7 +200,7 @@
 
 // UpdateLevels changes the levels of a team's queued production entries to those that
 // level returns for them, and returns the number of entries changed. Entries keep their
-// order of arrival. In its new level the team resumes like one that was idle there.
+// order of arrival. The effect is that of removing and queueing each again in that order.
 func (q *Queue) UpdateLevels(name ident.Team, level func(Entry) int) int {
 	t, ok := q.teams[name]
 	if !ok {
@@ -213,6 +218,7 @@
 		e.Level = max(0, level(e.Entry))
 		return e.Level == old
 	})
+	slices.SortFunc(changed, func(a, b *queuedEntry) int { return cmp.Compare(a.sequence, b.sequence) })
 	for _, e := range changed {
 		c.delete(e)
 		c.insert(t, e)
