limits.Queue: simpler turns, and tests of the estimated wait and the maximum over all levels

Cause: deliberate faults put into the queue one by one. Counting entries of all levels as ahead, and applying the team's maximum to each level, passed the tests. So did removing two conditions, which were redundant: with more than 16 waiting levels canYieldTo is false anyway, and a level that waits again gets at least one start left.

Result: both faults now fail a test; the redundant conditions are gone. Not covered: rollouts with a level other than 0.

--- a/internal/limits/classqueue.go
+++ b/internal/limits/classqueue.go
@@ -56,7 +56,7 @@
 //
 // Invariant: of the waiting levels at most k have a startsLeft of k or less, so that each
 // can still get a start in time. This does not hold while more than maxStartsPerTurn levels
-// wait and for one turn afterwards.
+// wait, nor afterwards until each of them has had a start.
 type classQueue struct {
 	levels []*levelQueue // all levels used so far, in ascending order
 	length int           // entries over all levels
@@ -76,7 +76,7 @@
 	virtualTime float64
 	length      int // entries over all flows
 	// startsLeft is the number of starts of the class, from the next one on, of which
-	// one must be of this level. It decreases with each start of another level while
+	// one must be of this level; 0 or less if it is overdue. It decreases with each start of another level while
 	// this level waits, or could wait if none of its entries had been refused. It is kept
 	// while the level is empty. Entries that must start within fewer starts than a turn
 	// takes expire or are refused on arrival, and their level would otherwise never get
@@ -137,15 +137,15 @@
 			due = l
 		}
 	}
-	// With more levels than starts per turn, all take turns.
-	if c.waitingLevels() > maxStartsPerTurn || !c.canYieldTo(lowest) {
-		return due
+	if c.canYieldTo(lowest) {
+		return lowest
 	}
-	return lowest
+	return due
 }
 
 // canYieldTo reports whether a level may start next without another waiting level missing
-// its turn: after that start, no k other levels have to share fewer than k starts.
+// its turn: after that start, no k other levels have to share fewer than k starts. With
+// more than maxStartsPerTurn levels this is never so, and all take turns.
 func (c *classQueue) canYieldTo(next *levelQueue) bool {
 	for _, l := range c.levels {
 		if l.length == 0 || l == next {
@@ -169,7 +169,7 @@
 func (c *classQueue) recordStart(f *flow, cost float64, now time.Time) {
 	f.level.charge(f, cost)
 	for _, l := range c.levels {
-		if l.length > 0 || l.startsLeft > 1 && now.Before(l.refusedUntil) {
+		if l.length > 0 || now.Before(l.refusedUntil) {
 			l.startsLeft--
 		}
 	}
--- a/internal/limits/levels_test.go
+++ b/internal/limits/levels_test.go
@@ -11,8 +11,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/limits"
 )
 
-// levelReference is a naive queue of production with levels and teams of equal weight:
-// every query is a pass over all entries.
+// levelReference is a naive queue of production with levels, and teams of equal weight.
 type levelReference struct {
 	queue       []limits.Entry           // in order of arrival
 	startTags   map[limits.Entry]float64 // by flowOf
@@ -24,8 +23,7 @@
 func flowOf(e limits.Entry) limits.Entry { return limits.Entry{Team: e.Team, Level: e.Level} }
 
 // waiting returns the waiting levels except one in the order of their turns, and whether
-// they can start one after the other, the first after a number of other starts, with at
-// most 15 starts of others before each.
+// each has at most 15 starts of others before its own if other starts come before them.
 func (n *levelReference) waiting(except, after int) (levels []int, inTime bool) {
 	for _, e := range n.queue {
 		if e.Level != except && !slices.Contains(levels, e.Level) {
@@ -33,18 +31,12 @@
 		}
 	}
 	slices.SortFunc(levels, func(a, b int) int { return cmp.Or(n.passed[b]-n.passed[a], a-b) })
-	inTime = true
-	for i, level := range levels {
-		inTime = inTime && n.passed[level]+after+i <= 15
-	}
-	return levels, inTime
+	late := func(level int) bool { return n.passed[level]+after+slices.Index(levels, level) > 15 }
+	return levels, !slices.ContainsFunc(levels, late)
 }
 
 func (n *levelReference) add(e limits.Entry) {
-	f := flowOf(e)
-	if !slices.ContainsFunc(n.queue, func(o limits.Entry) bool { return flowOf(o) == f }) {
-		n.startTags[f] = max(n.startTags[f], n.virtualTime[e.Level])
-	}
+	n.startTags[flowOf(e)] = max(n.startTags[flowOf(e)], n.virtualTime[e.Level])
 	if before, _ := n.waiting(-1, 0); !slices.Contains(before, e.Level) {
 		n.passed[e.Level] = min(n.passed[e.Level], max(0, 15-len(before)))
 	}
@@ -52,10 +44,6 @@
 	slices.SortFunc(n.queue, func(a, b limits.Entry) int { return cmp.Compare(a.Ticket, b.Ticket) })
 }
 
-func (n *levelReference) drop(t limits.Ticket) {
-	n.queue = slices.DeleteFunc(n.queue, func(e limits.Entry) bool { return e.Ticket == t })
-}
-
 // start records the start of an entry, which may be queued.
 func (n *levelReference) start(e limits.Entry) {
 	f := flowOf(e)
@@ -66,14 +54,14 @@
 		n.passed[level]++
 	}
 	n.passed[e.Level] = 0
-	n.drop(e.Ticket)
+	n.queue = slices.DeleteFunc(n.queue, func(o limits.Entry) bool { return o.Ticket == e.Ticket })
 }
 
 // first returns the entry to start next.
 func (n *levelReference) first() limits.Entry {
 	levels, _ := n.waiting(-1, 0)
 	level, lowest := levels[0], slices.Min(levels)
-	if _, inTime := n.waiting(lowest, 1); inTime && len(levels) <= 16 {
+	if _, inTime := n.waiting(lowest, 1); inTime {
 		level = lowest
 	}
 	ofLevel := slices.DeleteFunc(slices.Clone(n.queue), func(e limits.Entry) bool { return e.Level != level })
@@ -104,12 +92,10 @@
 		if shift := 1 + r.IntN(levels-1); i%40 == 0 {
 			level := func(e limits.Entry) int { return (e.Level + shift) % levels }
 			Expect(q.UpdateLevels("team0", level)).To(Equal(q.TeamQueued("team0", production)))
-			for _, e := range slices.Clone(n.queue) {
-				if e.Team == "team0" {
-					n.drop(e.Ticket)
-					e.Level = level(e)
-					n.add(e)
-				}
+			for _, e := range slices.DeleteFunc(slices.Clone(n.queue), func(e limits.Entry) bool { return e.Team != "team0" }) {
+				n.queue = slices.DeleteFunc(n.queue, func(o limits.Entry) bool { return o.Ticket == e.Ticket })
+				e.Level = level(e)
+				n.add(e)
 			}
 		}
 		starts, _ := q.Next(now)
@@ -133,9 +119,12 @@
 // neither starve the less urgent calls nor give them more than their turns. At each turn
 // they may delay one urgent call and queue one in vain.
 var _ = It("gives levels their turns in a peak in which no call can wait for a whole turn", func() {
-	q, started, late, running := limits.NewQueue(limits.Options{}), [2]int{}, 0, []limits.Ticket(nil)
+	q, now, started, late, running := limits.NewQueue(limits.Options{}), start, [2]int{}, 0, []limits.Ticket(nil)
+	enqueue := func(i, level int, wait time.Duration) limits.Decision {
+		return q.Enqueue(limits.Entry{Ticket: limits.Ticket(i), Team: "a", Level: level, Deadline: now.Add(wait)}, now)
+	}
 	for i := range 2000 {
-		now := start.Add(time.Duration(i/5) * 25 * time.Millisecond)
+		now = start.Add(time.Duration(i/5) * 25 * time.Millisecond)
 		for ; i%5 == 0 && len(running) > 0; running = running[1:] {
 			q.Done(running[0], now)
 		}
@@ -144,10 +133,20 @@
 		for _, t := range starts {
 			started[t%5/4]++
 		}
-		q.Enqueue(limits.Entry{Ticket: limits.Ticket(i), Team: "a", Level: i % 5 / 4, Deadline: now.Add(76 * time.Millisecond)}, now)
+		enqueue(i, i%5/4, 76*time.Millisecond)
 		q.SetCapacity(min(2, i/5), 0) // from the second tick on, so that Next starts every entry
 	}
 	Expect(started[0]).To(BeNumerically("~", 800*15/16, 6))
 	Expect(started[1]).To(BeNumerically("~", 800/16, 3))
 	Expect(late).To(BeNumerically("<=", 2*started[1]+15), "15 arrive before the run time is known")
+	now = now.Add(time.Hour)
+	q.Next(now) // all queued entries expire
+	for i := range 50 {
+		enqueue(2000+i, 5, time.Hour)
+	}
+	Expect(enqueue(3000, 6, 199*time.Millisecond).Refused).To(Equal(limits.RefuseDeadline), "starts 16th, at 80 per second")
+	Expect(enqueue(3001, 6, 201*time.Millisecond).Queued).To(BeTrue())
+	Expect(enqueue(3002, 0, 13*time.Millisecond).Queued).To(BeTrue(), "is ahead of all")
+	q.SetTeam("a", 1, 52)
+	Expect(enqueue(3003, 0, time.Hour).Refused).To(Equal(limits.RefuseTeamFull), "the maximum is that of all levels")
 })
