--- a/internal/shares/coordinator.go
+++ b/internal/shares/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -23,25 +24,27 @@
 	lastSlot time.Duration // time of the last report that was scheduled
 }
 
-// fleetDemand is the demand of all daemons for one service.
+// fleetDemand is the demand of all daemons for one service. Its sums are kept up to date with each
+// report: summing up all reports for each table would take a coordinator of 985 daemons millions
+// of additions per second. They are integers, so that subtracting a report leaves no rounding
+// error.
 type fleetDemand struct {
-	reports map[string]*heldReport // by VM
-	// sums is kept up to date with each report: summing up all reports for each table would
-	// take a coordinator of 985 daemons 36 million additions per second.
-	sums map[demandKey]*demandSum
+	reports   map[string]*heldReport // by VM
+	customers map[string]*customerSum
+	units     uint64 // of all customers
 }
 
-type demandKey struct {
-	customer string
-	level    int
+type customerSum struct {
+	name   string
+	units  uint64
+	levels []*levelSum // sorted by level
 }
 
-// demandSum is the sum of an entry over all reports. Integers make it exact, so that subtracting a
-// report leaves no rounding error.
-type demandSum struct {
-	key     demandKey
-	units   uint64
-	entries int // number of held entries that are included
+type levelSum struct {
+	customer *customerSum
+	level    int
+	units    uint64
+	entries  int // number of held entries that are included
 }
 
 type heldReport struct {
@@ -54,7 +57,7 @@
 }
 
 type heldEntry struct {
-	sum   *demandSum
+	sum   *levelSum
 	units uint64
 }
 
@@ -79,7 +82,7 @@
 	}
 	f, ok := c.services[r.Service]
 	if !ok {
-		f = &fleetDemand{reports: map[string]*heldReport{}, sums: map[demandKey]*demandSum{}}
+		f = &fleetDemand{reports: map[string]*heldReport{}, customers: map[string]*customerSum{}}
 		c.services[r.Service] = f
 	}
 	interval := c.schedule(now)
@@ -131,20 +134,40 @@
 	c.held += len(held.entries) + reportCost
 }
 
-// addSum adds a demand to its sum.
+// addSum adds a demand to its sums.
 func (f *fleetDemand) addSum(d Demand) heldEntry {
-	key := demandKey{d.Customer, d.Level}
-	sum, ok := f.sums[key]
+	c, ok := f.customers[d.Customer]
 	if !ok {
-		sum = &demandSum{key: key}
-		f.sums[key] = sum
+		c = &customerSum{name: d.Customer}
+		f.customers[d.Customer] = c
 	}
-	units := Units(d.Rate)
+	at, ok := slices.BinarySearchFunc(c.levels, d.Level, func(l *levelSum, level int) int { return l.level - level })
+	if !ok {
+		c.levels = slices.Insert(c.levels, at, &levelSum{customer: c, level: d.Level})
+	}
+	sum, units := c.levels[at], Units(d.Rate)
 	sum.units += units
 	sum.entries++
+	c.units += units
+	f.units += units
 	return heldEntry{sum, units}
 }
 
+// subtract undoes addSum.
+func (f *fleetDemand) subtract(e heldEntry) {
+	sum, c := e.sum, e.sum.customer
+	sum.units -= e.units
+	c.units -= e.units
+	f.units -= e.units
+	if sum.entries--; sum.entries > 0 {
+		return
+	}
+	c.levels = slices.DeleteFunc(c.levels, func(l *levelSum) bool { return l == sum })
+	if len(c.levels) == 0 {
+		delete(f.customers, c.name)
+	}
+}
+
 // remove removes a VM's report, if there is one.
 func (c *Coordinator) remove(f *fleetDemand, vm string) {
 	held, ok := f.reports[vm]
@@ -154,16 +177,13 @@
 	delete(f.reports, vm)
 	c.held -= len(held.entries) + reportCost
 	for _, e := range held.entries {
-		e.sum.units -= e.units
-		if e.sum.entries--; e.sum.entries == 0 {
-			delete(f.sums, e.sum.key)
-		}
+		f.subtract(e)
 	}
 }
 
 // table returns the fleet's demand, without the time of the next report.
 func (f *fleetDemand) table() Table {
-	t := Table{Daemons: len(f.reports)}
+	t := Table{Daemons: len(f.reports), Demands: f.demands()}
 	measured := 0
 	for _, r := range f.reports {
 		if r.known {
@@ -177,13 +197,38 @@
 		t.QueueTime /= time.Duration(measured)
 		t.Admitted = min(1, t.Admitted/float64(measured))
 	}
-	demands := make([]Demand, 0, len(f.sums))
-	for _, sum := range f.sums {
-		if sum.units > 0 {
-			demands = append(demands, Demand{Customer: sum.key.customer, Level: sum.key.level, Rate: min(RateOfUnits(sum.units), maxRate)})
+	return t
+}
+
+// demands returns the sums, with those of small customers aggregated.
+func (f *fleetDemand) demands() []Demand {
+	var large []*customerSum
+	var aggregated [maxLevel + 1]Demand
+	for _, c := range f.customers {
+		if c.name != "" && c.units*minShare >= f.units {
+			large = append(large, c)
+			continue
+		}
+		for _, l := range c.levels {
+			if l.units > 0 {
+				aggregated[l.level].Customers++
+				aggregated[l.level].Rate += float64(l.units) // exact up to 2^53
+			}
 		}
 	}
-	slices.SortFunc(demands, compareDemands)
-	t.Demands = compact(demands, minShare)
-	return t
+	slices.SortFunc(large, func(a, b *customerSum) int { return strings.Compare(a.name, b.name) })
+	demands := make([]Demand, 0, 2*len(large)+len(aggregated))
+	for level, d := range aggregated {
+		if d.Customers > 0 {
+			demands = append(demands, Demand{Level: level, Rate: min(d.Rate/rateUnits, maxRate), Customers: d.Customers})
+		}
+	}
+	for _, c := range large {
+		for _, l := range c.levels {
+			if l.units > 0 {
+				demands = append(demands, Demand{Customer: c.name, Level: l.level, Rate: min(RateOfUnits(l.units), maxRate)})
+			}
+		}
+	}
+	return compact(demands)
 }
--- a/internal/shares/coordinator_test.go
+++ b/internal/shares/coordinator_test.go
@@ -18,6 +18,11 @@
 	expires time.Duration
 }
 
+type demandKey struct {
+	customer string
+	level    int
+}
+
 // naiveTable sums up all valid reports of a service.
 func naiveTable(reports map[string]naiveReport, service string, now time.Duration) Table {
 	t := Table{Demands: []Demand{}}
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -32,8 +32,9 @@
 	validIntervals = 3
 	// MaxDemands bounds the entries of a report and of a table.
 	MaxDemands = 1024
-	// minShare is the share of the total demand below which customers are aggregated.
-	minShare = 1.0 / 256
+	// minShare is the part of the total demand, one in so many, below which customers are
+	// aggregated.
+	minShare = 256
 	// maxLevel is the last level; reporters count higher ones as this one.
 	maxLevel = 63
 	// maxName bounds the length of names in bytes.
@@ -41,7 +42,7 @@
 	// maxRate bounds the rate of one entry in calls per second. It is far above what a VM can
 	// receive, and sums of such rates stay exact in 64 bits.
 	maxRate = 1e6
-	// maxQueueTime is far above the timeout of any caller.
+	// maxQueueTime is far above the timeout of any caller, and fits in 32 bits of microseconds.
 	maxQueueTime = time.Hour
 	// rateUnits is the number of units of a call per second in which rates are summed and sent.
 	rateUnits = 1000
@@ -165,28 +166,29 @@
 		demands = append(demands, d)
 	}
 	slices.SortFunc(demands, compareDemands)
-	r.Demands = compact(demands, 0)
+	r.Demands = compact(demands)
 	r.QueueTime = min(max(r.QueueTime, 0), maxQueueTime)
 	r.Known = r.Known && r.Admitted >= 0 && r.Admitted <= 1
 	return r
 }
 
-// compact aggregates customers with less than a share of the total demand, and the smallest ones
-// beyond MaxDemands entries, in one entry per level. demands must be sorted.
-func compact(demands []Demand, share float64) []Demand {
+// compact aggregates the smallest customers, in one entry per level, if there are more than
+// MaxDemands entries. demands must be sorted.
+func compact(demands []Demand) []Demand {
+	if len(demands) <= MaxDemands {
+		return demands
+	}
 	type customer struct {
 		from, to int // its demands
 		rate     float64
 	}
 	var customers []customer
-	var total float64
 	for i, d := range demands {
 		if i == 0 || d.Customer != demands[i-1].Customer {
 			customers = append(customers, customer{from: i})
 		}
 		c := &customers[len(customers)-1]
 		c.to, c.rate = i+1, c.rate+d.Rate
-		total += d.Rate
 	}
 	slices.SortStableFunc(customers, func(a, b customer) int { return cmp.Compare(b.rate, a.rate) })
 	out := make([]Demand, 0, min(len(demands), MaxDemands))
@@ -196,7 +198,7 @@
 	for _, c := range customers {
 		entries := demands[c.from:c.to]
 		full = full || len(out)+len(entries) > MaxDemands-len(rates)
-		if entries[0].Customer != "" && c.rate >= share*total && !full {
+		if entries[0].Customer != "" && !full {
 			out = append(out, entries...)
 			continue
 		}
--- a/internal/sharespeer/encode.go
+++ b/internal/sharespeer/encode.go
@@ -1,7 +1,6 @@
 package sharespeer
 
 import (
-	"math"
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/peer/peerpb"
@@ -11,43 +10,31 @@
 func encodeReport(r shares.Report) *peerpb.DemandReport {
 	return &peerpb.DemandReport{
 		Vm: r.VM, Service: r.Service, Sequence: r.Sequence, Demands: encodeDemands(r.Demands),
-		Known: r.Known, QueueTimeUs: r.QueueTime.Microseconds(), Admitted: r.Admitted,
+		Known: r.Known, QueueTimeUs: uint32(r.QueueTime.Microseconds()), Admitted: r.Admitted,
 	}
 }
 
 func decodeReport(in *peerpb.DemandReport) shares.Report {
 	return shares.Report{
 		VM: in.GetVm(), Service: in.GetService(), Sequence: in.GetSequence(), Demands: decodeDemands(in.GetDemands()),
-		Known: in.GetKnown(), QueueTime: decodeDuration(in.GetQueueTimeUs(), time.Microsecond), Admitted: in.GetAdmitted(),
+		Known: in.GetKnown(), QueueTime: time.Duration(in.GetQueueTimeUs()) * time.Microsecond, Admitted: in.GetAdmitted(),
 	}
 }
 
 func encodeTable(t shares.Table) *peerpb.DemandTable {
 	return &peerpb.DemandTable{
-		Demands: encodeDemands(t.Demands), Known: t.Known, QueueTimeUs: t.QueueTime.Microseconds(), Admitted: t.Admitted,
+		Demands: encodeDemands(t.Demands), Known: t.Known, QueueTimeUs: uint32(t.QueueTime.Microseconds()), Admitted: t.Admitted,
 		Daemons: uint32(t.Daemons), NextReportMs: uint32(t.NextReport.Milliseconds()),
 	}
 }
 
 func decodeTable(in *peerpb.DemandTable) shares.Table {
 	return shares.Table{
-		Demands: decodeDemands(in.GetDemands()), Known: in.GetKnown(), QueueTime: decodeDuration(in.GetQueueTimeUs(), time.Microsecond), Admitted: in.GetAdmitted(),
-		Daemons: int(in.GetDaemons()), NextReport: decodeDuration(int64(in.GetNextReportMs()), time.Millisecond),
+		Demands: decodeDemands(in.GetDemands()), Known: in.GetKnown(), QueueTime: time.Duration(in.GetQueueTimeUs()) * time.Microsecond, Admitted: in.GetAdmitted(),
+		Daemons: int(in.GetDaemons()), NextReport: time.Duration(in.GetNextReportMs()) * time.Millisecond,
 	}
 }
 
-// decodeDuration returns n units. A number that overflows becomes the largest duration, or the
-// smallest, which validation refuses.
-func decodeDuration(n int64, unit time.Duration) time.Duration {
-	switch limit := math.MaxInt64 / int64(unit); {
-	case n > limit:
-		return math.MaxInt64
-	case n < -limit:
-		return math.MinInt64
-	}
-	return time.Duration(n) * unit
-}
-
 func encodeDemands(demands []shares.Demand) []*peerpb.DemandEntry {
 	out := make([]*peerpb.DemandEntry, 0, len(demands))
 	for _, d := range demands {
