--- a/internal/shares/coordinator_test.go
+++ b/internal/shares/coordinator_test.go
@@ -18,15 +18,10 @@
 	expires time.Duration
 }
 
-type demandKey struct {
-	customer string
-	level    int
-}
-
 // naiveTable sums up all valid reports of a service.
 func naiveTable(reports map[string]naiveReport, service string, now time.Duration) Table {
 	t := Table{Demands: []Demand{}}
-	byCustomer, byEntry, total, measured := map[string]float64{}, map[demandKey]float64{}, 0.0, 0
+	customers, entries, total, measured := map[string]float64{}, map[Demand]float64{}, 0.0, 0
 	for _, r := range reports {
 		if r.Service != service || now >= r.expires {
 			continue
@@ -38,8 +33,8 @@
 			t.Admitted += r.Admitted
 		}
 		for _, d := range r.Demands {
-			byCustomer[d.Customer] += d.Rate
-			byEntry[demandKey{d.Customer, d.Level}] += d.Rate
+			customers[d.Customer] += d.Rate
+			entries[Demand{Customer: d.Customer, Level: d.Level}] += d.Rate
 			total += d.Rate
 		}
 	}
@@ -47,23 +42,16 @@
 		t.QueueTime /= time.Duration(measured)
 		t.Admitted /= float64(measured)
 	}
-	small := map[int]*Demand{}
-	for key, rate := range byEntry {
-		switch {
-		case rate == 0:
-		case key.customer != "" && byCustomer[key.customer] >= total/256:
-			t.Demands = append(t.Demands, Demand{Customer: key.customer, Level: key.level, Rate: rate})
-		default:
-			if small[key.level] == nil {
-				small[key.level] = &Demand{Level: key.level}
-			}
-			small[key.level].Rate += rate
-			small[key.level].Customers++
+	var aggregated [3]Demand
+	for d, rate := range entries {
+		if d.Rate = rate; rate > 0 && (d.Customer == "" || customers[d.Customer] < total/256) {
+			sum := &aggregated[d.Level]
+			*sum = Demand{Level: d.Level, Rate: sum.Rate + rate, Customers: sum.Customers + 1}
+		} else if rate > 0 {
+			t.Demands = append(t.Demands, d)
 		}
 	}
-	for _, d := range small {
-		t.Demands = append(t.Demands, *d)
-	}
+	t.Demands = slices.DeleteFunc(append(t.Demands, aggregated[:]...), func(d Demand) bool { return d.Rate == 0 })
 	slices.SortFunc(t.Demands, compareDemands)
 	return t
 }
@@ -146,7 +134,7 @@
 func TestReportsAndMemoryAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	r := Report{VM: "a", Service: "s", Admitted: math.NaN(), Known: true, QueueTime: -1, Demands: []Demand{
-		{Customer: strings.Repeat("c", 300), Rate: 1}, {Customer: "b", Level: 99, Rate: math.Inf(1)}, {Customer: "n", Rate: math.NaN()},
+		{Customer: strings.Repeat("c", 300), Rate: 1}, {Customer: "b", Level: 99, Rate: math.Inf(1)}, {Customer: "n", Rate: math.NaN()}, {Customer: "\xff", Rate: 2},
 	}}
 	for n := range 100_000 {
 		r.Demands = append(r.Demands, Demand{Customer: fmt.Sprint(n), Level: -1, Rate: float64(n)})
@@ -154,6 +142,7 @@
 	r = prepare(r)
 	g.Expect(r.Validate()).To(Succeed())
 	g.Expect(r.Demands).To(ContainElements(Demand{Customer: "99999", Rate: 99_999}, Demand{Customer: "b", Level: 63, Rate: 1e6}))
+	g.Expect(r.Demands).NotTo(ContainElement(HaveField("Customer", "\xff")))
 	c := NewCoordinator()
 	exchange := func(vm int, now time.Duration) error {
 		r.VM = fmt.Sprint(vm)
--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -161,14 +161,16 @@
 
 // report sends a report and returns the time until the next one.
 func (s *Service) report(ctx context.Context, c *client, r Report) time.Duration {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	coordinators := s.options.Directory.Coordinators(callCtx, r.Service)
+	lookupCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	coordinators := s.options.Directory.Coordinators(lookupCtx, r.Service)
+	cancel()
 	sent := s.options.Now()
 	address, wait, ok := c.choose(coordinators, sent)
 	if !ok {
 		return wait
 	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout) // the look-up does not shorten the call
+	defer cancel()
 	t, err := s.exchange(callCtx, address, prepare(r))
 	if ctx.Err() != nil {
 		return 0
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -16,6 +16,7 @@
 	"math"
 	"slices"
 	"time"
+	"unicode/utf8"
 )
 
 const (
@@ -151,18 +152,18 @@
 	return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Level, b.Level))
 }
 
-// prepare returns a report that Validate accepts: levels and rates within their bounds, too long
-// names and the smallest customers aggregated, no rates of zero.
+// prepare returns a report that Validate accepts and that can be encoded: levels and rates within
+// their bounds, unusable names and the smallest customers aggregated, no rates of zero.
 func prepare(r Report) Report {
 	demands := make([]Demand, 0, len(r.Demands))
 	for _, d := range r.Demands {
-		if !(d.Rate > 0) || Units(d.Rate) == 0 {
+		d.Level, d.Rate = min(max(d.Level, 0), maxLevel), min(d.Rate, maxRate)
+		if !(d.Rate > 0) || Units(d.Rate) == 0 { // also if it is not a number
 			continue
 		}
-		if len(d.Customer) > maxName {
+		if len(d.Customer) > maxName || !utf8.ValidString(d.Customer) { // protobuf has no other strings
 			d.Customer = ""
 		}
-		d.Level, d.Rate = min(max(d.Level, 0), maxLevel), min(d.Rate, maxRate)
 		demands = append(demands, d)
 	}
 	slices.SortFunc(demands, compareDemands)
