--- a/internal/routing/leastwait.go
+++ b/internal/routing/leastwait.go
@@ -61,7 +61,6 @@
 
 const (
 	runTimeWeight  = 0.2 // of a new measurement in the moving average of run times
-	slowdownWeight = 0.3 // the same for reported slowdowns, which change many times a second
 	refusalWeight  = 0.2 // the same for refusals by an upstream that has free slots
 	// maxRefusalRate keeps the expected number of sends finite.
 	maxRefusalRate = 0.9
@@ -113,7 +112,6 @@
 
 	// runTime is the mean run time at a slowdown of 1. It is measured at measuredAt.
 	runTime    time.Duration
-	slowdown   float64
 	measuredAt time.Duration
 	// serviceRunTime is the mean of the candidates at the last Pick.
 	serviceRunTime time.Duration
@@ -147,7 +145,7 @@
 func (l *LeastWait) state(key string, now time.Duration) *waitState {
 	s := l.states[key]
 	if s == nil {
-		s = &waitState{slowdown: 1}
+		s = &waitState{}
 		l.states[key] = s
 	}
 	s.lastSeenAt = now
@@ -248,7 +246,7 @@
 func (e *estimate) cost(meanRun float64, now time.Duration) float64 {
 	queue := max(e.wait()/meanRun, e.busyCost(now), ownCallCost*float64(e.state.inFlight))
 	run := e.run / meanRun
-	if float64(e.state.runTime)*e.state.slowdown > slowRatio*meanRun {
+	if float64(e.state.runTime)*e.state.lastSlowdown() > slowRatio*meanRun {
 		run = max(run, staleSlowCost)
 	}
 	return run*(1+e.state.refusalCost(now)) + queue
@@ -270,6 +268,19 @@
 	return freshness(s.reportedAt, loadTTL, now)
 }
 
+// slowdown returns the last reported slowdown. It fades to 1 with the age of the report: it
+// changes several times a second, and an upstream that is avoided for it reports no other.
+func (s *waitState) slowdown(now time.Duration) float64 {
+	return 1 + s.reportWeight(now)*(s.lastSlowdown()-1)
+}
+
+func (s *waitState) lastSlowdown() float64 {
+	if s.reportedAt == 0 {
+		return 1
+	}
+	return s.report.Slowdown
+}
+
 func (s *waitState) measurementWeight(now time.Duration) float64 {
 	return freshness(s.measuredAt, runTimeTTL, now)
 }
@@ -293,7 +304,7 @@
 	if service == 0 {
 		service = defaultRunTime
 	}
-	weight, measured := s.measurementWeight(now), float64(s.runTime)*s.slowdown
+	weight, measured := s.measurementWeight(now), float64(s.runTime)*s.slowdown(now)
 	return time.Duration(weight*measured + (1-weight)*float64(service))
 }
 
@@ -362,10 +373,6 @@
 }
 
 func (s *waitState) observeReport(r loadreport.Report, now time.Duration) {
-	s.slowdown += slowdownWeight * (r.Slowdown - s.slowdown)
-	if s.measurementWeight(now) == 0 {
-		s.slowdown = r.Slowdown
-	}
 	s.report, s.reportedAt, s.change = r, now, 0
 	if s.queueLimit > 0 && r.Waiting >= s.queueLimit {
 		s.fullAt = now
@@ -403,7 +410,7 @@
 			wait = s.waitInRuns()
 		}
 	}
-	run := float64(o.ResponseTime) / (1 + wait) / s.slowdown
+	run := float64(o.ResponseTime) / (1 + wait) / s.slowdown(now)
 	if s.runTime == 0 || s.measurementWeight(now) == 0 {
 		s.runTime = time.Duration(run)
 	} else {
