--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -130,7 +130,7 @@
 	}
 	s, load, now := g.admissions.of(service), g.serviceLoad(service), g.now()
 	s.mu.Lock()
-	if response.NotRun && response.Status != http.StatusMisdirectedRequest && response.Load.Running >= response.Load.Slots {
+	if response.NotRun && response.Status != http.StatusMisdirectedRequest && !refusedWithFreeSlots(response) {
 		upstreamFullRefusals.Add(1)
 		s.decisions.RecordFull(now)
 	} else {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -339,6 +339,10 @@
 	case r.response.NotRun:
 		a.sends.MarkNotRun()
 		a.lastResponse = r.response
+		if refusedWithFreeSlots(r.response) {
+			// It may accept the call the next time, and may be the only one with room.
+			delete(a.tried, r.upstream.Incarnation())
+		}
 		a.g.log.Info().Str("request", a.call.ID).Str("upstream", r.upstream.Incarnation()).Int("status", r.response.Status).
 			Int("load", loadForLog(r.response.Load)).Msg("upstream refused")
 		return nil
@@ -351,6 +355,12 @@
 	return r.response
 }
 
+// refusedWithFreeSlots reports whether an upstream refused a call although it has free slots, as
+// one does that sheds a part of its calls because of a fault.
+func refusedWithFreeSlots(r *Response) bool {
+	return r.Load != nil && r.Status != http.StatusMisdirectedRequest && r.Load.Running < r.Load.Slots
+}
+
 // finalResult returns the result of a call when no send is in flight and no further one is
 // possible.
 func (a *activeCall) finalResult() (*Response, *Refusal) {
--- a/internal/gateway/send_record.go
+++ b/internal/gateway/send_record.go
@@ -41,8 +41,10 @@
 // recordOutcome adds the outcome of a send to its record.
 func (a *activeCall) recordOutcome(r sendResult) {
 	for i := range a.sendRecords {
-		if a.sendRecords[i].upstream == r.upstream.Incarnation() {
-			a.sendRecords[i].outcome, a.sendRecords[i].duration = r.outcome(), r.duration
+		record := &a.sendRecords[i]
+		if record.upstream == r.upstream.Incarnation() && record.outcome == "" {
+			record.outcome, record.duration = r.outcome(), r.duration
+			return
 		}
 	}
 }
--- a/internal/routing/leastwait.go
+++ b/internal/routing/leastwait.go
@@ -451,26 +451,44 @@
 	return 0
 }
 
-// ServiceQueueTime returns the mean of QueueTime over the upstreams with a fresh report,
-// weighted by their slots, and the age of the newest report. It reports false if there is
-// none.
+// ServiceQueueTime returns the expected wait of a call sent now to a service: the mean over the
+// upstreams with a fresh report, weighted by their slots and by how new the report is, and the
+// mean age of these reports. Slow upstreams are left out while others have reported: they get
+// calls only into free slots, and their queues say nothing about the wait at the others. It
+// reports false if there is no fresh report.
 func (l *LeastWait) ServiceQueueTime(keys []string, now time.Duration) (queueTime time.Duration, age time.Duration, ok bool) {
-	sum, slots := 0.0, 0.0
-	age = loadTTL
+	queueTime, age, ok = l.meanQueueTime(keys, now, false)
+	if !ok {
+		return l.meanQueueTime(keys, now, true)
+	}
+	return queueTime, age, ok
+}
+
+func (l *LeastWait) meanQueueTime(keys []string, now time.Duration, slowToo bool) (queueTime time.Duration, age time.Duration, ok bool) {
+	var waits, ages, weights float64
 	for _, key := range keys {
 		wait, fresh := l.QueueTime(key, now)
 		if !fresh {
 			continue
 		}
 		s := l.states[key]
-		sum += float64(wait) * float64(s.report.Slots)
-		slots += float64(s.report.Slots)
-		age = min(age, now-s.reportedAt)
+		if !slowToo && s.slow(now) {
+			continue
+		}
+		weight := float64(s.report.Slots) * s.reportWeight(now)
+		waits += weight * float64(wait)
+		ages += weight * float64(now-s.reportedAt)
+		weights += weight
 	}
-	if slots == 0 {
+	if weights == 0 {
 		return 0, 0, false
 	}
-	return time.Duration(sum / slots), age, true
+	return time.Duration(waits / weights), time.Duration(ages / weights), true
+}
+
+// slow reports whether an upstream's run time is several times the service's.
+func (s *waitState) slow(now time.Duration) bool {
+	return s.serviceRunTime > 0 && float64(s.expectedRunTime(now)) > slowRatio*float64(s.serviceRunTime)
 }
 
 // LastReport returns the last load report of an upstream, however old, and its age.
