shares: a full coordinator accepts reports that replace one

Cause: the limit was checked with the entries of the new report added to those of the VM's previous one, which it replaces. A full coordinator therefore refused the updates of the daemons that it already held, and they went on to the next coordinator for 2 s. Ruled out: a leak of the count; the sums of held entries agree with the reports. Result: TestReportsAndMemoryAreBounded fails before ("coordinator is full") and passes now.

--- a/internal/shares/coordinator.go
+++ b/internal/shares/coordinator.go
@@ -74,9 +74,9 @@
 	if f, ok := c.services[r.Service]; ok {
 		c.expire(f, now)
 	}
-	if c.held+len(r.Demands)+reportCost > maxHeld {
+	if !c.hasRoom(r) {
 		c.Expire(now)
-		if c.held+len(r.Demands)+reportCost > maxHeld {
+		if !c.hasRoom(r) {
 			return Table{}, ErrFull
 		}
 	}
@@ -95,6 +95,20 @@
 	return t, nil
 }
 
+// hasRoom reports whether a report can be held. It takes the place of the VM's previous one.
+func (c *Coordinator) hasRoom(r Report) bool {
+	held := c.held + heldCost(len(r.Demands))
+	if f, ok := c.services[r.Service]; ok {
+		if old, ok := f.reports[r.VM]; ok {
+			held -= heldCost(len(old.entries))
+		}
+	}
+	return held <= maxHeld
+}
+
+// heldCost returns what a report with so many entries counts towards maxHeld.
+func heldCost(entries int) int { return entries + reportCost }
+
 // schedule returns the time until the daemon's next report. Reports are scheduled at least
 // reportSpacing apart, so that those of n daemons are spread over max(MinInterval,
 // n*reportSpacing), also if all daemons are contended from the same moment on.
@@ -131,7 +145,7 @@
 		held.entries = append(held.entries, f.addSum(d))
 	}
 	f.reports[r.VM] = held
-	c.held += len(held.entries) + reportCost
+	c.held += heldCost(len(held.entries))
 }
 
 // addSum adds a demand to its sums.
@@ -175,7 +189,7 @@
 		return
 	}
 	delete(f.reports, vm)
-	c.held -= len(held.entries) + reportCost
+	c.held -= heldCost(len(held.entries))
 	for _, e := range held.entries {
 		f.subtract(e)
 	}
--- a/internal/shares/coordinator_test.go
+++ b/internal/shares/coordinator_test.go
@@ -129,8 +129,8 @@
 }
 
 // Guards against a daemon whose own figures are refused for ever, as one with more customers than
-// a report may have, or with priorities beyond the last level; and against a coordinator that uses
-// up a small VM's memory.
+// a report may have, or with priorities beyond the last level; against a coordinator that uses up a
+// small VM's memory; and against one that is full and drops the daemons that it has room for.
 func TestReportsAndMemoryAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	r := Report{VM: "a", Service: "s", Admitted: math.NaN(), Known: true, QueueTime: -1, Demands: []Demand{
@@ -154,5 +154,9 @@
 	}
 	g.Expect(vm).To(BeNumerically("~", 250, 30))
 	g.Expect(exchange(vm, 0)).To(MatchError(ErrFull))
+	r.Sequence++
+	for known := range vm {
+		g.Expect(exchange(known, 0)).To(Succeed(), "a report that replaces one needs no more room")
+	}
 	g.Expect(exchange(vm, time.Minute)).To(Succeed(), "the other reports have expired")
 }
