gateway: a service without a latency target is not contended

Cause: refusals by full upstreams were passed to the admission of every service, also if no route to it has a latency target. The daemon then reported its demand to a coordinator and held back hedges, although no call of such a service can be refused by the admission. Ruled out: ignoring refusals of calls without a target altogether. They are evidence for the other routes to the same service, whose calls create the admission.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -35,6 +35,15 @@
 	return &admissions{services: map[string]*serviceAdmission{}, changed: make(chan struct{}, 1)}
 }
 
+// find returns the admission to a service, nil if no call has asked for it. There is nothing to
+// decide on a service of which no route has a latency target.
+func (a *admissions) find(service string) *serviceAdmission {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.services[service]
+}
+
+// of returns the admission to a service, which is created if needed.
 func (a *admissions) of(service string) *serviceAdmission {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -128,7 +137,11 @@
 	if response.Load == nil || !g.policy.Enabled(policy.Admission) {
 		return
 	}
-	s, load, now := g.admissions.of(service), g.serviceLoad(service), g.now()
+	s := g.admissions.find(service)
+	if s == nil {
+		return
+	}
+	load, now := g.serviceLoad(service), g.now()
 	s.mu.Lock()
 	if response.NotRun && response.Status != http.StatusMisdirectedRequest && response.Load.Running >= response.Load.Slots {
 		upstreamFullRefusals.Add(1)
@@ -166,7 +179,10 @@
 // contended reports whether not all calls to a service are admitted. Second copies of calls
 // would then take the place of other callers' first ones.
 func (g *Gateway) contended(service string) bool {
-	s := g.admissions.of(service)
+	s := g.admissions.find(service)
+	if s == nil {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.decisions.Contended(g.now())
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -19,6 +19,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/exchange"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream/loadreport"
 )
 
 // streamLength is the number of events of each complete stream.
@@ -33,6 +34,7 @@
 	skip        int   // this event is left out, 0: none
 	version     int64 // model weight version; it status calls that require another one
 	unreachable bool
+	load        *loadreport.Report // with its response, nil: none
 }
 
 // openedStream is one call of Open.
@@ -67,11 +69,11 @@
 	case b.unreachable:
 		return nil, &exchange.Failure{Kind: exchange.Dial, Err: errors.New("test")}
 	case b.status != 0:
-		return &Stream{Response: Response{Status: b.status, NotRun: b.notRun}}, nil
+		return &Stream{Response: Response{Status: b.status, NotRun: b.notRun, Load: b.load}}, nil
 	case r.Version != 0 && r.Version != b.version:
 		return &Stream{Response: Response{Status: http.StatusMisdirectedRequest, NotRun: true}}, nil
 	}
-	return &Stream{Response: Response{Status: 200}, Version: b.version, Events: &fakeEvents{f: f, ctx: ctx, behaviour: b, upstream: u.ID, last: r.LastEventID}}, nil
+	return &Stream{Response: Response{Status: 200, Load: b.load}, Version: b.version, Events: &fakeEvents{f: f, ctx: ctx, behaviour: b, upstream: u.ID, last: r.LastEventID}}, nil
 }
 
 // fakeEvents is a stream that one upstream produces.
