gateway: a refused stream is not sent to upstreams that are known to be full

Cause: only calls checked for room before the next send; a refused stream was sent to up to five upstreams in turn, also if all of them had just reported a full queue. Ruled out: resumed streams. One that has run is sent on whether or not the others are full.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
+	"github.com/dogwoodflow/dogwoodflow/internal/routing"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/loadreport"
 )
 
@@ -39,3 +40,27 @@
 		g.Expect(gate.Contended(gate.now())).To(Equal([]string{"s"}), "with a latency target it is")
 	})
 }
+
+// Guards against calls and streams that are sent to one full upstream after another: each refusal
+// costs the upstreams work that is missing for the calls that they run.
+func TestKnownFullUpstreamsAreNotTriedInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := route(routes.Safe, 2)
+		refuses := streamBehaviour{status: http.StatusServiceUnavailable, notRun: true, load: &full}
+		streams, f := streamSetup(refuses, refuses, refuses)
+		calls, upstreams := setup(refusesFull, refusesFull, refusesFull)
+		time.Sleep(time.Second)
+		for _, gate := range []*Gateway{streams, calls} {
+			for _, u := range []string{"u0", "u1", "u2"} {
+				gate.balancer.observe(u, routing.Observation{Load: &full}, gate.now())
+			}
+		}
+		result := streams.Stream(context.Background(), r, call(), 0, f)
+		g.Expect(result.Refusal.Status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(f.opened).To(HaveLen(1))
+		_, refusal := calls.Do(context.Background(), r, call())
+		g.Expect(refusal.Status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(upstreams.total()).To(Equal(1))
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -232,7 +232,7 @@
 			if response := a.handleResult(r); response != nil {
 				return response, nil
 			}
-			if a.maySendAgain() && a.worthSendingAgain() && a.send(ctx) {
+			if a.maySendAgain() && a.g.worthSendingAgain(a.route, a.service, a.sends, a.tried) && a.send(ctx) {
 				continue
 			}
 			if a.inFlight == 0 {
@@ -260,13 +260,14 @@
 	return delay
 }
 
-// worthSendingAgain reports false if the call was refused and the remaining upstreams are known
-// to be full. Sending it to each of them in turn would only load them with refusals.
-func (a *activeCall) worthSendingAgain() bool {
-	if a.sends.Runs > 0 || !a.g.policy.Enabled(policy.Admission) || a.route.LatencyTarget <= 0 {
+// worthSendingAgain reports false if a call was refused and the upstreams that it has not been
+// sent to are known to be full. Sending it to each of them in turn would only load them with
+// refusals.
+func (g *Gateway) worthSendingAgain(route routes.Route, service string, sends retry.Sends, tried map[string]bool) bool {
+	if sends.Runs > 0 || !g.policy.Enabled(policy.Admission) || route.LatencyTarget <= 0 {
 		return true
 	}
-	return a.g.balancer.hasRoom(a.g.view.ByService(a.service), a.tried, a.g.now())
+	return g.balancer.hasRoom(g.view.ByService(service), tried, g.now())
 }
 
 func (a *activeCall) maySendAgain() bool { return a.rule.StopCause(a.sends) == retry.None }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -116,6 +116,9 @@
 		if ctx.Err() != nil || action != tryNextUpstream {
 			return s.finalResult(ctx, action)
 		}
+		if !s.g.worthSendingAgain(s.route, s.service, s.sends, s.tried) {
+			return s.finalResult(ctx, s.finalAction())
+		}
 	}
 }
 
