--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -41,6 +41,20 @@
 	})
 }
 
+// Guards against streams that are all admitted while they wait in the upstreams' queues: only
+// refusals would lower the admitted fraction.
+func TestLoadReportedWithStreamIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate, f := streamSetup(streamBehaviour{load: &loadreport.Report{Running: 6, Waiting: 20, Slots: 6, Slowdown: 1}})
+		time.Sleep(time.Second)
+		f.firstEventDelay = 10 * time.Millisecond
+		result := gate.Stream(context.Background(), route(routes.Safe, 1), call(), 0, f)
+		g.Expect(result).To(BeZero())
+		g.Expect(gate.Contended(gate.now())).To(Equal([]string{"s"}))
+	})
+}
+
 // Guards against calls and streams that are sent to one full upstream after another: each refusal
 // costs the upstreams work that is missing for the calls that they run.
 func TestKnownFullUpstreamsAreNotTriedInTurn(t *testing.T) {
