gateway: Trim notices the end of contention without calls

Cause: the end was noticed only by the next call or answer. If the calls stopped with the peak, the end was not logged until then; and if the next event was a late refusal, which makes the service contended again, the reporter of the demand was not woken. Ruled out: a timer for each service, which a deployment at rest would have to run. Result: TestEndOfContentionWithoutCalls fails before (still contended after 10 s) and passes now.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -55,6 +55,28 @@
 	})
 }
 
+// Guards against an end of contention that nobody notices because the calls have stopped: it would
+// not be logged, and the next contention would not be reported to the coordinator.
+func TestEndOfContentionWithoutCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate, _ := setup(refusesFull)
+		time.Sleep(time.Second)
+		s := gate.admissions.of("s")
+		refuse := func() {
+			load := full
+			gate.observeLoad(call(), "s", &Response{Status: http.StatusServiceUnavailable, NotRun: true, Load: &load})
+		}
+		refuse()
+		g.Expect(gate.Changed()).To(Receive())
+		time.Sleep(10 * time.Second)
+		gate.Trim()
+		g.Expect(s.contended).To(BeFalse())
+		refuse() // the late answer to a call from before
+		g.Expect(gate.Changed()).To(Receive())
+	})
+}
+
 // Guards against calls and streams that are sent to one full upstream after another: each refusal
 // costs the upstreams work that is missing for the calls that they run.
 func TestKnownFullUpstreamsAreNotTriedInTurn(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -390,5 +390,12 @@
 		Dur("took", duration).Msg("call refused")
 }
 
-// Trim drops the state of upstreams that are gone. It must be called periodically.
-func (g *Gateway) Trim() { g.balancer.trim(g.now()) }
+// Trim drops the state of upstreams that are gone, and notices the end of contention of services
+// that get no more calls. It must be called periodically.
+func (g *Gateway) Trim() {
+	now := g.now()
+	g.balancer.trim(now)
+	for _, s := range g.admissions.all() {
+		g.noteContention(s, now)
+	}
+}
