loadreport: a slowdown out of any plausible range is an unknown load

Cause: any positive number was accepted. Ruled out: bounds in LeastWait; a header that cannot be true is to be counted as invalid. Result: two cases of TestParse fail before and pass now.

--- a/internal/upstream/loadreport/loadreport.go
+++ b/internal/upstream/loadreport/loadreport.go
@@ -2,11 +2,17 @@
 package loadreport
 
 import (
-	"math"
 	"strconv"
 	"strings"
 )
 
+// Bounds of a plausible slowdown. Run times are divided and multiplied by it; far outside of the
+// bounds the results do not fit in a time.Duration and become negative.
+const (
+	minSlowdown = 0.01
+	maxSlowdown = 10_000
+)
+
 // Report is the load of an upstream as it reported it.
 type Report struct {
 	Running  int     // requests that it runs
@@ -38,12 +44,12 @@
 	r := Report{Running: counts[0], Waiting: counts[1], Slots: counts[2], Slowdown: 1}
 	if len(fields) == 4 {
 		percent, err := strconv.ParseFloat(strings.TrimSpace(fields[3]), 64)
-		if err != nil || math.IsInf(percent, 0) {
+		if err != nil {
 			return Report{}, false
 		}
 		r.Slowdown = percent / 100
 	}
-	if r.Slots < 1 || !(r.Slowdown > 0) { // also if Slowdown is NaN
+	if r.Slots < 1 || !(r.Slowdown >= minSlowdown && r.Slowdown <= maxSlowdown) { // also if Slowdown is NaN
 		return Report{}, false
 	}
 	return r, true
--- a/internal/upstream/loadreport/loadreport_test.go
+++ b/internal/upstream/loadreport/loadreport_test.go
@@ -22,7 +22,7 @@
 		{header: ""}, {header: "3"}, {header: "3,10"}, {header: "3,10,6,100,7"}, {header: "3,10,6,"},
 		{header: ",,"}, {header: "a,10,6"}, {header: "3,b,6"}, {header: "3,10,6,x"}, {header: "3;10;6"},
 		{header: "-1,0,6"}, {header: "1,-1,6"}, {header: "1,1,0"}, {header: "1,1,-6"}, {header: "1.5,1,6"},
-		{header: "1,1,6,0"}, {header: "1,1,6,-100"}, {header: "1,1,6,NaN"}, {header: "1,1,6,Inf"}, {header: "1,1,6,1e999"},
+		{header: "1,1,6,0"}, {header: "1,1,6,-100"}, {header: "1,1,6,NaN"}, {header: "1,1,6,Inf"}, {header: "1,1,6,1e999"}, {header: "1,1,6,1e300"}, {header: "1,1,6,1e-300"},
 		{header: "9223372036854775807,1,6"},
 	} {
 		t.Run(c.header, func(t *testing.T) {
