batchrun: tests without data races

Cause: go test -race reported that a restarted daemon iterates over the map of fake engines while an engine's restart writes to it (TestGuaranteesWhileEnginesCrash), and that a test sets the duration of reward calls while one begins (TestCompleteTextSurvivesItsOwner). Only tests are concerned. Ruled out: a race in the package itself; both reports name fields of the fakes. Result: with -race both fail before and pass now; what the tests expect is unchanged.

--- a/internal/batchrun/cluster_test.go
+++ b/internal/batchrun/cluster_test.go
@@ -120,7 +120,7 @@
 		{Name: "rewards", Host: testHost, PathPrefix: rewardPath, Kind: routes.Safe, MaxAttempts: 4, Services: []routes.WeightedService{{Service: "scorers", Weight: 1}}},
 	}, []routes.Service{{Name: "engines", Engine: &routes.Engine{Slots: 8, Models: w.models}}}, routes.Limits{}, nil))
 	view.UpdateUpstreams(func(r *registry.Registry, now time.Duration) {
-		for id := range w.engines.engines {
+		for _, id := range w.engines.ids() {
 			r.Put(w.registryEntry(id))
 		}
 	})
--- a/internal/batchrun/fake_engines_test.go
+++ b/internal/batchrun/fake_engines_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -205,6 +207,13 @@
 	}
 }
 
+// ids returns the IDs of all engines in ascending order.
+func (f *fakeEngines) ids() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.engines))
+}
+
 // crash ends an engine's process. It restarts after crashDowntime under the same ID, with the
 // weights it had.
 func (f *fakeEngines) crash(id string) {
--- a/internal/batchrun/fake_scorer_test.go
+++ b/internal/batchrun/fake_scorer_test.go
@@ -15,11 +15,11 @@
 
 // fakeScorer is a Scorer that checks the reward calls it gets.
 type fakeScorer struct {
-	t            *testing.T
-	engines      *fakeEngines
-	callDuration time.Duration // how long a call takes
+	t       *testing.T
+	engines *fakeEngines
 
 	mu           sync.Mutex
+	callDuration time.Duration    // how long a call takes
 	calls        []fakeRewardCall // in the order in which they arrived
 	noScoreRate  float64          // fraction of the calls that end without a score
 	failuresLeft map[string]int   // by sample, how many of its next calls fail
@@ -35,6 +35,13 @@
 // rewardCallID returns the ID of a sample's reward call.
 func rewardCallID(sample string) string { return "reward-" + sample }
 
+// setCallDuration sets how long the next calls take.
+func (f *fakeScorer) setCallDuration(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.callDuration = d
+}
+
 // Score returns a signature with the number of the call, from 1.
 func (f *fakeScorer) Score(ctx context.Context, route routes.Route, c batch.RewardCall) ScoreResult {
 	sample := strings.TrimPrefix(c.ID, "reward-")
@@ -47,12 +54,12 @@
 		f.failuresLeft[sample]--
 	}
 	f.calls = append(f.calls, fakeRewardCall{sample, time.Now(), failed})
-	signature := fmt.Sprintf("signature:%d", len(f.calls))
+	signature, duration := fmt.Sprintf("signature:%d", len(f.calls)), f.callDuration
 	f.mu.Unlock()
 	select {
 	case <-ctx.Done():
 		return ScoreResult{Reason: "cancelled"}
-	case <-time.After(f.callDuration):
+	case <-time.After(duration):
 	}
 	switch {
 	case failed:
--- a/internal/batchrun/results_test.go
+++ b/internal/batchrun/results_test.go
@@ -74,7 +74,7 @@
 		g := NewWithT(t)
 		w := newTestCluster(t, 1, 2, 4, scoredModel)
 		defer w.stop()
-		w.scorer.callDuration = scoreDuration / 2
+		w.scorer.setCallDuration(scoreDuration / 2)
 		w.scorer.failuresLeft["m1-last-0-1"] = 1 // its score comes one call later than the others
 		items := submitScored(g, w, "last", 2)
 		page, err := w.vms[1].daemon().Results(context.Background(), "b", 0, 20*time.Second)
@@ -91,7 +91,7 @@
 		w := newTestCluster(t, 1, 1, 4, scoredModel)
 		defer w.stop()
 		w.scorer.failuresLeft["m1-never-0-1"] = 9
-		w.scorer.callDuration = 2 * time.Second
+		w.scorer.setCallDuration(2 * time.Second)
 		submitScored(g, w, "never", 2)
 		for len(results(g, w.vms[0])) == 0 {
 			time.Sleep(10 * time.Millisecond)
--- a/internal/batchrun/reward_call_test.go
+++ b/internal/batchrun/reward_call_test.go
@@ -64,12 +64,12 @@
 		g := NewWithT(t)
 		w := newTestCluster(t, 1, 2, 4, scoredModel)
 		defer w.stop()
-		w.scorer.callDuration = 4 * time.Second
+		w.scorer.setCallDuration(4 * time.Second)
 		items := submitScored(g, w, "outlives", 4)
 		time.Sleep(3 * time.Second)
 		g.Expect(results(g, w.vms[1])).To(BeEmpty())
 		runs := len(w.engines.runs)
-		w.scorer.callDuration = scoreDuration
+		w.scorer.setCallDuration(scoreDuration)
 		w.killAll(w.vms, 100*time.Millisecond)
 		time.Sleep(3500 * time.Millisecond)
 		list := results(g, w.vms[1])
@@ -108,7 +108,7 @@
 		g := NewWithT(t)
 		w := newTestCluster(t, 1, 3, 4, scoredModel)
 		defer w.stop()
-		w.scorer.callDuration = 1500 * time.Millisecond
+		w.scorer.setCallDuration(1500 * time.Millisecond)
 		items := submitScored(g, w, "both", 4)
 		time.Sleep(1800 * time.Millisecond)
 		for range 3 {
@@ -134,7 +134,7 @@
 		g := NewWithT(t)
 		w := newTestCluster(t, 1, 1, 4, scoredModel)
 		defer w.stop()
-		w.scorer.callDuration = time.Second
+		w.scorer.setCallDuration(time.Second)
 		items := submitScored(g, w, "outage", 4)
 		time.Sleep(1800 * time.Millisecond)
 		w.vms[0].client.SetFaults(metastore.Faults{Refuse: true, Latency: storeLatency})
