gateway: the run time measured with a stream excludes suspensions of the VM

Cause: the duration of a stream was taken from the gateway's clock, which goes on while the VM is suspended, as opposed to that of other calls. After a suspension of 10 s during a stream the upstream counted as slow, and the estimated queue time was that much too long, for 2 s. Ruled out: the same for usage, where the upstream has indeed run meanwhile (TestRunStartIncludesSuspension).

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -139,7 +139,7 @@
 // send sends the call to one upstream and forwards the stream. It returns the final result,
 // or nil and the action to take.
 func (s *activeStream) send(ctx context.Context, u registry.Upstream) (*StreamResult, streamAction) {
-	transmission := s.g.beginTransmission(u)
+	startedAt, transmission := time.Now(), s.g.beginTransmission(u) // time.Now excludes suspensions of this VM
 	stream, err := s.g.upstreams.Open(ctx, u, s.call, Resume{Resumable: s.rule.Repeatable, LastEventID: s.lastEventID, Version: s.requiredVersion()})
 	if err != nil {
 		s.g.recordSend(ctx, u, s.call, nil, err, 0)
@@ -147,7 +147,7 @@
 	}
 	if stream.Events == nil {
 		s.g.countRun(s.call, transmission, &stream.Response, nil)
-		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, s.g.now()-transmission.SentAt)
+		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, time.Since(startedAt))
 		return s.handleNonStream(u, &stream.Response)
 	}
 	defer stream.Events.Close()
@@ -157,7 +157,7 @@
 	stream.Load = nil
 	err = s.forwardEvents(stream)
 	if err == nil {
-		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, s.g.now()-transmission.SentAt)
+		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, time.Since(startedAt))
 		return &StreamResult{}, tryNextUpstream
 	}
 	if errors.Is(err, errCallerGone) {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -244,3 +244,33 @@
 		g.Expect(f.closed).To(Equal(1))
 	})
 }
+
+// suspendingWriter is a caller of a stream during whose first event the VM is suspended.
+type suspendingWriter struct {
+	*fakeStreams
+	suspended *time.Duration
+}
+
+func (w suspendingWriter) Write(e Event) error {
+	*w.suspended = 10 * time.Second
+	return w.fakeStreams.Write(e)
+}
+
+// Guards against an upstream that is avoided as slow because the VM was suspended during a stream:
+// the clock of the gateway goes on meanwhile, and the upstream has not run for that long.
+func TestRunTimeOfStreamExcludesSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate, f := streamSetup(streamBehaviour{})
+		time.Sleep(time.Second)
+		f.firstEventDelay = 20 * time.Millisecond
+		var suspended time.Duration
+		now := gate.now
+		gate.now = func() time.Duration { return now() + suspended }
+		result := gate.Stream(context.Background(), route(routes.Safe, 1), call(), 0, suspendingWriter{f, &suspended})
+		g.Expect(result).To(BeZero())
+		upstreams := gate.view.ByService("s")
+		gate.balancer.pick(upstreams, nil, gate.now())
+		g.Expect(gate.balancer.serviceLoad(upstreams, gate.now()).RunTime).To(Equal(20 * time.Millisecond))
+	})
+}
