gateway: the load of a service is read without composing its upstreams' names

Cause: the admission asked for the load of a service twice for each call, and each time composed the incarnations of all its upstreams. Ruled out: a load that is kept for some time; the controller needs the report that has just come. TestIncarnationsFollowTheUpstreams guards the cached list.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/admission"
+	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
@@ -29,6 +30,10 @@
 	mu        sync.Mutex
 	decisions *admission.Service
 	contended bool // as last logged
+	// incarnations are those of the service's upstreams after memberChanges changes, nil before
+	// the first use. The list is not modified.
+	incarnations  []string
+	memberChanges uint64
 }
 
 func newAdmissions() *admissions {
@@ -83,8 +88,23 @@
 }
 
 // serviceLoad returns what is known of a service's upstreams.
-func (g *Gateway) serviceLoad(service string) admission.Load {
-	return g.balancer.serviceLoad(g.view.ByService(service), g.now())
+func (g *Gateway) serviceLoad(s *serviceAdmission) admission.Load {
+	return g.balancer.serviceLoad(s.upstreamIncarnations(g.view), g.now())
+}
+
+// upstreamIncarnations returns the incarnations of the service's upstreams. They are composed
+// only when the upstreams change: for each call that would cost more than the decision on it.
+func (s *serviceAdmission) upstreamIncarnations(view *fleet.View) []string {
+	changes := view.MemberChanges(s.name) // before the list, so that no change is missed
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.incarnations == nil || s.memberChanges != changes {
+		s.incarnations, s.memberChanges = []string{}, changes
+		for _, u := range view.ByService(s.name) {
+			s.incarnations = append(s.incarnations, u.Incarnation())
+		}
+	}
+	return s.incarnations
 }
 
 // admit refuses a call that is not among those that the upstreams of its service can answer in
@@ -93,7 +113,8 @@
 	if !g.policy.Enabled(policy.Admission) || route.LatencyTarget <= 0 {
 		return nil
 	}
-	s, load, now, request := g.admissions.of(service), g.serviceLoad(service), g.now(), call.request(route)
+	s := g.admissions.of(service)
+	load, now, request := g.serviceLoad(s), g.now(), call.request(route)
 	s.mu.Lock()
 	d := s.decisions.Admit(request, load, now, rand.Float64)
 	s.mu.Unlock()
@@ -120,11 +141,14 @@
 // caller should come back.
 func (g *Gateway) refuseNotRun(call *Call, route routes.Route, service, reason string) *Refusal {
 	refusal := &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterNotRun, Reason: reason}
-	load := g.serviceLoad(service)
-	if !g.policy.Enabled(policy.Admission) || !load.Known || route.LatencyTarget <= 0 {
+	if !g.policy.Enabled(policy.Admission) || route.LatencyTarget <= 0 {
 		return refusal
 	}
 	s := g.admissions.of(service)
+	load := g.serviceLoad(s)
+	if !load.Known {
+		return refusal
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// 0, for no header, if a return could not be served.
@@ -141,7 +165,7 @@
 	if s == nil {
 		return
 	}
-	load, now := g.serviceLoad(service), g.now()
+	load, now := g.serviceLoad(s), g.now()
 	s.mu.Lock()
 	if response.NotRun && response.Status != http.StatusMisdirectedRequest && response.Load.Running >= response.Load.Slots {
 		upstreamFullRefusals.Add(1)
@@ -225,7 +249,7 @@
 func (g *Gateway) AdmissionStatus() []admission.Status {
 	out := []admission.Status{}
 	for _, s := range g.admissions.all() {
-		load, now := g.serviceLoad(s.name), g.now()
+		load, now := g.serviceLoad(s), g.now()
 		s.mu.Lock()
 		out = append(out, s.decisions.Status(s.name, load, now))
 		s.mu.Unlock()
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/routing"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/loadreport"
@@ -100,3 +101,17 @@
 		g.Expect(upstreams.total()).To(Equal(1))
 	})
 }
+
+// Guards against a queue time of upstreams that have restarted or left, after the list of a
+// service's upstreams has changed.
+func TestIncarnationsFollowTheUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	gate, _ := setup(refusesFull)
+	s := gate.admissions.of("s")
+	g.Expect(s.upstreamIncarnations(gate.view)).To(Equal([]string{"u0"}))
+	gate.view.UpdateUpstreams(func(r *registry.Registry, _ time.Duration) {
+		r.Put(registry.Upstream{ID: "u0", Service: "s", Started: 5})
+		r.Put(registry.Upstream{ID: "u1", Service: "s"})
+	})
+	g.Expect(s.upstreamIncarnations(gate.view)).To(Equal([]string{"u0@5", "u1"}))
+}
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -91,16 +91,12 @@
 	return b.leastWait.LastSendQueueTime(incarnation, now)
 }
 
-// serviceLoad returns what is known of the upstreams of a service.
-func (b *balancer) serviceLoad(upstreams []registry.Upstream, now time.Duration) admission.Load {
-	keys := make([]string, len(upstreams))
-	for i, u := range upstreams {
-		keys[i] = u.Incarnation()
-	}
+// serviceLoad returns what is known of a service's upstreams, given their incarnations.
+func (b *balancer) serviceLoad(incarnations []string, now time.Duration) admission.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	queueTime, age, known := b.leastWait.ServiceQueueTime(keys, now)
-	return admission.Load{QueueTime: queueTime, RunTime: b.leastWait.ServiceRunTime(keys), Age: age, Known: known}
+	queueTime, age, known := b.leastWait.ServiceQueueTime(incarnations, now)
+	return admission.Load{QueueTime: queueTime, RunTime: b.leastWait.ServiceRunTime(incarnations), Age: age, Known: known}
 }
 
 // lastLoad returns the load that an upstream last reported and the age of that report. The
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -259,7 +259,7 @@
 	g.Expect(b.hasRoom(candidates, nil, time.Second)).To(BeFalse())
 	_, found := b.pick(candidates, nil, time.Second)
 	g.Expect(found).To(BeTrue())
-	load := b.serviceLoad(candidates, time.Second)
+	load := b.serviceLoad([]string{"near", "far"}, time.Second)
 	g.Expect(load.Known).To(BeTrue())
 	g.Expect(load.Age).To(BeZero())
 	g.Expect(load.QueueTime).To(BeNumerically(">", 0))
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -269,8 +269,7 @@
 		gate.now = func() time.Duration { return now() + suspended }
 		result := gate.Stream(context.Background(), route(routes.Safe, 1), call(), 0, suspendingWriter{f, &suspended})
 		g.Expect(result).To(BeZero())
-		upstreams := gate.view.ByService("s")
-		gate.balancer.pick(upstreams, nil, gate.now())
-		g.Expect(gate.balancer.serviceLoad(upstreams, gate.now()).RunTime).To(Equal(20 * time.Millisecond))
+		gate.balancer.pick(gate.view.ByService("s"), nil, gate.now())
+		g.Expect(gate.balancer.serviceLoad([]string{"u0"}, gate.now()).RunTime).To(Equal(20 * time.Millisecond))
 	})
 }
