--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -19,6 +19,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/upstream/exchange"
+	"github.com/dogwoodflow/dogwoodflow/internal/upstream/loadreport"
 )
 
 // streamLength is the number of events of each complete stream.
@@ -33,6 +34,7 @@
 	skip        int   // this event is left out, 0: none
 	version     int64 // model weight version; it status calls that require another one
 	unreachable bool
+	load        *loadreport.Report // with its response, nil: none
 }
 
 // openedStream is one call of Open.
@@ -67,11 +69,11 @@
 	case b.unreachable:
 		return nil, &exchange.Failure{Kind: exchange.Dial, Err: errors.New("test")}
 	case b.status != 0:
-		return &Stream{Response: Response{Status: b.status, NotRun: b.notRun}}, nil
+		return &Stream{Response: Response{Status: b.status, NotRun: b.notRun, Load: b.load}}, nil
 	case r.Version != 0 && r.Version != b.version:
 		return &Stream{Response: Response{Status: http.StatusMisdirectedRequest, NotRun: true}}, nil
 	}
-	return &Stream{Response: Response{Status: 200}, Version: b.version, Events: &fakeEvents{f: f, ctx: ctx, behaviour: b, upstream: u.ID, last: r.LastEventID}}, nil
+	return &Stream{Response: Response{Status: 200, Load: b.load}, Version: b.version, Events: &fakeEvents{f: f, ctx: ctx, behaviour: b, upstream: u.ID, last: r.LastEventID}}, nil
 }
 
 // fakeEvents is a stream that one upstream produces.
@@ -242,3 +244,32 @@
 		g.Expect(f.closed).To(Equal(1))
 	})
 }
+
+// suspendingWriter is a caller of a stream during whose first event the VM is suspended.
+type suspendingWriter struct {
+	*fakeStreams
+	suspended *time.Duration
+}
+
+func (w suspendingWriter) Write(e Event) error {
+	*w.suspended = 10 * time.Second
+	return w.fakeStreams.Write(e)
+}
+
+// Guards against an upstream that is avoided as slow because the VM was suspended during a stream:
+// the clock of the gateway goes on meanwhile, and the upstream has not run for that long.
+func TestRunTimeOfStreamExcludesSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate, f := streamSetup(streamBehaviour{})
+		time.Sleep(time.Second)
+		f.firstEventDelay = 20 * time.Millisecond
+		var suspended time.Duration
+		now := gate.now
+		gate.now = func() time.Duration { return now() + suspended }
+		result := gate.Stream(context.Background(), route(routes.Safe, 1), call(), 0, suspendingWriter{f, &suspended})
+		g.Expect(result).To(BeZero())
+		gate.balancer.pick(gate.view.ByService("s"), nil, gate.now())
+		g.Expect(gate.balancer.serviceLoad([]string{"u0"}, gate.now()).RunTime).To(Equal(20 * time.Millisecond))
+	})
+}
