limits: the overload controller predicts the queue time and follows the fleet's fraction

A Smith predictor adds what the last changes of the fraction will have done; each table moves a daemon's fraction a quarter of the way to the fleet's.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -200,7 +200,7 @@
 		return
 	}
 	s.target, s.observed, s.observedAt = latencyTarget/targetDivisor, load, now
-	s.overload.Update(load.QueueTime, s.target, now)
+	s.overload.Update(load.QueueTime, load.Age, s.target, now)
 }
 
 // RecordFull is called when an upstream refused a call because its queue was full.
@@ -215,7 +215,7 @@
 	}
 	s.overload.Adopt(t.Admitted, now)
 	if s.target > 0 && now-s.observedAt > ownLoadMaxAge {
-		s.overload.Update(t.QueueTime, s.target, now)
+		s.overload.Update(t.QueueTime, now-at, s.target, now)
 	}
 }
 
--- a/internal/limits/overload.go
+++ b/internal/limits/overload.go
@@ -55,6 +55,22 @@
 	// estimateCredit is the longest time for which one estimate lowers the fraction.
 	estimateCredit = 200 * time.Millisecond
 
+	// maxPredicted bounds the change of the queue time that is expected of decisions that no
+	// estimate shows yet, in targets. A full queue doesn't show by how much calls exceed the
+	// capacity, so that it empties later than expected.
+	maxPredicted = 0.5
+	// historyLength is the number of past levels that are kept. Estimates come some ten times
+	// a second and are at most maxEstimateAge old.
+	historyLength = 16
+	// meanLevelTime is the time constant of the mean level. It is above the period of a swing
+	// and below the time for which a level of load lasts.
+	meanLevelTime = time.Second
+
+	// consensusPart is the part of the difference to the fleet's fraction that a daemon with
+	// data of its own adopts with each table. Without it the integrals of daemons that see
+	// different estimates drift apart, and callers' chances depend on the daemon they reach.
+	consensusPart = 0.25
+
 	// emptyPart is the part of the target below which the queues count as empty.
 	emptyPart = 0.125
 	// emptyRate and emptyAcceleration are the growth of the logarithm of the fraction
@@ -106,6 +122,10 @@
 	emptySince   time.Duration
 	below        bool // the fraction was below 1 at belowAt
 	belowAt      time.Duration
+
+	past                [historyLength]pastLevel // ring buffer
+	pastNext, pastCount int
+	meanLevel           float64 // moving average of the level
 }
 
 // NewOverload returns a controller that admits all calls.
@@ -120,14 +140,22 @@
 	return &Overload{options: o, minLevel: math.Log(o.MinAdmitted), target: o.Target}
 }
 
-// Update is called with each new estimate of the wait in the upstreams' queues. Estimates
-// that are themselves older than 500 ms must not be passed in.
-func (o *Overload) Update(queueTime, target time.Duration, now time.Duration) {
+// Update is called with each new estimate of the wait in the upstreams' queues, age old.
+// Estimates older than 500 ms are ignored.
+func (o *Overload) Update(queueTime, age, target time.Duration, now time.Duration) {
+	if age > maxEstimateAge {
+		return
+	}
 	now = o.settle(now)
 	if target > 0 {
 		o.target = target
 	}
 	deviation := float64(max(0, queueTime))/float64(o.target) - 1
+	if deviation >= emptyPart-1 {
+		// Empty queues must not be taken for others because of what was admitted since.
+		change := o.changeSince(now-age, now) / o.target.Seconds()
+		deviation = max(emptyPart-1, deviation+min(maxPredicted, max(-maxPredicted, change)))
+	}
 	if deviation < refusedDeviation {
 		o.refusals, o.refusedUntil = 0, now
 	}
@@ -143,6 +171,48 @@
 	o.observe(max(refusedDeviation, o.deviation), now)
 }
 
+// changeSince returns the change of the queue time, in seconds, that this controller expects of
+// its own decisions since a time (a Smith predictor). The queue time of a saturated service
+// changes by the load times the fraction, less 1, each second, and that is about the difference
+// of the fraction's logarithm to its mean, at which the queue time neither grows nor shrinks.
+// Without it the fraction follows queues that its last changes have already emptied or filled,
+// and swings with a period of a few times the age of the data.
+func (o *Overload) changeSince(since, now time.Duration) float64 {
+	change, until := 0.0, now
+	for i := range o.pastCount {
+		past := o.past[(o.pastNext-1-i+historyLength)%historyLength]
+		from := max(past.at, since)
+		if until > from {
+			change += (past.level - o.meanLevel) * (until - from).Seconds()
+			until = from
+		}
+		if past.at <= since {
+			break
+		}
+	}
+	return change
+}
+
+// remember adds the current level to the history and to its mean.
+func (o *Overload) remember(level float64, now time.Duration) {
+	if o.pastCount > 0 {
+		last := o.past[(o.pastNext-1+historyLength)%historyLength]
+		weight := 1 - math.Exp(-(now-last.at).Seconds()/meanLevelTime.Seconds())
+		o.meanLevel += weight * (last.level - o.meanLevel)
+	} else {
+		o.meanLevel = level
+	}
+	o.past[o.pastNext] = pastLevel{now, level}
+	o.pastNext = (o.pastNext + 1) % historyLength
+	o.pastCount = min(historyLength, o.pastCount+1)
+}
+
+// pastLevel is the logarithm of the admitted fraction from a time on.
+type pastLevel struct {
+	at    time.Duration
+	level float64
+}
+
 // observe records an observation. The caller has settled the integral.
 func (o *Overload) observe(deviation float64, now time.Duration) {
 	if !o.observed || now-o.observedAt > maxEstimateAge {
@@ -154,7 +224,9 @@
 	}
 	o.deviation, o.empty = deviation, empty
 	o.observed, o.observedAt = true, now
-	if o.level(now) < 0 {
+	level := o.level(now)
+	o.remember(level, now)
+	if level < 0 {
 		o.below, o.belowAt = true, now
 	}
 }
@@ -261,10 +333,14 @@
 	now = o.settle(now)
 	level := min(0, max(o.minLevel, math.Log(fraction)))
 	if o.observed && now-o.observedAt <= maxEstimateAge {
-		if now-o.firstAt > maxEstimateAge || o.empty {
+		if o.empty {
 			return
 		}
-		level = min(level, o.integral)
+		if now-o.firstAt > maxEstimateAge {
+			level = o.integral + consensusPart*(level-o.level(now))
+		} else {
+			level = min(level, o.integral)
+		}
 	} else {
 		o.observed, o.observedAt, o.firstAt = true, now, now
 		o.deviation, o.empty = 0, false
--- a/internal/routing/leastwait.go
+++ b/internal/routing/leastwait.go
@@ -60,8 +60,8 @@
 )
 
 const (
-	runTimeWeight  = 0.2 // of a new measurement in the moving average of run times
-	refusalWeight  = 0.2 // the same for refusals by an upstream that has free slots
+	runTimeWeight = 0.2 // of a new measurement in the moving average of run times
+	refusalWeight = 0.2 // the same for refusals by an upstream that has free slots
 	// maxRefusalRate keeps the expected number of sends finite.
 	maxRefusalRate = 0.9
 	// maxSendRecords bounds the own calls per upstream whose position in the queue is
