--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -34,6 +34,8 @@
 			failedSends = append(failedSends, fmt.Sprintf("%s: status %v", l.Text("upstream"), l.Fields["status"]))
 		case "no route":
 			return fmt.Sprintf("no route for %s%s in configuration %v", l.Text("host"), l.Text("path"), l.Fields["config"])
+		case "call not admitted":
+			return admissionCause(l)
 		case "call refused":
 			out := fmt.Sprintf("answered %v (%s) after %v sends", l.Fields["status"], l.Text("reason"), l.Fields["sends"])
 			if tried := l.List("tried"); len(tried) > 0 {
@@ -48,6 +50,32 @@
 	return "answered in the end; " + strings.Join(failedSends, "; ")
 }
 
+// admissionCause names the inputs of the decision to refuse a call: the customer, the
+// priority, the admitted fractions, the queue time and the demand that the fractions are
+// computed from.
+func admissionCause(l Line) string {
+	customer := l.Text("customer")
+	if customer == "" {
+		customer = "none"
+	}
+	priority := fmt.Sprint(l.Fields["priority"])
+	if late, _ := l.Fields["late"].(bool); late {
+		priority += ", late for its latency target"
+	}
+	queueTime := "unknown"
+	if known, _ := l.Fields["queue_known"].(bool); known {
+		queueTime = fmt.Sprintf("%.1f ms (%.0f ms old)", l.number("queue"), l.number("queue_age"))
+	}
+	out := fmt.Sprintf("answered %v before any send (not admitted: %s); customer %s, priority %s; admitted: %.1f%% of its calls, %.1f%% of all",
+		l.Fields["status"], l.Text("reason"), customer, priority, 100*l.number("fraction"), 100*l.number("total"))
+	out += fmt.Sprintf(" (by the %s demand, %.0f ms old); queue time %s, %.0f ms left",
+		map[string]string{"fleet": "fleet's", "own": "daemon's own"}[l.Text("source")], l.number("source_age"), queueTime, l.number("left"))
+	if after := l.number("retry_after"); after > 0 {
+		return out + fmt.Sprintf("; to retry after %.0f ms", after)
+	}
+	return out + "; no retry could be served"
+}
+
 // sampleCause names why a sample was given up, or else how many of its runs and reward
 // calls failed, with the last error of each.
 func sampleCause(e Explanation) string {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -83,6 +83,12 @@
 	return value
 }
 
+// number returns the value of a number field, or 0 if there is none.
+func (l *Line) number(name string) float64 {
+	value, _ := l.Fields[name].(float64)
+	return value
+}
+
 // List returns the elements of an array field as strings, or nil if there is no such
 // field.
 func (l Line) List(field string) []string {
@@ -170,6 +176,8 @@
 	"load for another VM ended", "upstream registered", "upstream removed",
 	"turn for the duties changed", "duty not claimed", "duty's call ended", "platform not reached, duty left to others",
 	"duties' log not read to its end, nothing is done", "record of the duties not appended",
+	"service contended", "service no longer contended", "coordinator regained",
+	"coordinator lost; own demand is used once the last table has expired",
 }
 
 // contextLead is how long before the first matching line context lines start.
@@ -211,7 +219,7 @@
 func dropRepeats(lines []Line) []Line {
 	lastKept := map[string]time.Time{}
 	return slices.DeleteFunc(lines, func(l Line) bool {
-		key := fmt.Sprint(l.VM, l.Message, l.Fields["up"], l.Fields["upstream"], l.Fields["generation"])
+		key := fmt.Sprint(l.VM, l.Message, l.Fields["up"], l.Fields["upstream"], l.Fields["generation"], l.Fields["service"])
 		if at, ok := lastKept[key]; ok && l.Time.Sub(at) < repeatInterval {
 			return true
 		}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -90,6 +90,10 @@
 {"request":"r","message":"call refused","status":502,"reason":"no whole answer","sends":2,"time":"2026-01-01T00:00:02Z"}`,
 			"answered 502 (no whole answer) after 2 sends; u1: reset; u2: status 503"},
 		{`{"request":"r","message":"send failed","upstream":"u1","error":"reset","time":"2026-01-01T00:00:00Z"}`, "answered in the end; u1: reset"},
+		{`{"level":"warn","request":"r","route":"calls","service":"s","customer":"koperasi","priority":2,"late":true,"reason":"share","fraction":0.25,"total":0.314,"source":"fleet","source_age":180.4,"queue_known":true,"queue":41.25,"queue_age":90,"left":620,"retry_after":150.5,"status":503,"message":"call not admitted","time":"2026-01-01T00:00:00Z"}`,
+			"answered 503 before any send (not admitted: share); customer koperasi, priority 2, late for its latency target; admitted: 25.0% of its calls, 31.4% of all (by the fleet's demand, 180 ms old); queue time 41.2 ms (90 ms old), 620 ms left; to retry after 150 ms"},
+		{`{"request":"r","customer":"","priority":0,"late":false,"reason":"deadline","fraction":1,"total":0.5,"source":"own","source_age":0,"queue_known":false,"queue":0,"queue_age":0,"left":20,"retry_after":0,"status":503,"message":"call not admitted","time":"2026-01-01T00:00:00Z"}`,
+			"answered 503 before any send (not admitted: deadline); customer none, priority 0; admitted: 100.0% of its calls, 50.0% of all (by the daemon's own demand, 0 ms old); queue time unknown, 20 ms left; no retry could be served"},
 	} {
 		g := NewWithT(t)
 		lines, _, err := Read(strings.NewReader(c.lines))
