platform load: admission by service and customer, as a page, a command and metrics

A customer that was refused calls but has made none for some seconds is listed too, without a level: its refusals vanished from the status with its rate, some 7 s after a peak.

Weighed: counters by service and customer in internal/metrics would never be removed and would be a second set of the counts that admission has; they are written from the status.

Results: go test ./cmd/dogwoodflowctl passes.

--- a/cmd/dogwoodflowctl/platform.go
+++ b/cmd/dogwoodflowctl/platform.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/adminclient"
+	"github.com/dogwoodflow/dogwoodflow/internal/admission"
 	"github.com/dogwoodflow/dogwoodflow/internal/customers"
 	"github.com/dogwoodflow/dogwoodflow/internal/inspect"
 	"github.com/dogwoodflow/dogwoodflow/internal/inspect/pages"
@@ -29,6 +30,7 @@
 		p.command(fs, "status", "shows each daemon's readiness, configuration and view of the store", p.status),
 		p.command(fs, "upstreams", "lists upstreams by incarnation, with the VM that holds the claim on each", p.upstreams),
 		p.command(fs, "duties", "shows the holders of the duties that one daemon at a time performs, and the servers ordered", p.duties),
+		p.command(fs, "load", "shows by service and customer which calls each daemon admits, and the inputs of that", p.load),
 		p.command(fs, "customers", "lists the hashes of the customers' keys in force", p.customers),
 		p.command(fs, "batches", "lists batches and the VMs that run them", p.batches),
 		p.idCommand(fs, "batch", "shows a batch with its samples", p.batch),
@@ -158,6 +160,34 @@
 	return errors.Join(errs...)
 }
 
+// daemonLoad is the admission to the services of one daemon.
+type daemonLoad struct {
+	Daemon   string             `json:"daemon"` // base URL
+	Services []admission.Status `json:"services"`
+}
+
+// load calls every daemon, since each decides on its own callers' calls.
+func (p *platformDaemons) load(ctx context.Context) error {
+	clients, err := p.clients()
+	if err != nil {
+		return err
+	}
+	var all []daemonLoad
+	var errs []error
+	for i, c := range clients {
+		d := daemonLoad{Daemon: strings.TrimSpace(strings.Split(p.addresses, ",")[i])}
+		if err := c.Call(ctx, http.MethodGet, pages.PathLoad, nil, &d.Services); err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		all = append(all, d)
+	}
+	if err := p.g.printResult(all, func(t table) { loadTable(t, all) }); err != nil {
+		return err
+	}
+	return errors.Join(errs...)
+}
+
 func (p *platformDaemons) customers(ctx context.Context) error {
 	var list []customers.ActiveKey
 	if err := p.callFirst(ctx, http.MethodGet, pages.PathCustomers, &list); err != nil {
--- a/cmd/dogwoodflowctl/platform_test.go
+++ b/cmd/dogwoodflowctl/platform_test.go
@@ -13,7 +13,9 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/admission"
 	"github.com/dogwoodflow/dogwoodflow/internal/customers"
+	"github.com/dogwoodflow/dogwoodflow/internal/golden"
 	"github.com/dogwoodflow/dogwoodflow/internal/inspect"
 	"github.com/dogwoodflow/dogwoodflow/internal/inspect/pages"
 )
@@ -59,6 +61,18 @@
 		Models: map[string]int64{"m": 6, "a": 2}, DutyHolder: "vm-2", Fence: 41}}
 }
 
+func (d fakePlatformDaemon) Load() []admission.Status {
+	return []admission.Status{
+		{Service: "idle", Admitted: 1, QueueTimeMS: -1, Source: admission.OwnDemand, SourceAgeMS: -1, Daemons: 1},
+		{Service: "plain", Admitted: 0.314, Contended: true, QueueTimeMS: 41.25, RunTimeMS: 25, Source: admission.FleetDemand, SourceAgeMS: 180, Daemons: 61, Customers: []admission.CustomerStatus{
+			{Customer: "", Level: 2, Rate: 0.4, Fraction: 1, Counts: admission.Counts{Admitted: 9}},
+			{Customer: "koperasi", Level: 2, Rate: 85.25, Fraction: 0.25, Counts: admission.Counts{Admitted: 40, RefusedShare: 120, RefusedDeadline: 3}},
+			{Customer: "koperasi", Level: 3, Rate: 20, Fraction: 0.1, Counts: admission.Counts{Admitted: 40, RefusedShare: 120, RefusedDeadline: 3}},
+			{Customer: "warung", Level: admission.NoLevel, Counts: admission.Counts{RefusedShare: 7}},
+		}},
+	}
+}
+
 func (d fakePlatformDaemon) End(context.Context, string) error { return d.end }
 
 var _ = Describe("platform", func() {
@@ -91,6 +105,20 @@
 		Expect(out).To(MatchRegexp(`engines\s+east\s+16\s+5\s+8`))
 	})
 
+	// Guards against an unknown queue time or a missing share that is shown as 0, and against
+	// a daemon without an answer that hides the others.
+	It("shows the admission of each daemon by service and customer", func() {
+		one, two := serve(fakePlatformDaemon{}), serve(fakePlatformDaemon{})
+		code, out, failed := runPlatform("load", "--daemons", one+","+two+",http://127.0.0.1:1")
+		Expect(code).To(Equal(exitFailed))
+		Expect(failed).To(ContainSubstring("127.0.0.1:1"))
+		width := max(len(one), len(two)) // of the column, which depends on the ports
+		for i, url := range []string{one, two} {
+			out = strings.ReplaceAll(out, fmt.Sprintf("%-*s", width, url), fmt.Sprintf("vm-%d", i+1))
+		}
+		golden.Expect("platform-load.golden", strings.ReplaceAll(out, fmt.Sprintf("%-*s", width, "DAEMON"), "DAEMON"))
+	})
+
 	It("lists the hashes of keys", func() {
 		code, out, _ := runPlatform("customers", "--daemons", serve(fakePlatformDaemon{}))
 		Expect(code).To(Equal(exitOK))
--- a/cmd/dogwoodflowctl/tables.go
+++ b/cmd/dogwoodflowctl/tables.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/admission"
 	"github.com/dogwoodflow/dogwoodflow/internal/config"
 	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
 	"github.com/dogwoodflow/dogwoodflow/internal/httpapi"
@@ -171,6 +172,39 @@
 	return v.String()
 }
 
+func loadTable(t table, daemons []daemonLoad) {
+	t.row("DAEMON", "SERVICE", "ADMITTED", "CONTENDED", "QUEUE TIME", "RUN TIME", "SHARES FROM", "AGE", "DAEMONS")
+	for _, d := range daemons {
+		for _, s := range d.Services {
+			queueTime, runTime := "unknown", "unknown"
+			if s.QueueTimeMS >= 0 {
+				queueTime, runTime = formatMS(s.QueueTimeMS), formatMS(s.RunTimeMS)
+			}
+			age := "" // there is none while all calls are admitted
+			if s.SourceAgeMS >= 0 {
+				age = formatAge(s.SourceAgeMS)
+			}
+			t.row(d.Daemon, s.Service, formatFraction(s.Admitted), yesNo(s.Contended), queueTime, runTime, s.Source, age, s.Daemons)
+		}
+	}
+	t.row("DAEMON", "SERVICE", "CUSTOMER", "LEVEL", "CALLS/S", "ADMITTED", "CALLS ADMITTED", "REFUSED: SHARE", "REFUSED: DEADLINE")
+	for _, d := range daemons {
+		for _, s := range d.Services {
+			for _, c := range s.Customers {
+				level, rate, fraction := fmt.Sprint(c.Level), fmt.Sprintf("%.1f", c.Rate), formatFraction(c.Fraction)
+				if c.Level == admission.NoLevel {
+					level, rate, fraction = "", "0", ""
+				}
+				t.row(d.Daemon, s.Service, c.Customer, level, rate, fraction, c.Admitted, c.RefusedShare, c.RefusedDeadline)
+			}
+		}
+	}
+}
+
+func formatMS(ms float64) string { return fmt.Sprintf("%.1fms", ms) }
+
+func formatFraction(fraction float64) string { return fmt.Sprintf("%.1f%%", 100*fraction) }
+
 func yesNo(b bool) string {
 	if b {
 		return "yes"
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"io"
 	"slices"
 	"time"
 )
@@ -18,10 +20,13 @@
 	RefusedDeadline int64 `json:"refused_deadline"`
 }
 
+// NoLevel is the level in the status of a customer that was refused calls but has made none lately.
+const NoLevel = -1
+
 // CustomerStatus describes the calls of a customer at one level.
 type CustomerStatus struct {
 	Customer string  `json:"customer"` // "" for calls without one
-	Level    int     `json:"level"`    // 2 x priority, plus 1 for calls that are late
+	Level    int     `json:"level"`    // 2 x priority, plus 1 for calls that are late; NoLevel: no recent calls
 	Rate     float64 `json:"rate"`     // own calls per second
 	Fraction float64 `json:"fraction"` // of them that is admitted
 	Counts           // of all levels
@@ -77,7 +82,9 @@
 	if s.fleetFresh(now) {
 		out.Source, out.SourceAgeMS, out.Daemons = FleetDemand, (now - s.fleetAt).Milliseconds(), s.fleet.Daemons
 	}
+	listed := map[string]bool{}
 	for _, d := range s.demand.Demands(now) {
+		listed[d.Customer] = true
 		entry := CustomerStatus{Customer: d.Customer, Level: d.Level, Rate: d.Rate, Fraction: 1}
 		if out.Admitted < 1 {
 			entry.Fraction = s.shares.Admit(d.Customer, d.Level)
@@ -87,6 +94,11 @@
 		}
 		out.Customers = append(out.Customers, entry)
 	}
+	for customer, c := range s.counts {
+		if !listed[customer] && c.RefusedShare+c.RefusedDeadline > 0 {
+			out.Customers = append(out.Customers, CustomerStatus{Customer: customer, Level: NoLevel, Counts: *c})
+		}
+	}
 	slices.SortFunc(out.Customers, func(a, b CustomerStatus) int {
 		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Level, b.Level))
 	})
@@ -94,3 +106,30 @@
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// WriteText writes the state of admissions as metrics, one name and value per line, labelled by
+// service and customer. The two fractions are those of a service and of a customer's calls.
+func WriteText(w io.Writer, statuses []Status) {
+	for _, s := range statuses {
+		service := fmt.Sprintf("service=%q", s.Service)
+		fmt.Fprintf(w, "admission_fraction{%s} %.4g\n", service, s.Admitted)
+		fmt.Fprintf(w, "admission_queue_ms{%s} %.4g\n", service, s.QueueTimeMS)
+		fmt.Fprintf(w, "admission_share_age_ms{%s,source=%q} %d\n", service, s.Source, s.SourceAgeMS)
+		fmt.Fprintf(w, "admission_share_daemons{%s} %d\n", service, s.Daemons)
+		counted := ""
+		for i, c := range s.Customers {
+			labels := fmt.Sprintf("%s,customer=%q", service, c.Customer)
+			if i == 0 || c.Customer != counted { // the counts are of all levels
+				fmt.Fprintf(w, "admission_customer_admitted{%s} %d\n", labels, c.Admitted)
+				fmt.Fprintf(w, "admission_customer_refused{%s,reason=%q} %d\n", labels, Share, c.RefusedShare)
+				fmt.Fprintf(w, "admission_customer_refused{%s,reason=%q} %d\n", labels, Deadline, c.RefusedDeadline)
+			}
+			counted = c.Customer
+			if c.Level == NoLevel {
+				continue
+			}
+			fmt.Fprintf(w, "admission_customer_rate{%s,level=\"%d\"} %.4g\n", labels, c.Level, c.Rate)
+			fmt.Fprintf(w, "admission_customer_fraction{%s,level=\"%d\"} %.4g\n", labels, c.Level, c.Fraction)
+		}
+	}
+}
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -1,9 +1,12 @@
 // Package inspect defines the state that a daemon on the platform reports to operators:
-// its batches, upstreams, configuration, duties and views of the store. Each daemon reports
-// only its own view. If two daemons disagree, the ages show which of them is behind.
+// its batches, upstreams, configuration, duties, admission and views of the store. Each
+// daemon reports only its own view. If two daemons disagree, the ages show which of them is behind.
 package inspect
 
-import "github.com/dogwoodflow/dogwoodflow/internal/customers"
+import (
+	"github.com/dogwoodflow/dogwoodflow/internal/admission"
+	"github.com/dogwoodflow/dogwoodflow/internal/customers"
+)
 
 // Status describes a daemon's readiness, configuration and views of the store.
 type Status struct {
@@ -125,4 +128,6 @@
 	// the ID.
 	Batch(id string) (BatchDetail, bool)
 	Upstreams() []Upstream
+	// Load returns the admission to each service that calls were sent to.
+	Load() []admission.Status
 }
--- a/internal/inspect/pages/pages.go
+++ b/internal/inspect/pages/pages.go
@@ -36,6 +36,7 @@
 	PathUpstreams = "/state/upstreams"
 	PathDuties    = "/state/duties"
 	PathCustomers = "/state/customers"
+	PathLoad      = "/state/load"
 )
 
 // Register adds the pages of a source, and the request that ends a batch, to a router.
@@ -46,6 +47,7 @@
 	r.HandleFunc(PathUpstreams, func(w http.ResponseWriter, _ *http.Request) { p.write(w, source.Upstreams()) }).Methods(http.MethodGet)
 	r.HandleFunc(PathDuties, func(w http.ResponseWriter, _ *http.Request) { p.write(w, source.Duties()) }).Methods(http.MethodGet)
 	r.HandleFunc(PathCustomers, func(w http.ResponseWriter, _ *http.Request) { p.write(w, source.Customers()) }).Methods(http.MethodGet)
+	r.HandleFunc(PathLoad, func(w http.ResponseWriter, _ *http.Request) { p.write(w, source.Load()) }).Methods(http.MethodGet)
 	r.HandleFunc(PathBatches+"/{id}", p.batch).Methods(http.MethodGet)
 	r.HandleFunc(PathBatches+"/{id}", p.end).Methods(http.MethodDelete)
 }
