limits.TimeLimits: a limit is usual only if at least 3 calls had it

Fault: 20 calls are enough to know limits, and 5% of them is one call. The rest of the first returning caller thus counted as a usual limit: that caller's wait, and the distance of later rests below it, came out too short until about 40 calls had been seen.

Weighed: learning from 40 calls on would delay it at daemons with few calls (0.2 calls/s each in the first deployment).

--- a/internal/limits/timelimits.go
+++ b/internal/limits/timelimits.go
@@ -9,6 +9,9 @@
 	// one. What a returning caller has left is spread over hundreds of milliseconds, so that
 	// no single value reaches it.
 	usualFraction = 0.05
+	// minUsualCalls is the number of calls with a limit below which it is not usual. Without it,
+	// a single returning caller among the first 20 calls reaches usualFraction.
+	minUsualCalls = 3
 	// minTimeLimitCalls is the number of calls below which no limit is considered usual.
 	minTimeLimitCalls = 20
 	// halveCountsAt is the number of calls after which all counts are halved, so that a
@@ -73,9 +76,9 @@
 	if t.total < minTimeLimitCalls {
 		return 0
 	}
-	next := time.Duration(0)
+	next, minCount := time.Duration(0), max(minUsualCalls, usualFraction*float64(t.total))
 	for usual, count := range t.counts {
-		if usual >= limit && float64(count) >= usualFraction*float64(t.total) && (next == 0 || usual < next) {
+		if usual >= limit && float64(count) >= minCount && (next == 0 || usual < next) {
 			next = usual
 		}
 	}
