routing: late calls take slow upstreams with a free slot

Cause (traced on busy-servers): slow upstreams got in-time calls again after 2 s to see whether they are slow still, some 60 of 480 a second, all late.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -86,6 +86,9 @@
 	Load      Load
 }
 
+// Late reports whether the call can't be answered within its latency target any more.
+func (d Decision) Late() bool { return d.Level%2 == 1 }
+
 // Service decides on the calls of one service.
 type Service struct {
 	overload   *limits.Overload
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -118,6 +118,7 @@
 	s.mu.Lock()
 	d := s.decisions.Admit(request, load, now, rand.Float64)
 	s.mu.Unlock()
+	call.late = d.Late()
 	g.noteContention(s, now)
 	switch d.Refused {
 	case admission.Admitted:
@@ -131,7 +132,7 @@
 	callsRefused.Add(1)
 	refusal := g.refuseNotRun(call, route, service, "not admitted: "+string(d.Refused))
 	g.log.Warn().Str("request", call.ID).Str("route", route.Name).Str("service", service).Str("customer", call.Customer).
-		Int("priority", request.Priority).Bool("late", d.Level%2 == 1). // not as "level", which is the severity of the line
+		Int("priority", request.Priority).Bool("late", call.late). // not as "level", which is the severity of the line
 		Str("reason", string(d.Refused)).Float64("fraction", d.Fraction).Float64("total", d.Total).Str("source", string(d.Source)).Dur("source_age", d.SourceAge).
 		Bool("queue_known", d.Load.Known).Dur("queue", d.Load.QueueTime).Dur("queue_age", d.Load.Age).Dur("left", request.TimeLeft).Dur("retry_after", refusal.RetryAfter).
 		Int("status", refusal.Status).Msg("call not admitted")
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -43,13 +43,26 @@
 // no other. If all are known to be full, it returns the least full one. It reports false if
 // no candidate is left. tried is keyed by incarnation.
 func (b *balancer) pick(upstreams []registry.Upstream, tried map[string]bool, now time.Duration) (registry.Upstream, bool) {
+	return b.pickBy(upstreams, tried, now, func(candidates []routing.Candidate) (int, bool) {
+		return b.leastWait.Pick(candidates, now, rand.Float64)
+	})
+}
+
+// pickLate is pick for a call that can't be answered within its latency target any more.
+func (b *balancer) pickLate(upstreams []registry.Upstream, tried map[string]bool, timeLeft, now time.Duration) (registry.Upstream, bool) {
+	return b.pickBy(upstreams, tried, now, func(candidates []routing.Candidate) (int, bool) {
+		return b.leastWait.PickLate(candidates, timeLeft, now, rand.Float64)
+	})
+}
+
+func (b *balancer) pickBy(upstreams []registry.Upstream, tried map[string]bool, now time.Duration, pick func([]routing.Candidate) (int, bool)) (registry.Upstream, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.picks++
 	candidates := b.candidates(upstreams, tried, now)
 	best := -1
 	if b.policy.Enabled(policy.Load) {
-		best, _ = b.leastWait.Pick(candidates, now, rand.Float64)
+		best, _ = pick(candidates)
 	} else {
 		for n := range candidates {
 			if i := (b.picks + n) % len(candidates); best < 0 && !candidates[i].Tried {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	Priority int
 
 	latencyTarget      time.Duration // of the route
+	late               bool          // it can't be answered within the latency target any more
 	requestFingerprint poison.Fingerprint
 	succeeded          atomic.Bool // an upstream ran the request and responded
 }
@@ -272,9 +273,17 @@
 
 func (a *activeCall) maySendAgain() bool { return a.rule.StopCause(a.sends) == retry.None }
 
+// pick returns the upstream for the next send of a call, which is not in tried.
+func (g *Gateway) pick(call *Call, service string, tried map[string]bool) (registry.Upstream, bool) {
+	if call.late {
+		return g.balancer.pickLate(g.view.ByService(service), tried, time.Until(call.Deadline), g.now())
+	}
+	return g.balancer.pick(g.view.ByService(service), tried, g.now())
+}
+
 // send starts a send to an upstream not tried before. It reports false if there is none.
 func (a *activeCall) send(ctx context.Context) bool {
-	u, ok := a.g.balancer.pick(a.g.view.ByService(a.service), a.tried, a.g.now())
+	u, ok := a.g.pick(a.call, a.service, a.tried)
 	if !ok {
 		return false
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -103,7 +103,7 @@
 
 func (s *activeStream) run(ctx context.Context) StreamResult {
 	for {
-		u, ok := s.g.balancer.pick(s.g.view.ByService(s.service), s.tried, s.g.now())
+		u, ok := s.g.pick(s.call, s.service, s.tried)
 		if !ok {
 			return s.finalResult(ctx, s.finalAction())
 		}
--- a/internal/routing/leastwait.go
+++ b/internal/routing/leastwait.go
@@ -157,6 +157,34 @@
 // there is no candidate.
 func (l *LeastWait) Pick(candidates []Candidate, now time.Duration, random func() float64) (index int, ok bool) {
 	meanRun, busy := l.estimate(candidates, now)
+	return l.pickEstimated(candidates, meanRun, busy, now, random)
+}
+
+// PickLate picks an upstream for a call that can no longer be answered within its latency
+// target: a slow one with a free slot that answers it within half of the time left, else as
+// Pick. The others' slots are left to calls that need them, and the slow upstreams show when
+// they are as fast as the others again.
+func (l *LeastWait) PickLate(candidates []Candidate, timeLeft, now time.Duration, random func() float64) (index int, ok bool) {
+	meanRun, busy := l.estimate(candidates, now)
+	best, bestRun := -1, 0.0
+	for i, c := range candidates {
+		e := &l.estimates[i]
+		measured := e.state.lastRunTime()
+		if c.Tried || c.Suspect || measured <= slowRatio*meanRun || e.state.full(now) || e.load >= e.slots || 2*measured > float64(timeLeft) {
+			continue
+		}
+		if best < 0 || measured < bestRun {
+			best, bestRun = i, measured
+		}
+	}
+	if best >= 0 {
+		return best, true
+	}
+	return l.pickEstimated(candidates, meanRun, busy, now, random)
+}
+
+// pickEstimated picks by the estimates of the candidates.
+func (l *LeastWait) pickEstimated(candidates []Candidate, meanRun, busy float64, now time.Duration, random func() float64) (index int, ok bool) {
 	trusted := slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.Tried && !c.Suspect })
 	best, bestFull, bestCost := -1, false, 0.0
 	for i, c := range candidates {
@@ -246,7 +274,7 @@
 func (e *estimate) cost(meanRun float64, now time.Duration) float64 {
 	queue := max(e.wait()/meanRun, e.busyCost(now), ownCallCost*float64(e.state.inFlight))
 	run := e.run / meanRun
-	if float64(e.state.runTime)*e.state.lastSlowdown() > slowRatio*meanRun {
+	if e.state.lastRunTime() > slowRatio*meanRun {
 		run = max(run, staleSlowCost)
 	}
 	return run*(1+e.state.refusalCost(now)) + queue
@@ -274,6 +302,9 @@
 	return 1 + s.reportWeight(now)*(s.lastSlowdown()-1)
 }
 
+// lastRunTime returns the run time in ns as it was last measured, however long ago.
+func (s *waitState) lastRunTime() float64 { return float64(s.runTime) * s.lastSlowdown() }
+
 func (s *waitState) lastSlowdown() float64 {
 	if s.reportedAt == 0 {
 		return 1
