membudget: bytes held for calls; answers that find no room end their call

Cause: request bodies and answers were held without a bound. An answer that finds no room has run, so that its call ends with 502 and is neither sent again nor called not run.

Weighed: counting the length of bodies or the capacity of their buffers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
+	"github.com/dogwoodflow/dogwoodflow/internal/membudget"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/poison"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
@@ -38,6 +39,8 @@
 	TimeLimit time.Duration
 	// Priority of the customer or else of the route, 0 is the highest.
 	Priority int
+	// Lease is the memory held for the call; an answer that is read grows it. Nil: no bound.
+	Lease *membudget.Lease
 
 	latencyTarget      time.Duration // of the route
 	requestFingerprint poison.Fingerprint
@@ -232,6 +235,9 @@
 			if response := a.handleResult(r); response != nil {
 				return response, nil
 			}
+			if answerFoundNoRoom(r.err) {
+				return nil, refuseNoRoom()
+			}
 			if a.maySendAgain() && a.worthSendingAgain() && a.send(ctx) {
 				continue
 			}
@@ -303,6 +309,25 @@
 	return !errors.As(err, &f) || f.Sent
 }
 
+// foundNoRoom reports whether a send failed for lack of memory in this process, which says
+// nothing about the upstream.
+func foundNoRoom(err error) bool {
+	var f *exchange.Failure
+	return errors.As(err, &f) && f.Kind == exchange.NoRoom
+}
+
+// answerFoundNoRoom reports whether an upstream's answer found no room. The call has run; sent
+// once more, its next answer would need the same room.
+func answerFoundNoRoom(err error) bool { return foundNoRoom(err) && mayHaveRun(nil, err) }
+
+var answersWithoutRoom = metrics.Counter("memory_answers_dropped")
+
+// refuseNoRoom returns the refusal of a call whose answer found no room.
+func refuseNoRoom() *Refusal {
+	answersWithoutRoom.Add(1)
+	return &Refusal{Status: http.StatusBadGateway, Reason: "no room for the answer"}
+}
+
 // recordSend updates the balancer, the hedge budget and the crash tracker with the outcome
 // of a send. responseTime is the time from the send to the response, 0 if it says nothing
 // about the run time.
@@ -316,7 +341,7 @@
 		g.balancer.recordSuccess(u.Incarnation(), observation(response, responseTime), now)
 		g.observeLoad(call, u.Service, response)
 		g.clearCrashes(ctx, call, response)
-	case ctx.Err() == nil && errors.As(err, &f) && f.Kind != exchange.Malformed && !f.StaleConn():
+	case ctx.Err() == nil && errors.As(err, &f) && f.Kind != exchange.Malformed && f.Kind != exchange.NoRoom && !f.StaleConn():
 		g.balancer.recordFailure(u.Incarnation(), now)
 		g.checkForCrash(ctx, u, call, f)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -98,6 +98,7 @@
 	writer  EventWriter
 	service string          // chosen for this call
 	tried   map[string]bool // incarnations of the upstreams that it was sent to
+	noRoom  bool            // an answer found no room
 	streamState
 }
 
@@ -128,6 +129,8 @@
 		return StreamResult{Refusal: s.g.refuseNotRun(s.call, s.route, s.service, "no upstream accepted the call")}
 	case ctx.Err() != nil:
 		return StreamResult{Refusal: &Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline"}}
+	case s.noRoom:
+		return StreamResult{Refusal: refuseNoRoom()}
 	default:
 		return StreamResult{Refusal: &Refusal{Status: http.StatusBadGateway, Reason: "no complete response from an upstream"}}
 	}
@@ -223,6 +226,10 @@
 func (s *activeStream) handleFailure(u registry.Upstream, err error) streamAction {
 	s.g.log.Warn().Str("request", s.call.ID).Str("upstream", u.Incarnation()).Int("send", s.sends.Total).Int("after", s.lastEventID).
 		Dur("left", time.Until(s.call.Deadline)).Err(err).Msg("stream failed")
+	if answerFoundNoRoom(err) {
+		s.noRoom = true
+		return s.finalAction()
+	}
 	return s.actionAfterFailure(mayHaveRun(nil, err))
 }
 
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -60,6 +60,8 @@
 	switch {
 	case !mayHaveRun(response, err):
 		return usage.NotRun
+	case foundNoRoom(err): // for the answer, whose header arrived
+		return usage.Answered
 	case err != nil:
 		return usage.Unanswered
 	}
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -30,6 +30,7 @@
 	exchange.Silent:    Silent,
 	exchange.Malformed: Malformed,
 	exchange.Cancelled: Cancelled,
+	exchange.NoRoom:    Malformed,
 }
 
 // unsentError returns the error for a request that is invalid and was not sent.
--- a/internal/upstream/exchange/answer.go
+++ b/internal/upstream/exchange/answer.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/membudget"
 )
 
 // Response is an HTTP response whose header was received. It isn't safe for concurrent use.
@@ -54,16 +56,23 @@
 // ReadAll reads the body to its end. It fails as Malformed if the body is longer than limit
 // bytes, and as Truncated unless the framing (Content-Length or the last chunk, which
 // net/http checks while it reads) confirms the end.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	if r.contentLength > limit {
-		return nil, r.newFailure(Malformed, ErrTooLarge)
-	}
-	data, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, err
+func (r *Response) ReadAll(limit int64) ([]byte, error) { return r.ReadAllLeased(limit, nil, 0) }
+
+// ReadAllLeased is ReadAll with a lease that grows by what the body takes beyond prepaid bytes,
+// which are in the lease already. It fails as NoRoom if the lease can't grow.
+func (r *Response) ReadAllLeased(limit int64, lease *membudget.Lease, prepaid int64) ([]byte, error) {
+	length := r.contentLength
+	if r.body == http.NoBody {
+		length = 0 // the length in the response to a HEAD request is that of another body
 	}
-	if int64(len(data)) > limit {
+	data, err := membudget.ReadAll(r, membudget.Body{Length: length, Limit: limit, Prepaid: prepaid}, lease)
+	switch {
+	case errors.Is(err, membudget.ErrTooLong):
 		return nil, r.newFailure(Malformed, ErrTooLarge)
+	case errors.Is(err, membudget.ErrNoRoom):
+		return nil, r.newFailure(NoRoom, err)
+	case err != nil:
+		return nil, err
 	}
 	if !r.framed {
 		return nil, r.newFailure(Truncated, errUnframed)
--- a/internal/upstream/exchange/exchange.go
+++ b/internal/upstream/exchange/exchange.go
@@ -24,11 +24,12 @@
 	Silent                // no progress within the timeout
 	Malformed             // the response isn't valid HTTP or exceeds a size limit
 	Cancelled             // the caller's context ended
+	NoRoom                // the memory budget has no room for the request or the response
 )
 
 // String returns the name of the kind for log lines.
 func (k Kind) String() string {
-	return [...]string{"dial", "reset", "truncated", "silent", "malformed", "cancelled"}[k]
+	return [...]string{"dial", "reset", "truncated", "silent", "malformed", "cancelled", "no room"}[k]
 }
 
 // Failure is the error of sending a request and of reading its response.
