platform: bodies are held under leases; callers that read nothing are disconnected

Cause: a burst of large bodies, or callers and upstreams that read slowly, took the process above its VM's memory.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -140,7 +140,9 @@
 // or nil and the action to take.
 func (s *activeStream) send(ctx context.Context, u registry.Upstream) (*StreamResult, streamAction) {
 	transmission := s.g.beginTransmission(u)
-	stream, err := s.g.upstreams.Open(ctx, u, s.call, Resume{Resumable: s.rule.Repeatable, LastEventID: s.lastEventID, Version: s.requiredVersion()})
+	streamCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := s.g.upstreams.Open(streamCtx, u, s.call, Resume{Resumable: s.rule.Repeatable, LastEventID: s.lastEventID, Version: s.requiredVersion()})
 	if err != nil {
 		s.g.recordSend(ctx, u, s.call, nil, err, 0)
 		return nil, s.handleFailure(u, err)
@@ -150,11 +152,12 @@
 		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, s.g.now()-transmission.SentAt)
 		return s.handleNonStream(u, &stream.Response)
 	}
-	defer stream.Events.Close()
+	events := newEventQueue(stream.Events, s.call.Lease, cancel)
+	defer events.close()
 	// The header's report is out of date when the stream ends.
 	s.g.balancer.observe(u.Incarnation(), observation(&stream.Response, 0), s.g.now())
 	stream.Load = nil
-	err = s.forwardEvents(stream)
+	err = s.forwardEvents(stream, events)
 	if err == nil {
 		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, s.g.now()-transmission.SentAt)
 		return &StreamResult{}, tryNextUpstream
@@ -191,7 +194,7 @@
 
 // forwardEvents forwards the events of a stream to the caller until it ends. The request
 // counts as running from the first event on. Errors: errCallerGone, *exchange.Failure.
-func (s *activeStream) forwardEvents(stream *Stream) error {
+func (s *activeStream) forwardEvents(stream *Stream, events *eventQueue) error {
 	if !s.headerSent {
 		if err := s.writer.Start(stream.Status, stream.Header); err != nil {
 			return errCallerGone
@@ -200,7 +203,7 @@
 		s.weightVersion = stream.Version
 	}
 	for first := true; ; first = false {
-		e, err := stream.Events.Next()
+		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -216,6 +219,7 @@
 		if err := s.writer.Write(e); err != nil {
 			return errCallerGone
 		}
+		events.sent(e)
 		s.recordEvent(e)
 	}
 }
