--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -98,6 +98,7 @@
 	writer  EventWriter
 	service string          // chosen for this call
 	tried   map[string]bool // incarnations of the upstreams that it was sent to
+	noRoom  bool            // an answer found no room
 	streamState
 }
 
@@ -131,6 +132,8 @@
 		return StreamResult{Refusal: s.g.refuseNotRun(s.call, s.route, s.service, "no upstream accepted the call")}
 	case ctx.Err() != nil:
 		return StreamResult{Refusal: &Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline"}}
+	case s.noRoom:
+		return StreamResult{Refusal: refuseNoRoom()}
 	default:
 		return StreamResult{Refusal: &Refusal{Status: http.StatusBadGateway, Reason: "no complete response from an upstream"}}
 	}
@@ -140,7 +143,9 @@
 // or nil and the action to take.
 func (s *activeStream) send(ctx context.Context, u registry.Upstream) (*StreamResult, streamAction) {
 	startedAt, transmission := time.Now(), s.g.beginTransmission(u) // time.Now excludes suspensions of this VM
-	stream, err := s.g.upstreams.Open(ctx, u, s.call, Resume{Resumable: s.rule.Repeatable, LastEventID: s.lastEventID, Version: s.requiredVersion()})
+	streamCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := s.g.upstreams.Open(streamCtx, u, s.call, Resume{Resumable: s.rule.Repeatable, LastEventID: s.lastEventID, Version: s.requiredVersion()})
 	if err != nil {
 		s.g.recordSend(ctx, u, s.call, nil, err, 0)
 		return nil, s.handleFailure(u, err)
@@ -150,12 +155,13 @@
 		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, time.Since(startedAt))
 		return s.handleNonStream(u, &stream.Response)
 	}
-	defer stream.Events.Close()
+	events := newEventQueue(stream.Events, s.call.Lease, cancel)
+	defer events.close()
 	// The header's report is out of date when the stream ends.
 	s.g.balancer.observe(u.Incarnation(), observation(&stream.Response, 0), s.g.now())
 	s.g.observeLoad(s.call, u.Service, &stream.Response)
 	stream.Load = nil
-	err = s.forwardEvents(stream)
+	err = s.forwardEvents(stream, events)
 	if err == nil {
 		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, time.Since(startedAt))
 		return &StreamResult{}, tryNextUpstream
@@ -192,7 +198,7 @@
 
 // forwardEvents forwards the events of a stream to the caller until it ends. The request
 // counts as running from the first event on. Errors: errCallerGone, *exchange.Failure.
-func (s *activeStream) forwardEvents(stream *Stream) error {
+func (s *activeStream) forwardEvents(stream *Stream, events *eventQueue) error {
 	if !s.headerSent {
 		if err := s.writer.Start(stream.Status, stream.Header); err != nil {
 			return errCallerGone
@@ -201,7 +207,7 @@
 		s.weightVersion = stream.Version
 	}
 	for first := true; ; first = false {
-		e, err := stream.Events.Next()
+		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -217,6 +223,7 @@
 		if err := s.writer.Write(e); err != nil {
 			return errCallerGone
 		}
+		events.sent(e)
 		s.recordEvent(e)
 	}
 }
@@ -227,6 +234,10 @@
 func (s *activeStream) handleFailure(u registry.Upstream, err error) streamAction {
 	s.g.log.Warn().Str("request", s.call.ID).Str("upstream", u.Incarnation()).Int("send", s.sends.Total).Int("after", s.lastEventID).
 		Dur("left", time.Until(s.call.Deadline)).Err(err).Msg("stream failed")
+	if answerFoundNoRoom(err) {
+		s.noRoom = true
+		return s.finalAction()
+	}
 	return s.actionAfterFailure(mayHaveRun(nil, err))
 }
 
