gateway: admitted calls wait for room at contended services

Cause: a call that admission lets pass is sent at once, also when all upstreams of its service are known to be full, and is then mostly refused.

--- a/cmd/dogwoodflowctl/tables.go
+++ b/cmd/dogwoodflowctl/tables.go
@@ -173,7 +173,7 @@
 }
 
 func loadTable(t table, daemons []daemonLoad) {
-	t.row("DAEMON", "SERVICE", "ADMITTED", "CONTENDED", "QUEUE TIME", "RUN TIME", "SHARES FROM", "AGE", "DAEMONS")
+	t.row("DAEMON", "SERVICE", "ADMITTED", "CONTENDED", "QUEUE TIME", "RUN TIME", "SHARES FROM", "AGE", "DAEMONS", "WAITING", "OLDEST WAIT")
 	for _, d := range daemons {
 		for _, s := range d.Services {
 			queueTime, runTime := "unknown", "unknown"
@@ -184,7 +184,11 @@
 			if s.SourceAgeMS >= 0 {
 				age = formatAge(s.SourceAgeMS)
 			}
-			t.row(d.Daemon, s.Service, formatFraction(s.Admitted), yesNo(s.Contended), queueTime, runTime, s.Source, age, s.Daemons)
+			oldestWait := ""
+			if s.Waiting > 0 {
+				oldestWait = formatMS(s.OldestWaitMS)
+			}
+			t.row(d.Daemon, s.Service, formatFraction(s.Admitted), yesNo(s.Contended), queueTime, runTime, s.Source, age, s.Daemons, s.Waiting, oldestWait)
 		}
 	}
 	t.row("DAEMON", "SERVICE", "CUSTOMER", "LEVEL", "CALLS/S", "ADMITTED", "CALLS ADMITTED", "REFUSED: SHARE", "REFUSED: DEADLINE")
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -6,7 +6,8 @@
 // fleet, or by that of this daemon's own callers while the fleet's is unknown
 // (limits.Fractions). Calls that can still be answered within their latency target come before
 // those of callers that were refused and came back: the same number is served in either order,
-// but not the same number within the target.
+// but not the same number within the target. An admitted call waits, in the order of limits.Queue, while
+// no upstream has room or this daemon has too many calls in flight.
 //
 // Invariants: while no upstream has reported a wait or refused a call for being full, all calls
 // are admitted; a refused call has not been sent.
@@ -64,6 +65,8 @@
 	Share Reason = "share"
 	// Deadline: the call could not be answered before its deadline.
 	Deadline Reason = "deadline"
+	// Queue: the call was admitted, but could not start by its latest useful start.
+	Queue Reason = "queue"
 )
 
 // Source is where the demand comes from that the shares are computed from.
@@ -108,6 +111,8 @@
 	observed   Load          // last own estimate
 	observedAt time.Duration // of observed
 	target     time.Duration // of the queue time
+
+	waiting *waiting // nil without contention
 }
 
 // NewService returns a Service that admits all calls.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -205,6 +205,8 @@
 admission_queue_ms{service="s"} -1
 admission_share_age_ms{service="s",source="fleet"} 50
 admission_share_daemons{service="s"} 61
+admission_waiting{service="s"} 0
+admission_oldest_wait_ms{service="s"} 0
 admission_customer_admitted{service="s",customer="a"} 1
 admission_customer_refused{service="s",customer="a",reason="share"} 1
 admission_customer_refused{service="s",customer="a",reason="deadline"} 0
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -6,6 +6,8 @@
 	"io"
 	"slices"
 	"time"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/routing"
 )
 
 // maxCounted bounds the customers whose calls are counted; further ones count as "".
@@ -34,15 +36,18 @@
 
 // Status describes the admission to a service for operators.
 type Status struct {
-	Service     string           `json:"service"`
-	Admitted    float64          `json:"admitted"` // fraction of all calls
-	Contended   bool             `json:"contended"`
-	QueueTimeMS float64          `json:"queue_time_ms"` // -1: unknown
-	RunTimeMS   float64          `json:"run_time_ms"`
-	Source      Source           `json:"source"`
-	SourceAgeMS int64            `json:"source_age_ms"` // -1 while all calls are admitted
-	Daemons     int              `json:"daemons"`       // whose demand is known
-	Customers   []CustomerStatus `json:"customers"`
+	Service     string  `json:"service"`
+	Admitted    float64 `json:"admitted"` // fraction of all calls
+	Contended   bool    `json:"contended"`
+	QueueTimeMS float64 `json:"queue_time_ms"` // -1: unknown
+	RunTimeMS   float64 `json:"run_time_ms"`
+	Source      Source  `json:"source"`
+	SourceAgeMS int64   `json:"source_age_ms"` // -1 while all calls are admitted
+	Daemons     int     `json:"daemons"`       // whose demand is known
+	Waiting     int     `json:"waiting"`       // calls that wait for room at an upstream
+	// OldestWaitMS is how long the oldest of them has waited.
+	OldestWaitMS float64          `json:"oldest_wait_ms"`
+	Customers    []CustomerStatus `json:"customers"`
 }
 
 func (s *Service) count(customer string, refused Reason) {
@@ -82,6 +87,10 @@
 	if s.fleetFresh(now) {
 		out.Source, out.SourceAgeMS, out.Daemons = FleetDemand, (now - s.fleetAt).Milliseconds(), s.fleet.Daemons
 	}
+	if s.waiting != nil {
+		out.Waiting = s.Waiting()
+		out.OldestWaitMS = milliseconds(s.waiting.queue.OldestWait(routing.ClassProduction, queueTime(now)))
+	}
 	listed := map[string]bool{}
 	for _, d := range s.demand.Demands(now) {
 		listed[d.Customer] = true
@@ -116,6 +125,8 @@
 		fmt.Fprintf(w, "admission_queue_ms{%s} %.4g\n", service, s.QueueTimeMS)
 		fmt.Fprintf(w, "admission_share_age_ms{%s,source=%q} %d\n", service, s.Source, s.SourceAgeMS)
 		fmt.Fprintf(w, "admission_share_daemons{%s} %d\n", service, s.Daemons)
+		fmt.Fprintf(w, "admission_waiting{%s} %d\n", service, s.Waiting)
+		fmt.Fprintf(w, "admission_oldest_wait_ms{%s} %.4g\n", service, s.OldestWaitMS)
 		counted := ""
 		for i, c := range s.Customers {
 			labels := fmt.Sprintf("%s,customer=%q", service, c.Customer)
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/admission"
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
+	"github.com/dogwoodflow/dogwoodflow/internal/limits"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
@@ -34,6 +36,9 @@
 	// the first use. The list is not modified.
 	incarnations  []string
 	memberChanges uint64
+
+	waiters map[limits.Ticket]chan<- bool // of the calls that wait, see takePlace
+	wake    *time.Timer                   // stopped while no call waits; nil before the first one
 }
 
 func newAdmissions() *admissions {
@@ -108,10 +113,11 @@
 }
 
 // admit refuses a call that is not among those that the upstreams of its service can answer in
-// time. It returns nil for a call to send.
-func (g *Gateway) admit(call *Call, route routes.Route, service string) *Refusal {
+// time. Otherwise it returns when the call may be sent, with its place, which the call must leave
+// at its end.
+func (g *Gateway) admit(ctx context.Context, call *Call, route routes.Route, service string) (place, *Refusal) {
 	if !g.policy.Enabled(policy.Admission) || route.LatencyTarget <= 0 {
-		return nil
+		return place{}, nil
 	}
 	s := g.admissions.of(service)
 	load, now, request := g.serviceLoad(s), g.now(), call.request(route)
@@ -119,11 +125,22 @@
 	d := s.decisions.Admit(request, load, now, rand.Float64)
 	s.mu.Unlock()
 	call.late = d.Late()
-	g.noteContention(s, now)
+	contended := g.noteContention(s, now)
 	switch d.Refused {
 	case admission.Admitted:
 		callsAdmitted.Add(1)
-		return nil
+		if !contended || !g.queueing() {
+			return place{}, nil
+		}
+		p, started := g.takePlace(ctx, s, request, d.Level)
+		if started {
+			call.needsRoom = p.ticket != 0
+			return p, nil
+		}
+		if ctx.Err() != nil {
+			return place{}, &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterNotRun, Reason: "caller left the queue"}
+		}
+		d.Refused, request.TimeLeft = admission.Queue, time.Until(call.Deadline)
 	case admission.Deadline:
 		callsTooLate.Add(1)
 	default:
@@ -136,7 +153,7 @@
 		Str("reason", string(d.Refused)).Float64("fraction", d.Fraction).Float64("total", d.Total).Str("source", string(d.Source)).Dur("source_age", d.SourceAge).
 		Bool("queue_known", d.Load.Known).Dur("queue", d.Load.QueueTime).Dur("queue_age", d.Load.Age).Dur("left", request.TimeLeft).Dur("retry_after", refusal.RetryAfter).
 		Int("status", refusal.Status).Msg("call not admitted")
-	return refusal
+	return place{}, refusal
 }
 
 // refuseNotRun returns the refusal of a call that has not run, with the time after which its
@@ -169,25 +186,31 @@
 	}
 	load, now := g.serviceLoad(s), g.now()
 	s.mu.Lock()
-	if response.NotRun && response.Status != http.StatusMisdirectedRequest && !refusedWithFreeSlots(response) {
+	full := response.NotRun && response.Status != http.StatusMisdirectedRequest && !refusedWithFreeSlots(response)
+	if full {
 		upstreamFullRefusals.Add(1)
 		s.decisions.RecordFull(now)
 	} else {
 		s.decisions.Observe(load, call.latencyTarget, now)
 	}
+	g.observeWaiting(s, call, response, full, now)
 	s.mu.Unlock()
 	g.noteContention(s, now)
 }
 
-// noteContention logs the begin and the end of contention for a service.
-func (g *Gateway) noteContention(s *serviceAdmission, now time.Duration) {
+// noteContention logs the begin and the end of contention for a service, and reports whether it is
+// contended. At the end the waiting calls start.
+func (g *Gateway) noteContention(s *serviceAdmission, now time.Duration) bool {
 	s.mu.Lock()
 	contended := s.decisions.Contended(now)
 	if contended == s.contended {
 		s.mu.Unlock()
-		return
+		return contended
 	}
 	s.contended = contended
+	if !contended && s.decisions.HasWindow() {
+		g.startWaiting(s, now)
+	}
 	status := s.decisions.Status(s.name, admission.Load{}, now)
 	s.mu.Unlock()
 	message := "service no longer contended"
@@ -200,6 +223,7 @@
 		}
 	}
 	g.log.Info().Str("service", s.name).Float64("admitted", status.Admitted).Str("source", string(status.Source)).Int("daemons", status.Daemons).Msg(message)
+	return contended
 }
 
 // contended reports whether not all calls to a service are admitted. Second copies of calls
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -43,26 +43,37 @@
 // no other. If all are known to be full, it returns the least full one. It reports false if
 // no candidate is left. tried is keyed by incarnation.
 func (b *balancer) pick(upstreams []registry.Upstream, tried map[string]bool, now time.Duration) (registry.Upstream, bool) {
-	return b.pickBy(upstreams, tried, now, func(candidates []routing.Candidate) (int, bool) {
+	return b.pickBy(upstreams, tried, now, false, func(candidates []routing.Candidate) (int, bool) {
+		return b.leastWait.Pick(candidates, now, rand.Float64)
+	})
+}
+
+// pickWithRoom is pick without the upstreams that are known to be full.
+func (b *balancer) pickWithRoom(upstreams []registry.Upstream, tried map[string]bool, now time.Duration) (registry.Upstream, bool) {
+	return b.pickBy(upstreams, tried, now, true, func(candidates []routing.Candidate) (int, bool) {
 		return b.leastWait.Pick(candidates, now, rand.Float64)
 	})
 }
 
 // pickLate is pick for a call that can't be answered within its latency target any more.
-func (b *balancer) pickLate(upstreams []registry.Upstream, tried map[string]bool, timeLeft, now time.Duration) (registry.Upstream, bool) {
-	return b.pickBy(upstreams, tried, now, func(candidates []routing.Candidate) (int, bool) {
+func (b *balancer) pickLate(upstreams []registry.Upstream, tried map[string]bool, timeLeft, now time.Duration, needsRoom bool) (registry.Upstream, bool) {
+	return b.pickBy(upstreams, tried, now, needsRoom, func(candidates []routing.Candidate) (int, bool) {
 		return b.leastWait.PickLate(candidates, timeLeft, now, rand.Float64)
 	})
 }
 
-func (b *balancer) pickBy(upstreams []registry.Upstream, tried map[string]bool, now time.Duration, pick func([]routing.Candidate) (int, bool)) (registry.Upstream, bool) {
+// pickBy picks an upstream by the given function. needsRoom: it must not be known to be full.
+func (b *balancer) pickBy(upstreams []registry.Upstream, tried map[string]bool, now time.Duration, needsRoom bool, pick func([]routing.Candidate) (int, bool)) (registry.Upstream, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.picks++
 	candidates := b.candidates(upstreams, tried, now)
 	best := -1
 	if b.policy.Enabled(policy.Load) {
-		best, _ = pick(candidates)
+		i, room := pick(candidates)
+		if room || !needsRoom {
+			best = i
+		}
 	} else {
 		for n := range candidates {
 			if i := (b.picks + n) % len(candidates); best < 0 && !candidates[i].Tried {
@@ -97,6 +108,39 @@
 	return b.leastWait.HasRoom(b.candidates(upstreams, tried, now), now)
 }
 
+// room returns what is known of the room at a service's upstreams.
+func (b *balancer) room(upstreams []registry.Upstream, now time.Duration) admission.Room {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	candidates := b.candidates(upstreams, nil, now)
+	out := admission.Room{Free: b.leastWait.HasRoom(candidates, now)}
+	reported, present := false, false
+	for _, c := range candidates {
+		if c.Tried {
+			continue // it is leaving
+		}
+		present = true
+		slots := c.Slots
+		if report, _, ok := b.leastWait.LastReport(c.Key, now); ok {
+			reported, slots = true, report.Slots
+		}
+		out.Slots += slots
+		if out.RunTime == 0 {
+			out.RunTime = b.leastWait.ServiceRunTime([]string{c.Key})
+		}
+	}
+	if !reported {
+		out.Slots = 0
+	}
+	if !present {
+		out.Free = true
+	}
+	if !out.Free {
+		out.ExpiresAt = b.leastWait.KnownFullUntil(candidates, now)
+	}
+	return out
+}
+
 // expectedWait implements waitEstimator for the last call that pick returned an upstream for.
 func (b *balancer) expectedWait(incarnation string, now time.Duration) (time.Duration, bool) {
 	b.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,7 @@
 
 	latencyTarget      time.Duration // of the route
 	late               bool          // it can't be answered within the latency target any more
+	needsRoom          bool          // its first send must not go to an upstream that is known to be full
 	requestFingerprint poison.Fingerprint
 	succeeded          atomic.Bool // an upstream ran the request and responded
 }
@@ -177,14 +178,17 @@
 	}
 	limitDeadline(call, route, startedAt)
 	service := route.Pick(rand.Float64())
-	if refusal := g.admit(call, route, service); refusal != nil {
+	place, refusal := g.admit(ctx, call, route, service)
+	if refusal != nil {
 		return nil, refusal
 	}
+	defer g.leavePlace(&place)
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	a := &activeCall{g: g, route: route, call: call, service: service, tried: map[string]bool{}, results: make(chan sendResult, maxSends),
 		rule: sendRule(route, route.Kind == routes.Safe)}
 	response, refusal := a.run(ctx)
+	place.answered = response != nil
 	if response != nil {
 		response.ServerErrors = a.serverErrors
 	} else {
@@ -221,7 +225,11 @@
 
 func (a *activeCall) run(ctx context.Context) (*Response, *Refusal) {
 	if !a.send(ctx) {
-		return nil, a.g.refuseNotRun(a.call, a.route, a.service, "no upstream")
+		reason := "no upstream"
+		if a.call.needsRoom {
+			reason = "no upstream with room"
+		}
+		return nil, a.g.refuseNotRun(a.call, a.route, a.service, reason)
 	}
 	hedge := time.NewTimer(a.hedgeDelay())
 	defer hedge.Stop()
@@ -275,8 +283,12 @@
 
 // pick returns the upstream for the next send of a call, which is not in tried.
 func (g *Gateway) pick(call *Call, service string, tried map[string]bool) (registry.Upstream, bool) {
+	needsRoom := call.needsRoom && len(tried) == 0
 	if call.late {
-		return g.balancer.pickLate(g.view.ByService(service), tried, time.Until(call.Deadline), g.now())
+		return g.balancer.pickLate(g.view.ByService(service), tried, time.Until(call.Deadline), g.now(), needsRoom)
+	}
+	if needsRoom {
+		return g.balancer.pickWithRoom(g.view.ByService(service), tried, g.now())
 	}
 	return g.balancer.pick(g.view.ByService(service), tried, g.now())
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -76,9 +76,11 @@
 	}
 	limitDeadline(call, route, startedAt)
 	service := route.Pick(rand.Float64())
-	if refusal := g.admit(call, route, service); refusal != nil {
+	place, refusal := g.admit(ctx, call, route, service)
+	if refusal != nil {
 		return StreamResult{Refusal: refusal}
 	}
+	defer g.leavePlace(&place)
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	s := &activeStream{
@@ -86,6 +88,7 @@
 		streamState: streamState{rule: sendRule(route, route.Resumable), lastEventID: after},
 	}
 	result := s.run(ctx)
+	place.answered = result.Refusal == nil && result.Err == nil
 	s.report(result, time.Since(startedAt))
 	return result
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -18,6 +18,7 @@
 	Load        Mechanism = "load"         // calls go to the upstream with the fewest calls; off: to each in turn
 	Warm        Mechanism = "warm"         // calls go to upstreams to which a connection is open
 	Admission   Mechanism = "admission"    // calls that upstreams can't answer in time are refused at once, by customers' shares
+	Queue       Mechanism = "queue"        // admitted calls wait while all upstreams are full; off: they are sent to the least full one
 	Suspicion   Mechanism = "suspicion"    // an upstream that failed is avoided for a short time
 	Moves       Mechanism = "moves"        // samples move off engines that are much slower than the others
 	Hardware    Mechanism = "hardware"     // long samples go to the engines that generate tokens fastest
@@ -34,7 +35,7 @@
 
 // All returns every mechanism.
 func All() []Mechanism {
-	return []Mechanism{Hedge, Load, Warm, Admission, Suspicion, Moves, Hardware, LatestStart, Fitting, Retain, SparedLoads, Demand, Checkpoints, Closing, Spot, Trials}
+	return []Mechanism{Hedge, Load, Warm, Admission, Queue, Suspicion, Moves, Hardware, LatestStart, Fitting, Retain, SparedLoads, Demand, Checkpoints, Closing, Spot, Trials}
 }
 
 // Set says which mechanisms are switched off. Daemons run with the zero Set, in which none
--- a/internal/routing/leastwait.go
+++ b/internal/routing/leastwait.go
@@ -213,6 +213,19 @@
 	return ok
 }
 
+// KnownFullUntil returns when the knowledge that some candidate is full expires first. Slow
+// candidates may have no room without being known to be full; the time is then a run time from now.
+func (l *LeastWait) KnownFullUntil(candidates []Candidate, now time.Duration) time.Duration {
+	meanRun, _ := l.estimate(candidates, now)
+	until := now + time.Duration(meanRun)
+	for i, c := range candidates {
+		if s := l.estimates[i].state; !c.Tried && s.full(now) {
+			until = min(until, s.fullAt+min(loadTTL, s.expectedRunTime(now)))
+		}
+	}
+	return until
+}
+
 // estimate fills l.estimates. It returns the mean run time of the candidates at a slowdown of
 // 1, in ns, and how busy the busiest is by the reports: 0 up to half of its slots, 1 if none
 // is free. The mean is the harmonic one, by which a few slow upstreams count little.
