--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -113,6 +113,8 @@
 	target     time.Duration // of the queue time
 
 	waiting *waiting // nil without contention
+	// lastTicket outlives waiting, since a caller may leave just after its call expired.
+	lastTicket limits.Ticket
 }
 
 // NewService returns a Service that admits all calls.
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -41,8 +41,7 @@
 // waiting holds the calls of one daemon at a contended service: those that wait, and those in
 // flight that were sent during the contention. Earlier ones end within a run time.
 type waiting struct {
-	queue      *limits.Queue
-	lastTicket limits.Ticket
+	queue *limits.Queue
 
 	window       float64 // maximum number of calls in flight, 0: not yet known
 	shrunkAt     time.Duration
@@ -73,8 +72,8 @@
 	}
 	w := s.waiting
 	capacity := w.setCapacity(room, true)
-	w.lastTicket++
-	e := limits.Entry{Ticket: w.lastTicket, Team: ident.Team(r.Customer), Class: routing.ClassProduction, Level: level}
+	s.lastTicket++
+	e := limits.Entry{Ticket: s.lastTicket, Team: ident.Team(r.Customer), Class: routing.ClassProduction, Level: level}
 	if w.queue.Queued(routing.ClassProduction) > 0 || w.inFlight() >= capacity {
 		e.LatestStart = queueTime(latestStart(r, level%2 == 1, room, now))
 		e.Deadline = e.LatestStart
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -115,9 +115,9 @@
 // admit refuses a call that is not among those that the upstreams of its service can answer in
 // time. Otherwise it returns when the call may be sent, with its place, which the call must leave
 // at its end.
-func (g *Gateway) admit(ctx context.Context, call *Call, route routes.Route, service string) (place, *Refusal) {
+func (g *Gateway) admit(ctx context.Context, call *Call, route routes.Route, service string) (callPlace, *Refusal) {
 	if !g.policy.Enabled(policy.Admission) || route.LatencyTarget <= 0 {
-		return place{}, nil
+		return callPlace{}, nil
 	}
 	s := g.admissions.of(service)
 	load, now, request := g.serviceLoad(s), g.now(), call.request(route)
@@ -128,17 +128,17 @@
 	contended := g.noteContention(s, now)
 	switch d.Refused {
 	case admission.Admitted:
-		callsAdmitted.Add(1)
-		if !contended || !g.queueing() {
-			return place{}, nil
+		p, started := callPlace{}, true
+		if contended && g.queueing() {
+			p, started = g.takePlace(ctx, s, request, d.Level)
 		}
-		p, started := g.takePlace(ctx, s, request, d.Level)
 		if started {
+			callsAdmitted.Add(1)
 			call.needsRoom = p.ticket != 0
 			return p, nil
 		}
 		if ctx.Err() != nil {
-			return place{}, &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterNotRun, Reason: "caller left the queue"}
+			return callPlace{}, &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterNotRun, Reason: "caller left the queue"}
 		}
 		d.Refused, request.TimeLeft = admission.Queue, time.Until(call.Deadline)
 	case admission.Deadline:
@@ -153,7 +153,7 @@
 		Str("reason", string(d.Refused)).Float64("fraction", d.Fraction).Float64("total", d.Total).Str("source", string(d.Source)).Dur("source_age", d.SourceAge).
 		Bool("queue_known", d.Load.Known).Dur("queue", d.Load.QueueTime).Dur("queue_age", d.Load.Age).Dur("left", request.TimeLeft).Dur("retry_after", refusal.RetryAfter).
 		Int("status", refusal.Status).Msg("call not admitted")
-	return place{}, refusal
+	return callPlace{}, refusal
 }
 
 // refuseNotRun returns the refusal of a call that has not run, with the time after which its
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -17,9 +17,9 @@
 	callsQueueRefused = metrics.Counter("admission_refused_queue")
 )
 
-// place is the place of a call among those in flight at a contended service; the zero place is
+// callPlace is the place of a call among those in flight at a contended service; the zero value is
 // that of a call that is not counted.
-type place struct {
+type callPlace struct {
 	service  *serviceAdmission
 	ticket   limits.Ticket
 	answered bool
@@ -32,8 +32,8 @@
 }
 
 // takePlace returns when an admitted call may be sent. It reports false for a call that could not
-// start by its latest useful start, or whose caller left; place is then zero.
-func (g *Gateway) takePlace(ctx context.Context, s *serviceAdmission, request admission.Request, level int) (place, bool) {
+// start by its latest useful start, or whose caller left.
+func (g *Gateway) takePlace(ctx context.Context, s *serviceAdmission, request admission.Request, level int) (callPlace, bool) {
 	now := g.now()
 	s.mu.Lock()
 	room := g.startWaiting(s, now)
@@ -43,11 +43,11 @@
 		switch {
 		case p.Refused:
 			callsQueueRefused.Add(1)
-			return place{}, false
+			return callPlace{}, false
 		case p.Ticket == 0:
-			return place{}, true
+			return callPlace{}, true
 		}
-		return place{service: s, ticket: p.Ticket}, true
+		return callPlace{service: s, ticket: p.Ticket}, true
 	}
 	callsQueued.Add(1)
 	start := make(chan bool, 1) // true: the call may be sent, false: its latest useful start has passed
@@ -60,9 +60,9 @@
 	select {
 	case started := <-start:
 		if !started {
-			return place{}, false
+			return callPlace{}, false
 		}
-		return place{service: s, ticket: p.Ticket}, true
+		return callPlace{service: s, ticket: p.Ticket}, true
 	case <-ctx.Done():
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -70,12 +70,12 @@
 		delete(s.waiters, p.Ticket)
 		s.decisions.Leave(p.Ticket, now)
 		g.startWaiting(s, now) // the call may have been started just now
-		return place{}, false
+		return callPlace{}, false
 	}
 }
 
 // leavePlace notes the end of a call.
-func (g *Gateway) leavePlace(p *place) {
+func (g *Gateway) leavePlace(p *callPlace) {
 	if p.service == nil {
 		return
 	}
@@ -83,7 +83,10 @@
 	p.service.mu.Lock()
 	defer p.service.mu.Unlock()
 	p.service.decisions.End(p.ticket, p.answered, now)
-	g.startWaiting(p.service, now)
+	// Next also notices the end of the contention.
+	if p.service.decisions.Waiting() > 0 || !p.service.contended {
+		g.startWaiting(p.service, now)
+	}
 }
 
 // startWaiting starts the waiting calls for which there is room and ends the wait of those whose
--- a/internal/routing/leastwait.go
+++ b/internal/routing/leastwait.go
@@ -418,8 +418,12 @@
 
 func (s *waitState) observeReport(r loadreport.Report, now time.Duration) {
 	s.report, s.reportedAt, s.change = r, now, 0
-	if s.queueLimit > 0 && r.Waiting >= s.queueLimit {
+	switch {
+	case s.queueLimit > 0 && r.Waiting >= s.queueLimit:
 		s.fullAt = now
+	case r.Load() < r.Slots:
+		// A shorter queue does not end the knowledge: at the peak it is full again at once.
+		s.fullAt = 0
 	}
 }
 
