--- a/cmd/dogwoodflowctl/tables.go
+++ b/cmd/dogwoodflowctl/tables.go
@@ -191,7 +191,7 @@
 			t.row(d.Daemon, s.Service, formatFraction(s.Admitted), yesNo(s.Contended), queueTime, runTime, s.Source, age, s.Daemons, s.Waiting, oldestWait)
 		}
 	}
-	t.row("DAEMON", "SERVICE", "CUSTOMER", "LEVEL", "CALLS/S", "ADMITTED", "CALLS ADMITTED", "REFUSED: SHARE", "REFUSED: DEADLINE")
+	t.row("DAEMON", "SERVICE", "CUSTOMER", "LEVEL", "CALLS/S", "ADMITTED", "CALLS ADMITTED", "REFUSED: SHARE", "REFUSED: DEADLINE", "REFUSED: QUEUE")
 	for _, d := range daemons {
 		for _, s := range d.Services {
 			for _, c := range s.Customers {
@@ -199,7 +199,7 @@
 				if c.Level == admission.NoLevel {
 					level, rate, fraction = "", "0", ""
 				}
-				t.row(d.Daemon, s.Service, c.Customer, level, rate, fraction, c.Admitted, c.RefusedShare, c.RefusedDeadline)
+				t.row(d.Daemon, s.Service, c.Customer, level, rate, fraction, c.Admitted, c.RefusedShare, c.RefusedDeadline, c.RefusedQueue)
 			}
 		}
 	}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -210,11 +210,13 @@
 admission_customer_admitted{service="s",customer="a"} 1
 admission_customer_refused{service="s",customer="a",reason="share"} 1
 admission_customer_refused{service="s",customer="a",reason="deadline"} 0
+admission_customer_refused{service="s",customer="a",reason="queue"} 0
 admission_customer_rate{service="s",customer="a",level="2"} 0.9515
 admission_customer_fraction{service="s",customer="a",level="2"} 0.1
 admission_customer_admitted{service="s",customer="gone"} 0
 admission_customer_refused{service="s",customer="gone",reason="share"} 0
 admission_customer_refused{service="s",customer="gone",reason="deadline"} 1
+admission_customer_refused{service="s",customer="gone",reason="queue"} 0
 `))
 	for i := range 5000 {
 		s.Admit(call(fmt.Sprint(i), 0), busy, later, constant(0))
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -20,6 +20,9 @@
 	// have been answered in time.
 	RefusedShare    int64 `json:"refused_share"`
 	RefusedDeadline int64 `json:"refused_deadline"`
+	// RefusedQueue counts those that could not start by their latest useful start, though they
+	// were within the customer's share.
+	RefusedQueue int64 `json:"refused_queue"`
 }
 
 // NoLevel is the level in the status of a customer that was refused calls but has made none lately.
@@ -66,6 +69,9 @@
 		c.RefusedShare++
 	case Deadline:
 		c.RefusedDeadline++
+	case Queue: // Admit has counted the call as admitted
+		c.RefusedQueue++
+		c.Admitted--
 	default:
 		c.Admitted++
 	}
@@ -104,7 +110,7 @@
 		out.Customers = append(out.Customers, entry)
 	}
 	for customer, c := range s.counts {
-		if !listed[customer] && c.RefusedShare+c.RefusedDeadline > 0 {
+		if !listed[customer] && c.RefusedShare+c.RefusedDeadline+c.RefusedQueue > 0 {
 			out.Customers = append(out.Customers, CustomerStatus{Customer: customer, Level: NoLevel, Counts: *c})
 		}
 	}
@@ -134,6 +140,7 @@
 				fmt.Fprintf(w, "admission_customer_admitted{%s} %d\n", labels, c.Admitted)
 				fmt.Fprintf(w, "admission_customer_refused{%s,reason=%q} %d\n", labels, Share, c.RefusedShare)
 				fmt.Fprintf(w, "admission_customer_refused{%s,reason=%q} %d\n", labels, Deadline, c.RefusedDeadline)
+				fmt.Fprintf(w, "admission_customer_refused{%s,reason=%q} %d\n", labels, Queue, c.RefusedQueue)
 			}
 			counted = c.Customer
 			if c.Level == NoLevel {
--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -131,6 +131,9 @@
 // Leave removes a call that waits, or that was started and not sent.
 func (s *Service) Leave(t limits.Ticket, now time.Duration) { s.End(t, false, now) }
 
+// RefuseWaiting counts the refusal of a call that Admit admitted and that could not start in time.
+func (s *Service) RefuseWaiting(customer string) { s.count(customer, Queue) }
+
 // HasWindow reports whether the calls in flight are limited, which is so during contention.
 func (s *Service) HasWindow() bool { return s.waiting != nil }
 
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -140,6 +140,9 @@
 		if ctx.Err() != nil {
 			return callPlace{}, &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterNotRun, Reason: "caller left the queue"}
 		}
+		s.mu.Lock()
+		s.decisions.RefuseWaiting(call.Customer)
+		s.mu.Unlock()
 		d.Refused, request.TimeLeft = admission.Queue, time.Until(call.Deadline)
 	case admission.Deadline:
 		callsTooLate.Add(1)
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -130,6 +130,8 @@
 		}
 	}
 	if !reported {
+		// Without load reports it is not known whether a refusal was for a full queue, and calls
+		// don't wait.
 		out.Slots = 0
 	}
 	if !present {
