--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/limits"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
+	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/shares"
 )
@@ -179,17 +180,20 @@
 }
 
 // observeLoad passes the load that a response reported to the admission of its service.
-func (g *Gateway) observeLoad(call *Call, service string, response *Response) {
+func (g *Gateway) observeLoad(call *Call, u registry.Upstream, response *Response) {
 	if response.Load == nil || !g.policy.Enabled(policy.Admission) {
 		return
 	}
-	s := g.admissions.find(service)
+	s := g.admissions.find(u.Service)
 	if s == nil {
 		return
 	}
 	load, now := g.serviceLoad(s), g.now()
+	// The queue of a slow upstream is full of calls that no other one had room for, or that came
+	// before it was slow. It says nothing about the room at the others.
+	slow := g.balancer.isSlow(u.Incarnation(), now)
 	s.mu.Lock()
-	full := response.NotRun && response.Status != http.StatusMisdirectedRequest && !refusedWithFreeSlots(response)
+	full := !slow && response.NotRun && response.Status != http.StatusMisdirectedRequest && !refusedWithFreeSlots(response)
 	if full {
 		upstreamFullRefusals.Add(1)
 		s.decisions.RecordFull(now)
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -66,7 +66,7 @@
 		s := gate.admissions.of("s")
 		refuse := func() {
 			load := full
-			gate.observeLoad(call(), "s", &Response{Status: http.StatusServiceUnavailable, NotRun: true, Load: &load})
+			gate.observeLoad(call(), registry.Upstream{ID: "u0", Service: "s"}, &Response{Status: http.StatusServiceUnavailable, NotRun: true, Load: &load})
 		}
 		refuse()
 		g.Expect(gate.Changed()).To(Receive())
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -108,6 +108,13 @@
 	return b.leastWait.HasRoom(b.candidates(upstreams, tried, now), now)
 }
 
+// isSlow reports whether an upstream takes several times as long as the others of its service.
+func (b *balancer) isSlow(incarnation string, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leastWait.IsSlow(incarnation, now)
+}
+
 // room returns what is known of the room at a service's upstreams.
 func (b *balancer) room(upstreams []registry.Upstream, now time.Duration) admission.Room {
 	b.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -361,7 +361,7 @@
 	case err == nil:
 		g.hedges.recordSuccess()
 		g.balancer.recordSuccess(u.Incarnation(), observation(response, responseTime), now)
-		g.observeLoad(call, u.Service, response)
+		g.observeLoad(call, u, response)
 		g.clearCrashes(ctx, call, response)
 	case ctx.Err() == nil && errors.As(err, &f) && f.Kind != exchange.Malformed && f.Kind != exchange.NoRoom && !f.StaleConn():
 		g.balancer.recordFailure(u.Incarnation(), now)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -162,7 +162,7 @@
 	defer events.close()
 	// The header's report is out of date when the stream ends.
 	s.g.balancer.observe(u.Incarnation(), observation(&stream.Response, 0), s.g.now())
-	s.g.observeLoad(s.call, u.Service, &stream.Response)
+	s.g.observeLoad(s.call, u, &stream.Response)
 	stream.Load = nil
 	err = s.forwardEvents(stream, events)
 	if err == nil {
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
+	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 	"github.com/dogwoodflow/dogwoodflow/internal/routing"
 	"github.com/dogwoodflow/dogwoodflow/internal/shares"
@@ -67,7 +68,7 @@
 		time.Sleep(5 * time.Millisecond)
 		response := &Response{Status: 200, Load: &idle}
 		gate.balancer.observe("u0", observation(response, 0), gate.now())
-		gate.observeLoad(call(), "s", response)
+		gate.observeLoad(call(), registry.Upstream{ID: "u0", Service: "s"}, response)
 		synctest.Wait()
 		g.Expect(f.total()).To(Equal(1))
 		time.Sleep(10 * time.Millisecond)
--- a/internal/routing/leastwait.go
+++ b/internal/routing/leastwait.go
@@ -534,6 +534,12 @@
 	return time.Duration(waits / weights), time.Duration(ages / weights), true
 }
 
+// IsSlow reports whether the run time of an upstream is several times that of its service.
+func (l *LeastWait) IsSlow(key string, now time.Duration) bool {
+	s := l.states[key]
+	return s != nil && s.slow(now)
+}
+
 // slow reports whether an upstream's run time is several times the service's.
 func (s *waitState) slow(now time.Duration) bool {
 	return s.serviceRunTime > 0 && float64(s.expectedRunTime(now)) > slowRatio*float64(s.serviceRunTime)
