admission: own demand takes the place of an ageing table

Cause: the table of 985 daemons is up to 3.9 s old, more with the age of its reports, and alone decided the shares for 11.8 s. A peak of 10 s was half over before the shares followed it.

Weighed in a model of one small customer that asks for 1.5 times the demand of all others for 10 s (61 daemons modelled, 14 calls/s each; sum of deviations from weighted max-min per second as a part of admitted calls, and calls of the other customers as a part of their due; callers spread evenly, and mostly on a few daemons).

Conclusion: the table alone up to 600 ms, then fading in 2 s. It changes nothing in a fleet of 61 and is better than either source alone where callers are skewed.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -4,7 +4,7 @@
 // A Service admits a fraction of the calls such that the wait in the upstreams' queues stays at
 // a target (limits.Overload). The fraction is divided among customers by the demand of the whole
 // fleet, or by that of this daemon's own callers while the fleet's is unknown
-// (limits.Fractions). Calls that can still be answered within their latency target come before
+// (limits.Fractions). As a table of the fleet's demand ages, own demand takes its place. Calls that can still be answered within their latency target come before
 // those of callers that were refused and came back: the same number is served in either order,
 // but not the same number within the target.
 //
@@ -177,16 +177,11 @@
 	if s.sharesSet && now-s.sharesAt < sharesMaxAge {
 		return
 	}
-	var demands []limits.Demand
+	demands := s.demand.Demands(now)
+	s.source = OwnDemand
 	if s.fleetFresh(now) {
 		s.source = FleetDemand
-		for _, d := range s.fleet.Demands {
-			weight := limits.DefaultWeight * float64(max(1, d.Customers))
-			demands = append(demands, limits.Demand{Customer: d.Customer, Level: d.Level, Weight: weight, Rate: d.Rate})
-		}
-	} else {
-		s.source = OwnDemand
-		demands = s.demand.Demands(now)
+		demands = blend(demands, s.fleet, tablePart(now-s.fleetAt))
 	}
 	s.shares = limits.Fractions(demands, admitted)
 	s.sharesAt, s.sharesSet = now, true
--- /dev/null
+++ b/internal/admission/demand_test.go
@@ -0,0 +1,167 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/limits"
+	"github.com/dogwoodflow/dogwoodflow/internal/shares"
+)
+
+// demandModel is a fleet in which one small customer begins to ask for more than all others
+// together. Of large fleets only some daemons are modelled; the table is that of all.
+type demandModel struct {
+	daemons int  // of the fleet
+	skewed  bool // each customer's callers reach mostly a few daemons
+}
+
+const (
+	modelled, modelCustomers = 31, 73
+	modelStep                = 10 * time.Millisecond
+	peakBegin, peakEnd       = 2 * time.Second, 12 * time.Second
+	peakCustomer, peakFactor = 40, 1.5
+	modelCapacity            = 1 / 1.2 // of the demand before the peak
+)
+
+// run returns the sum of the deviations from weighted max-min in each second of the peak, as a
+// part of all admitted calls, and the calls of the other customers as a part of their due.
+func (m demandModel) run(part func(age time.Duration) float64) (deviation, others float64) {
+	r := rand.New(rand.NewPCG(5, 1))
+	steps := int(peakEnd / modelStep)
+	interval := max(shares.MinInterval, time.Duration(m.daemons)*4*time.Millisecond)
+	var base [modelCustomers]float64
+	sum := 0.0
+	for c := range base {
+		base[c] = 1 / math.Pow(float64(c+1), 1.2)
+		sum += base[c]
+	}
+	const all = 14 * modelled // calls per second before the peak
+	for c := range base {
+		base[c] *= all / sum
+	}
+	rates := func(now time.Duration) [modelCustomers]float64 {
+		out := base
+		if now >= peakBegin {
+			out[peakCustomer] = peakFactor * all
+		}
+		return out
+	}
+	// mean is the mean demand that reports of the given age to that plus an interval tell.
+	mean := func(now time.Duration, c int) (rate float64) {
+		const samples = 8
+		for n := range samples {
+			since := now - interval*time.Duration(n)/samples - peakBegin
+			rate += base[c] / samples
+			if since > 0 && c == peakCustomer {
+				rate += (peakFactor*all - base[c]) * (1 - math.Exp(-since.Seconds())) / samples
+			}
+		}
+		return rate
+	}
+	type daemon struct {
+		meter    *limits.DemandMeter
+		admitter *limits.Admitter
+		shares   limits.Shares
+		table    shares.Table
+		at, next time.Duration
+	}
+	fleet := make([]daemon, modelled)
+	for i := range fleet {
+		fleet[i] = daemon{meter: limits.NewDemandMeter(), admitter: limits.NewAdmitter(), next: -time.Duration(r.Float64() * float64(interval))}
+	}
+	level, recent := math.Log(modelCapacity), modelCapacity*all
+	var admitted, due [modelCustomers]float64
+	var off, got, othersGot, othersDue float64
+	for step := range steps {
+		now := time.Duration(step) * modelStep
+		truth := rates(now)
+		for i := range fleet {
+			d := &fleet[i]
+			if now >= d.next {
+				d.at, d.next = d.next, d.next+interval
+				d.table = shares.Table{NextReport: interval, Daemons: m.daemons}
+				small := shares.Demand{}
+				for c := range modelCustomers {
+					rate := mean(d.at, c) * float64(m.daemons) / modelled
+					if rate < all*float64(m.daemons)/modelled/256 {
+						small.Rate, small.Customers = small.Rate+rate, small.Customers+1
+						continue
+					}
+					d.table.Demands = append(d.table.Demands, shares.Demand{Customer: fmt.Sprint(c), Rate: rate})
+				}
+				d.table.Demands = append(d.table.Demands, small)
+			}
+			if (step+i)%10 == 0 {
+				d.shares = limits.Fractions(blend(d.meter.Demands(now), d.table, part(now-d.at)), math.Exp(level))
+			}
+		}
+		count := 0.0
+		for c, rate := range truth {
+			for n := rate*modelStep.Seconds() + r.Float64(); n >= 1; n-- {
+				d := &fleet[r.IntN(modelled)]
+				if m.skewed {
+					d = &fleet[(c*37+int(modelled*math.Pow(r.Float64(), 4)))%modelled]
+				}
+				name := fmt.Sprint(c)
+				d.meter.Add(name, 0, now)
+				if d.admitter.Admit(name, 0, d.shares.Admit(name, 0), r.Float64(), now) {
+					admitted[c]++
+					count++
+				}
+			}
+		}
+		// The overload control keeps the admitted calls at the capacity.
+		recent += (count/modelStep.Seconds() - recent) * 0.1
+		level = min(0, max(-4, level-2*modelStep.Seconds()*(recent/(modelCapacity*all)-1)))
+		if now < peakBegin {
+			admitted = [modelCustomers]float64{}
+			continue
+		}
+		demands, total := []limits.Demand{}, 0.0
+		for c, rate := range truth {
+			demands, total = append(demands, limits.Demand{Customer: fmt.Sprint(c), Rate: rate}), total+rate
+		}
+		fair := limits.Fractions(demands, modelCapacity*all/total)
+		for c, rate := range truth {
+			due[c] += rate * fair.Admit(fmt.Sprint(c), 0) * modelStep.Seconds()
+		}
+		if (now+modelStep)%time.Second == 0 {
+			for c := range due {
+				off, got = off+math.Abs(admitted[c]-due[c]), got+due[c]
+				if c != peakCustomer {
+					othersGot, othersDue = othersGot+admitted[c], othersDue+due[c]
+				}
+			}
+			admitted, due = [modelCustomers]float64{}, [modelCustomers]float64{}
+		}
+	}
+	return off / got, othersGot / othersDue
+}
+
+// Guards against shares that follow a peak only once a table of a large fleet tells of it, and
+// against shares that depend on the daemons which a customer's callers reach.
+func TestBlendFollowsAPeak(t *testing.T) {
+	g := NewWithT(t)
+	for _, m := range []demandModel{{61, false}, {61, true}, {985, false}, {985, true}} {
+		var off, others [3]float64
+		for i, part := range []func(age time.Duration) float64{func(time.Duration) float64 { return 1 }, func(time.Duration) float64 { return 0 }, tablePart} {
+			off[i], others[i] = m.run(part)
+		}
+		t.Logf("%d daemons, skewed %v: deviation with the table %.3f, own demand %.3f, both %.3f; calls of the others %.3f, %.3f, %.3f of their due",
+			m.daemons, m.skewed, off[0], off[1], off[2], others[0], others[1], others[2])
+		if m.daemons == 61 {
+			g.Expect(off[2]).To(Equal(off[0]), "a table of 250 ms is exact enough")
+			continue
+		}
+		g.Expect(off[2]).To(BeNumerically("<", 0.85*off[0]))
+		g.Expect(others[2]).To(BeNumerically(">", others[0]+0.05))
+		if m.skewed {
+			g.Expect(off[2]).To(BeNumerically("<", off[1]))
+		}
+	}
+}
