shares: tables state the age of their queue time

Cause: SetFleet passed the fleet's queue time to Overload.Update with the age of the table only, while the mean covered all valid reports, up to three intervals old: 11.8 s at 985 daemons. The overload control ignores estimates older than 500 ms and predicts by the age of the others.

Only measurements younger than 500 ms enter the means; at 985 daemons these are those of some 125 reports. The age includes that of the daemon's own estimate when it reported (up to 300 ms, and the age of the upstream's report), as the age of the report alone would still be too low. Two fields in the messages, two to three bytes each. The expiry of demand stays at three intervals.

Tests: the naive implementation of the sums now has the ages too; an estimate of 500 ms counts, one of 501 ms does not (failed before: contended in both cases).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -213,7 +213,7 @@
 	}
 	s.overload.Adopt(t.Admitted, now)
 	if s.target > 0 && now-s.observedAt > ownLoadMaxAge {
-		s.overload.Update(t.QueueTime, now-at, s.target, now)
+		s.overload.Update(t.QueueTime, now-at+t.QueueAge, s.target, now)
 	}
 }
 
@@ -225,7 +225,10 @@
 	if !s.overload.Contended(now) {
 		return shares.Report{}, false
 	}
-	r := shares.Report{QueueTime: s.observed.QueueTime, Admitted: s.overload.Admitted(now), Known: s.observed.Known && now-s.observedAt <= ownLoadMaxAge}
+	r := shares.Report{
+		QueueTime: s.observed.QueueTime, QueueAge: now - s.observedAt + s.observed.Age, Admitted: s.overload.Admitted(now),
+		Known: s.observed.Known && now-s.observedAt <= ownLoadMaxAge,
+	}
 	for _, d := range s.demand.Demands(now) {
 		r.Demands = append(r.Demands, shares.Demand{Customer: d.Customer, Level: d.Level, Rate: d.Rate})
 	}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -146,15 +146,19 @@
 }
 
 // Guards against a fleet's queue time that replaces a newer one of the daemon's own, and against a
-// daemon without responses that never learns of an overload.
+// daemon without responses that never learns of an overload, or that takes one of long ago for new.
 func TestFleetQueueTimeReplacesAnOldOwnOne(t *testing.T) {
-	for age, contended := range map[time.Duration]bool{300 * ms: false, 301 * ms: true} {
+	for _, c := range []struct {
+		own, table, mean time.Duration // ages of the own estimate, the table and its measurements
+		contended        bool
+	}{{300 * ms, 0, 0, false}, {301 * ms, 0, 0, true}, {400 * ms, 100 * ms, 400 * ms, true}, {400 * ms, 100 * ms, 401 * ms, false}} {
+		age, contended := c.own, c.contended
 		g, s := NewWithT(t), admission.NewService()
 		s.Observe(admission.Load{RunTime: 25 * ms, Known: true}, 150*ms, time.Second)
 		now := time.Second + age
 		table := fleetTable()
-		table.Admitted, table.QueueTime = 1, 200*ms
-		s.SetFleet(table, now, now)
+		table.Admitted, table.QueueTime, table.QueueAge = 1, 200*ms, c.mean
+		s.SetFleet(table, now-c.table, now)
 		g.Expect(s.Contended(now)).To(Equal(contended), "%v", age)
 		_, reported := s.Report(now)
 		g.Expect(reported).To(Equal(contended), "%v", age)
--- a/internal/shares/coordinator.go
+++ b/internal/shares/coordinator.go
@@ -52,6 +52,7 @@
 	expires   time.Duration
 	entries   []heldEntry
 	queueTime time.Duration
+	measured  time.Duration // time of queueTime
 	admitted  float64
 	known     bool
 }
@@ -88,9 +89,9 @@
 	interval := c.schedule(now)
 	if old, ok := f.reports[r.VM]; !ok || r.Sequence > old.sequence {
 		c.remove(f, r.VM)
-		c.add(f, r, now+validIntervals*interval)
+		c.add(f, r, now, now+validIntervals*interval)
 	}
-	t := f.table()
+	t := f.table(now)
 	t.NextReport = interval
 	return t, nil
 }
@@ -138,8 +139,8 @@
 	}
 }
 
-func (c *Coordinator) add(f *fleetDemand, r Report, expires time.Duration) {
-	held := &heldReport{sequence: r.Sequence, expires: expires, queueTime: r.QueueTime, admitted: r.Admitted, known: r.Known}
+func (c *Coordinator) add(f *fleetDemand, r Report, now, expires time.Duration) {
+	held := &heldReport{sequence: r.Sequence, expires: expires, queueTime: r.QueueTime, measured: now - r.QueueAge, admitted: r.Admitted, known: r.Known}
 	held.entries = make([]heldEntry, 0, len(r.Demands))
 	for _, d := range r.Demands {
 		held.entries = append(held.entries, f.addSum(d))
@@ -195,13 +196,15 @@
 	}
 }
 
-// table returns the fleet's demand, without the time of the next report.
-func (f *fleetDemand) table() Table {
+// table returns the fleet's demand, without the time of the next report. Its means are those of
+// new measurements only, so that their age is that of the reports which tell of a change.
+func (f *fleetDemand) table(now time.Duration) Table {
 	t := Table{Daemons: len(f.reports), Demands: f.demands()}
 	measured := 0
 	for _, r := range f.reports {
-		if r.known {
+		if r.known && now-r.measured < maxMeasureAge {
 			measured++
+			t.QueueAge += now - r.measured
 			t.QueueTime += r.queueTime
 			t.Admitted += r.admitted
 		}
@@ -209,6 +212,7 @@
 	if measured > 0 {
 		t.Known = true
 		t.QueueTime /= time.Duration(measured)
+		t.QueueAge /= time.Duration(measured)
 		t.Admitted = min(1, t.Admitted/float64(measured))
 	}
 	return t
--- a/internal/shares/coordinator_test.go
+++ b/internal/shares/coordinator_test.go
@@ -15,7 +15,7 @@
 // naiveReport is a report as the naive implementation keeps it.
 type naiveReport struct {
 	Report
-	expires time.Duration
+	at, expires time.Duration
 }
 
 // naiveTable sums up all valid reports of a service.
@@ -27,8 +27,9 @@
 			continue
 		}
 		t.Daemons++
-		if r.Known {
+		if age := now - r.at + r.QueueAge; r.Known && age < 500*time.Millisecond {
 			measured++
+			t.QueueAge += age
 			t.QueueTime += r.QueueTime
 			t.Admitted += r.Admitted
 		}
@@ -40,6 +41,7 @@
 	}
 	if t.Known = measured > 0; t.Known {
 		t.QueueTime /= time.Duration(measured)
+		t.QueueAge /= time.Duration(measured)
 		t.Admitted /= float64(measured)
 	}
 	var aggregated [3]Demand
@@ -57,7 +59,8 @@
 }
 
 // Guards against demand that is counted twice, or that stays after its report was replaced or has
-// expired, as errors in the running sums would cause.
+// expired, as errors in the running sums would cause; and against means of outdated measurements, or
+// with a wrong age.
 func TestSumsEqualThoseOfAllValidReports(t *testing.T) {
 	for seed := range uint64(8) {
 		g := NewWithT(t)
@@ -67,6 +70,7 @@
 			now += time.Duration(random.IntN(int(40 * time.Millisecond)))
 			r := Report{VM: fmt.Sprint("vm", random.IntN(20)), Service: fmt.Sprint("s", random.IntN(2)), Sequence: sequence + 1, Known: random.IntN(2) == 0}
 			r.QueueTime, r.Admitted = time.Duration(random.IntN(1000)), float64(random.IntN(5))/4
+			r.QueueAge = time.Duration(random.IntN(int(300 * time.Millisecond)))
 			for range random.IntN(30) {
 				r.Demands = append(r.Demands, Demand{Customer: fmt.Sprint(random.IntN(40)), Level: random.IntN(3), Rate: float64(random.IntN(1<<random.IntN(12))) / 8})
 			}
@@ -77,7 +81,7 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			key := r.VM + r.Service
 			if old, ok := reports[key]; !ok || now >= old.expires || r.Sequence > old.Sequence {
-				reports[key] = naiveReport{r, now + 3*got.NextReport}
+				reports[key] = naiveReport{r, now, now + 3*got.NextReport}
 			}
 			want := naiveTable(reports, r.Service, now)
 			g.Expect(got.Validate()).To(Succeed())
@@ -113,6 +117,7 @@
 		"negative customers":  entry(Demand{Customers: -1}),
 		"negative queue time": func(r *Report) { r.QueueTime = -1 },
 		"huge queue time":     func(r *Report) { r.QueueTime = math.MaxInt64 },
+		"negative queue age":  func(r *Report) { r.QueueAge = -1 },
 		"fraction above 1":    func(r *Report) { r.Admitted = 1.1 },
 		"fraction no number":  func(r *Report) { r.Admitted = math.NaN() },
 	} {
@@ -124,7 +129,7 @@
 	}
 	after, err := c.Exchange(good, 1)
 	g.Expect(err).NotTo(HaveOccurred())
-	after.NextReport = before.NextReport
+	after.NextReport, before.QueueAge = before.NextReport, 1 // that of the first report
 	g.Expect(after).To(Equal(before))
 }
 
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -43,6 +43,9 @@
 	// maxRate bounds the rate of one entry in calls per second. It is far above what a VM can
 	// receive, and sums of such rates stay exact in 64 bits.
 	maxRate = 1e6
+	// maxMeasureAge is the age from which on a measurement is not part of a table's means. Reports
+	// are valid for longer, for their demand; the overload control ignores older queue times.
+	maxMeasureAge = 500 * time.Millisecond
 	// maxQueueTime is far above the timeout of any caller, and fits in 32 bits of microseconds.
 	maxQueueTime = time.Hour
 	// rateUnits is the number of units of a call per second in which rates are summed and sent.
@@ -65,6 +68,7 @@
 	Sequence    uint64 // rises with each report of the VM, also over restarts
 	Demands     []Demand
 	QueueTime   time.Duration
+	QueueAge    time.Duration // of QueueTime when the report is sent
 	Admitted    float64
 	Known       bool // QueueTime and Admitted are measured
 }
@@ -73,8 +77,9 @@
 type Table struct {
 	Demands    []Demand // sorted by customer and level, without zero rates
 	QueueTime  time.Duration
+	QueueAge   time.Duration // mean age of QueueTime when the table is sent
 	Admitted   float64
-	Known      bool          // QueueTime and Admitted are means over the daemons that measured them
+	Known      bool          // QueueTime and Admitted are means over the daemons that measured them lately
 	Daemons    int           // number of daemons whose reports are included
 	NextReport time.Duration // after which the daemon is to report again
 }
@@ -90,7 +95,7 @@
 	if err := errors.Join(validateName("VM", r.VM), validateName("service", r.Service)); err != nil {
 		return err
 	}
-	return errors.Join(validateDemands(r.Demands), validateMeans(r.QueueTime, r.Admitted, r.Known))
+	return errors.Join(validateDemands(r.Demands), validateMeans(r.QueueTime, r.QueueAge, r.Admitted, r.Known))
 }
 
 // Validate returns an error that wraps ErrMalformed if a table is not one of a coordinator.
@@ -101,7 +106,7 @@
 	case t.NextReport < MinInterval || t.NextReport > maxInterval:
 		return fmt.Errorf("%w: next report in %v", ErrMalformed, t.NextReport)
 	}
-	return errors.Join(validateDemands(t.Demands), validateMeans(t.QueueTime, t.Admitted, t.Known))
+	return errors.Join(validateDemands(t.Demands), validateMeans(t.QueueTime, t.QueueAge, t.Admitted, t.Known))
 }
 
 func validateName(what, name string) error {
@@ -130,12 +135,14 @@
 	return nil
 }
 
-func validateMeans(queueTime time.Duration, admitted float64, known bool) error {
+func validateMeans(queueTime, queueAge time.Duration, admitted float64, known bool) error {
 	switch {
 	case !known:
 		return nil
 	case queueTime < 0 || queueTime > maxQueueTime:
 		return fmt.Errorf("%w: queue time %v", ErrMalformed, queueTime)
+	case queueAge < 0 || queueAge > maxQueueTime:
+		return fmt.Errorf("%w: queue time of %v ago", ErrMalformed, queueAge)
 	case !(admitted >= 0 && admitted <= 1): // also if it is not a number
 		return fmt.Errorf("%w: admitted fraction %v", ErrMalformed, admitted)
 	}
@@ -169,6 +176,7 @@
 	slices.SortFunc(demands, compareDemands)
 	r.Demands = compact(demands)
 	r.QueueTime = min(max(r.QueueTime, 0), maxQueueTime)
+	r.QueueAge = min(max(r.QueueAge, 0), maxQueueTime)
 	r.Known = r.Known && r.Admitted >= 0 && r.Admitted <= 1
 	return r
 }
--- a/internal/sharespeer/encode.go
+++ b/internal/sharespeer/encode.go
@@ -10,7 +10,7 @@
 func encodeReport(r shares.Report) *peerpb.DemandReport {
 	return &peerpb.DemandReport{
 		Vm: r.VM, Service: r.Service, Sequence: r.Sequence, Demands: encodeDemands(r.Demands),
-		Known: r.Known, QueueTimeUs: uint32(r.QueueTime.Microseconds()), Admitted: r.Admitted,
+		Known: r.Known, QueueTimeUs: uint32(r.QueueTime.Microseconds()), Admitted: r.Admitted, QueueAgeMs: uint32(r.QueueAge.Milliseconds()),
 	}
 }
 
@@ -18,13 +18,14 @@
 	return shares.Report{
 		VM: in.GetVm(), Service: in.GetService(), Sequence: in.GetSequence(), Demands: decodeDemands(in.GetDemands()),
 		Known: in.GetKnown(), QueueTime: time.Duration(in.GetQueueTimeUs()) * time.Microsecond, Admitted: in.GetAdmitted(),
+		QueueAge: time.Duration(in.GetQueueAgeMs()) * time.Millisecond,
 	}
 }
 
 func encodeTable(t shares.Table) *peerpb.DemandTable {
 	return &peerpb.DemandTable{
 		Demands: encodeDemands(t.Demands), Known: t.Known, QueueTimeUs: uint32(t.QueueTime.Microseconds()), Admitted: t.Admitted,
-		Daemons: uint32(t.Daemons), NextReportMs: uint32(t.NextReport.Milliseconds()),
+		Daemons: uint32(t.Daemons), NextReportMs: uint32(t.NextReport.Milliseconds()), QueueAgeMs: uint32(t.QueueAge.Milliseconds()),
 	}
 }
 
@@ -32,6 +33,7 @@
 	return shares.Table{
 		Demands: decodeDemands(in.GetDemands()), Known: in.GetKnown(), QueueTime: time.Duration(in.GetQueueTimeUs()) * time.Microsecond, Admitted: in.GetAdmitted(),
 		Daemons: int(in.GetDaemons()), NextReport: time.Duration(in.GetNextReportMs()) * time.Millisecond,
+		QueueAge: time.Duration(in.GetQueueAgeMs()) * time.Millisecond,
 	}
 }
 
--- a/internal/sharespeer/sharespeer_test.go
+++ b/internal/sharespeer/sharespeer_test.go
@@ -43,7 +43,7 @@
 	g := NewWithT(t)
 	h := &fakeHandler{table: shares.Table{
 		Demands:   []shares.Demand{{Level: 3, Rate: 0.125, Customers: 17}, {Customer: "c", Rate: 1e6}},
-		QueueTime: 37500 * time.Microsecond, Admitted: 0.3, Known: true, Daemons: 985, NextReport: 3940 * time.Millisecond,
+		QueueTime: 37500 * time.Microsecond, QueueAge: 210 * time.Millisecond, Admitted: 0.3, Known: true, Daemons: 985, NextReport: 3940 * time.Millisecond,
 	}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -51,7 +51,7 @@
 	served := make(chan error, 1)
 	go func() { served <- batchpeer.Serve(ctx, l, batches{}, zerolog.Nop(), Register(h)) }()
 	c, forBatches := NewClient(), batchpeer.NewClient()
-	report := shares.Report{VM: "a", Service: "s", Sequence: math.MaxUint64, Demands: []shares.Demand{{Customer: "c", Level: 63, Rate: 2.5}}, QueueTime: time.Second, Admitted: 1, Known: true}
+	report := shares.Report{VM: "a", Service: "s", Sequence: math.MaxUint64, Demands: []shares.Demand{{Customer: "c", Level: 63, Rate: 2.5}}, QueueTime: time.Second, QueueAge: 90 * time.Millisecond, Admitted: 1, Known: true}
 	got, err := c.Exchange(ctx, l.Addr().String(), report)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(got).To(Equal(h.table))
