shares: first reports of a contention are spread

Cause: a fleet that becomes contended at one moment sent all first reports at once; the coordinator spreads only the later ones.

A daemon delays its first report at random by up to 4 ms times the number of daemons in its last table, as the coordinator would; a daemon that has had no table by up to 100 ms, half of the shortest interval, since a longer delay would leave restarted daemons of a small fleet without its fraction. Weighed and not done: a bound on the delay of a known fleet (3.9 s at 985 daemons); own demand is in use meanwhile, and a shorter one exceeds 250 reports per second. First and second reports overlap during the first interval, so that a coordinator gets up to twice the bound then.

--- a/internal/shares/service.go
+++ b/internal/shares/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,6 +16,10 @@
 // the time of a call in a fleet and half of the shortest interval.
 const callTimeout = 100 * time.Millisecond
 
+// unknownSpread is the time over which first reports are spread by daemons that do not know the
+// size of the fleet. It is half of the shortest interval, in which a small fleet's tables are due.
+const unknownSpread = MinInterval / 2
+
 var (
 	reportsSent    = metrics.Counter("shares_reports_sent")    // to another daemon
 	reportsFailed  = metrics.Counter("shares_reports_failed")  // without a valid table in return
@@ -61,6 +66,7 @@
 	Directory Directory
 	Peers     Peers
 	Now       func() time.Duration // a clock that keeps running while the VM is suspended
+	Random    func() float64       // uniform over [0, 1), safe for concurrent use; nil selects math/rand/v2
 	Logger    zerolog.Logger
 }
 
@@ -72,14 +78,18 @@
 	mu          sync.Mutex
 	coordinator *Coordinator
 	sequence    uint64
-	expiry      *time.Timer // removes expired reports, nil while there are none
+	expiry      *time.Timer    // removes expired reports, nil while there are none
+	daemons     map[string]int // number of daemons in the last table, by service
 }
 
 // NewService returns a Service without reports.
 func NewService(o Options) *Service {
 	// A restarted daemon continues above its earlier sequence numbers, as its last report may
 	// still be valid at the coordinator.
-	return &Service{options: o, coordinator: NewCoordinator(), sequence: uint64(time.Now().UnixNano())}
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
+	return &Service{options: o, coordinator: NewCoordinator(), sequence: uint64(time.Now().UnixNano()), daemons: map[string]int{}}
 }
 
 // Exchange handles a report as the service's coordinator.
@@ -145,6 +155,9 @@
 // reportWhileContended reports the demand for a service. It returns at least MinInterval after
 // the last report.
 func (s *Service) reportWhileContended(ctx context.Context, service string) {
+	if !pause.For(ctx, s.firstDelay(service)) {
+		return
+	}
 	c := newClient()
 	for {
 		report, contended := s.options.Local.Snapshot(service, s.options.Now())
@@ -159,6 +172,19 @@
 	}
 }
 
+// firstDelay returns the time until the first report of a contention, which often begins at all
+// daemons at one moment. It spreads their reports as the coordinator does with later ones.
+func (s *Service) firstDelay(service string) time.Duration {
+	s.mu.Lock()
+	daemons, ok := s.daemons[service]
+	s.mu.Unlock()
+	spread := unknownSpread
+	if ok {
+		spread = min(time.Duration(daemons)*reportSpacing, maxInterval)
+	}
+	return time.Duration(s.options.Random() * float64(spread))
+}
+
 // report sends a report and returns the time until the next one.
 func (s *Service) report(ctx context.Context, c *client, r Report) time.Duration {
 	lookupCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -192,6 +218,9 @@
 		return MinInterval
 	}
 	tablesUsed.Add(1)
+	s.mu.Lock()
+	s.daemons[r.Service] = t.Daemons
+	s.mu.Unlock()
 	s.options.Sink.SetFleet(r.Service, t, sent)
 	return t.NextReport
 }
