shares: the schedule of reports moves back after a contention

Cause: lastSlot only rises. One second after a contention of 985 daemons a single contended daemon was told to report in 2.904 s.

At most every 200 ms the coordinator compares the reports that were due in the last 500 ms, with 100 ms of grace, with those that came. If most are missing, the time ahead is shortened to the part that came: the single daemon is now told 0.2 s. Weighed: bounding the interval by the number of reports held does not help, as those of the ended contention are valid for up to 11.8 s; always following the part that came would shorten the interval at each review while some calls fail, above 250 reports per second. Hence the threshold of half; a killed third of a fleet is followed within an interval, as before.

--- a/internal/shares/coordinator.go
+++ b/internal/shares/coordinator.go
@@ -14,6 +14,10 @@
 // reportCost is the number of entries as which a report without entries counts.
 const reportCost = 16
 
+// reviewWindow bounds the time that a review looks back, so that reports from before the end of a
+// contention do not hide those that are missing since. 125 reports are due in it in a large fleet.
+const reviewWindow = 500 * time.Millisecond
+
 // ErrFull means that the coordinator holds too many reports to accept another one.
 var ErrFull = errors.New("shares: coordinator is full")
 
@@ -22,6 +26,8 @@
 	services map[string]*fleetDemand
 	held     int           // entries held, with reportCost for each report
 	lastSlot time.Duration // time of the last report that was scheduled
+	// reviewedAt is the time of the last comparison of reports that were due with those that came.
+	reviewedAt time.Duration
 }
 
 // fleetDemand is the demand of all daemons for one service. Its sums are kept up to date with each
@@ -49,6 +55,8 @@
 
 type heldReport struct {
 	sequence  uint64
+	received  time.Duration
+	due       time.Duration // of the daemon's next report
 	expires   time.Duration
 	entries   []heldEntry
 	queueTime time.Duration
@@ -89,7 +97,7 @@
 	interval := c.schedule(now)
 	if old, ok := f.reports[r.VM]; !ok || r.Sequence > old.sequence {
 		c.remove(f, r.VM)
-		c.add(f, r, now, now+validIntervals*interval)
+		c.add(f, r, now, interval)
 	}
 	t := f.table(now)
 	t.NextReport = interval
@@ -114,10 +122,35 @@
 // reportSpacing apart, so that those of n daemons are spread over max(MinInterval,
 // n*reportSpacing), also if all daemons are contended from the same moment on.
 func (c *Coordinator) schedule(now time.Duration) time.Duration {
+	if now-c.reviewedAt >= MinInterval {
+		c.review(now)
+	}
 	c.lastSlot = min(max(c.lastSlot+reportSpacing, now+MinInterval), now+maxInterval)
 	return c.lastSlot - now
 }
 
+// review moves the schedule back if most of the reports that were due since the last review have not
+// come: a contention of many daemons has then ended, or they cannot reach this one, and those that
+// still report need not wait for the others' slots. If fewer are missing, as those of daemons that were
+// killed or of failed calls, the schedule catches up within an interval by itself.
+func (c *Coordinator) review(now time.Duration) {
+	since := max(c.reviewedAt, now-reviewWindow)
+	received, missing := 1, 0 // the report that is being scheduled
+	for _, f := range c.services {
+		for _, r := range f.reports {
+			if due := r.due + callTimeout; due > since && due <= now {
+				missing++
+			} else if r.received > since {
+				received++
+			}
+		}
+	}
+	c.reviewedAt = now
+	if ahead := c.lastSlot - now; missing > received && ahead > MinInterval {
+		c.lastSlot = now + time.Duration(float64(ahead)*float64(received)/float64(received+missing))
+	}
+}
+
 // Expire removes expired reports of all services.
 func (c *Coordinator) Expire(now time.Duration) {
 	for name, f := range c.services {
@@ -139,8 +172,11 @@
 	}
 }
 
-func (c *Coordinator) add(f *fleetDemand, r Report, now, expires time.Duration) {
-	held := &heldReport{sequence: r.Sequence, expires: expires, queueTime: r.QueueTime, measured: now - r.QueueAge, admitted: r.Admitted, known: r.Known}
+func (c *Coordinator) add(f *fleetDemand, r Report, now, interval time.Duration) {
+	held := &heldReport{
+		sequence: r.Sequence, received: now, due: now + interval, expires: now + validIntervals*interval,
+		queueTime: r.QueueTime, measured: now - r.QueueAge, admitted: r.Admitted, known: r.Known,
+	}
 	held.entries = make([]heldEntry, 0, len(r.Demands))
 	for _, d := range r.Demands {
 		held.entries = append(held.entries, f.addSum(d))
--- a/internal/shares/coordinator_test.go
+++ b/internal/shares/coordinator_test.go
@@ -89,7 +89,7 @@
 			g.Expect(got).To(Equal(want))
 		}
 		c.Expire(now + time.Hour)
-		g.Expect(c).To(Equal(&Coordinator{services: map[string]*fleetDemand{}, lastSlot: c.lastSlot}), "nothing is kept")
+		g.Expect(c).To(Equal(&Coordinator{services: map[string]*fleetDemand{}, lastSlot: c.lastSlot, reviewedAt: c.reviewedAt}), "nothing is kept")
 	}
 }
 
@@ -165,3 +165,31 @@
 	}
 	g.Expect(exchange(vm, time.Minute)).To(Succeed(), "the other reports have expired")
 }
+
+// Guards against a contended daemon that waits for the slots of a fleet whose contention has ended, and
+// against a schedule that moves back while a fleet reports, of which some calls fail.
+func TestScheduleMovesBack(t *testing.T) {
+	g, c, random := NewWithT(t), NewCoordinator(), rand.New(rand.NewPCG(1, 1))
+	sequence := uint64(0)
+	report := func(vm int, now time.Duration) time.Duration {
+		sequence++
+		table, err := c.Exchange(Report{VM: fmt.Sprint(vm), Service: "s", Sequence: sequence}, now)
+		g.Expect(err).NotTo(HaveOccurred())
+		return table.NextReport
+	}
+	var next [985]time.Duration
+	now, reports := time.Duration(0), 0
+	for ; now < 12*time.Second; now += time.Millisecond {
+		for vm := range next {
+			if now < next[vm] {
+				continue
+			}
+			if next[vm] = now + MinInterval; random.IntN(10) > 0 { // else the call fails
+				next[vm] = now + report(vm, now)
+				reports++
+			}
+		}
+	}
+	g.Expect(reports).To(BeNumerically("<", 985+12*260))
+	g.Expect(report(0, now+time.Second)).To(BeNumerically("<=", MinInterval+reportSpacing), "a single daemon a second later")
+}
