shares: aggregated entries of reports keep their number of customers

Cause: a daemon with more customers than a report holds sends the smallest as one entry "" with their number. The coordinator counted that entry as one customer, so that all of them got the share of one.

The number in the table is the largest of one report. The sum over daemons was weighed: daemons mostly aggregate the same customers, and 985 reports of 100 would make 98,500 of them. The largest is a lower bound. The number is bounded to 2^20, as a weight without bound would take the shares of all others.

Test: 2 customers with one entry of unknown number, 41 with entries of 40 and 25 (failed before: 2).

--- a/internal/shares/coordinator.go
+++ b/internal/shares/coordinator.go
@@ -54,15 +54,17 @@
 }
 
 type heldReport struct {
-	sequence  uint64
-	received  time.Duration
-	due       time.Duration // of the daemon's next report
-	expires   time.Duration
-	entries   []heldEntry
-	queueTime time.Duration
-	measured  time.Duration // time of queueTime
-	admitted  float64
-	known     bool
+	sequence uint64
+	received time.Duration
+	due      time.Duration // of the daemon's next report
+	expires  time.Duration
+	entries  []heldEntry
+	// aggregated has the entries of several customers, which few daemons have.
+	aggregated []Demand
+	queueTime  time.Duration
+	measured   time.Duration // time of queueTime
+	admitted   float64
+	known      bool
 }
 
 type heldEntry struct {
@@ -180,6 +182,9 @@
 	held.entries = make([]heldEntry, 0, len(r.Demands))
 	for _, d := range r.Demands {
 		held.entries = append(held.entries, f.addSum(d))
+		if d.Customer == "" && d.Customers > 1 {
+			held.aggregated = append(held.aggregated, d)
+		}
 	}
 	f.reports[r.VM] = held
 	c.held += heldCost(len(held.entries))
@@ -254,10 +259,23 @@
 	return t
 }
 
+// aggregatedCustomers returns the number of customers in the entries "" of reports, by level. Daemons
+// mostly aggregate the same customers, so it is the largest number of one report: their sum would give
+// the entry a weight that grows with the fleet.
+func (f *fleetDemand) aggregatedCustomers() (counts [maxLevel + 1]int) {
+	for _, r := range f.reports {
+		for _, d := range r.aggregated {
+			counts[d.Level] = max(counts[d.Level], d.Customers)
+		}
+	}
+	return counts
+}
+
 // demands returns the sums, with those of small customers aggregated.
 func (f *fleetDemand) demands() []Demand {
 	var large []*customerSum
 	var aggregated [maxLevel + 1]Demand
+	reported := f.aggregatedCustomers()
 	for _, c := range f.customers {
 		if c.name != "" && c.units*minShare >= f.units {
 			large = append(large, c)
@@ -265,7 +283,11 @@
 		}
 		for _, l := range c.levels {
 			if l.units > 0 {
-				aggregated[l.level].Customers++
+				customers := 1
+				if c.name == "" {
+					customers = max(1, reported[l.level])
+				}
+				aggregated[l.level].Customers = min(maxCustomers, aggregated[l.level].Customers+customers)
 				aggregated[l.level].Rate += float64(l.units) // exact up to 2^53
 			}
 		}
--- a/internal/shares/coordinator_test.go
+++ b/internal/shares/coordinator_test.go
@@ -115,6 +115,7 @@
 		"negative level":      entry(Demand{Level: -1}),
 		"huge level":          entry(Demand{Level: 64}),
 		"negative customers":  entry(Demand{Customers: -1}),
+		"huge customers":      entry(Demand{Customers: 1<<20 + 1}),
 		"negative queue time": func(r *Report) { r.QueueTime = -1 },
 		"huge queue time":     func(r *Report) { r.QueueTime = math.MaxInt64 },
 		"negative queue age":  func(r *Report) { r.QueueAge = -1 },
@@ -193,3 +194,14 @@
 	g.Expect(reports).To(BeNumerically("<", 985+12*260))
 	g.Expect(report(0, now+time.Second)).To(BeNumerically("<=", MinInterval+reportSpacing), "a single daemon a second later")
 }
+
+// Guards against an entry of many customers that counts as one and gets the share of one, and against a
+// weight of it that grows with the number of daemons.
+func TestAggregatedCustomersOfReports(t *testing.T) {
+	g, c := NewWithT(t), NewCoordinator()
+	for vm, customers := range []int{0, 40, 25} {
+		table, err := c.Exchange(Report{VM: fmt.Sprint(vm), Service: "s", Sequence: 1, Demands: []Demand{{Level: 2, Rate: 10, Customers: customers}, {Customer: "small", Level: 2, Rate: 0.01}}}, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(table.Demands[0].Customers).To(Equal([]int{2, 41, 41}[vm]))
+	}
+}
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -46,6 +46,8 @@
 	// maxMeasureAge is the age from which on a measurement is not part of a table's means. Reports
 	// are valid for longer, for their demand; the overload control ignores older queue times.
 	maxMeasureAge = 500 * time.Millisecond
+	// maxCustomers bounds the customers of one entry, whose weight is that of so many.
+	maxCustomers = 1 << 20
 	// maxQueueTime is far above the timeout of any caller, and fits in 32 bits of microseconds.
 	maxQueueTime = time.Hour
 	// rateUnits is the number of units of a call per second in which rates are summed and sent.
@@ -128,7 +130,7 @@
 			return fmt.Errorf("%w: level %d", ErrMalformed, d.Level)
 		case !(d.Rate >= 0 && d.Rate <= maxRate): // also if it is not a number
 			return fmt.Errorf("%w: rate %v", ErrMalformed, d.Rate)
-		case d.Customers < 0:
+		case d.Customers < 0 || d.Customers > maxCustomers:
 			return fmt.Errorf("%w: %d customers", ErrMalformed, d.Customers)
 		}
 	}
@@ -213,7 +215,7 @@
 		}
 		for _, d := range entries {
 			rates[d.Level] += d.Rate
-			counts[d.Level] += max(1, d.Customers)
+			counts[d.Level] = min(maxCustomers, counts[d.Level]+max(1, d.Customers))
 		}
 	}
 	for level, n := range counts {
