platform: reward calls take the share and the priority of their customer

Cause: reward calls had no customer, so that all of them shared the entry "" of calls without one, and had the priority of their route even if their customer has one of its own.

The batch's customer is known where the call is made (batchrun), and its priority by the current configuration (Directory.Named); a customer that was removed has none of its own. The call's Customer stays empty, as usage reports count calls by it and upstreams must not see reward calls as a customer's (internal/gateway/usage.go, the soak's checks). Call.ShareCustomer is used for admission only.

Not tested: that batchrun passes the batch's customer; its test cluster has no customers.

--- a/internal/batchrun/fake_scorer_test.go
+++ b/internal/batchrun/fake_scorer_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/customers"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 )
 
@@ -43,7 +44,7 @@
 }
 
 // Score returns a signature with the number of the call, from 1.
-func (f *fakeScorer) Score(ctx context.Context, route routes.Route, c batch.RewardCall) ScoreResult {
+func (f *fakeScorer) Score(ctx context.Context, route routes.Route, _ customers.Customer, c batch.RewardCall) ScoreResult {
 	sample := strings.TrimPrefix(c.ID, "reward-")
 	if c.Host != testHost || route.Name != "rewards" || string(c.Body) != "score "+sample {
 		f.t.Errorf("sample %s has the reward call %+v on route %s", sample, c, route.Name)
--- a/internal/batchrun/reward_call.go
+++ b/internal/batchrun/reward_call.go
@@ -8,14 +8,15 @@
 	"github.com/google/uuid"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/customers"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 )
 
 // Scorer makes reward calls.
 type Scorer interface {
-	// Score sends a reward call over its route, within that route's limits.
-	Score(ctx context.Context, route routes.Route, call batch.RewardCall) ScoreResult
+	// Score sends a reward call of a customer's batch over its route, within that route's limits.
+	Score(ctx context.Context, route routes.Route, customer customers.Customer, call batch.RewardCall) ScoreResult
 }
 
 // ScoreResult is the outcome of a reward call.
@@ -93,17 +94,17 @@
 		r.giveUpLocked(key, s.ID, "its reward call failed at every attempt")
 		return
 	}
-	r.startRewardCallLocked(ctx, key, s.ID, route, *call, x)
+	r.startRewardCallLocked(ctx, key, s.ID, route, config.Customers.Named(b.Customer), *call, x)
 }
 
 // startRewardCallLocked makes a reward call in the background.
-func (r *runner) startRewardCallLocked(ctx context.Context, key sampleKey, sampleID string, route routes.Route, call batch.RewardCall, x *rewardCall) {
+func (r *runner) startRewardCallLocked(ctx context.Context, key sampleKey, sampleID string, route routes.Route, customer customers.Customer, call batch.RewardCall, x *rewardCall) {
 	ctx, x.cancel = context.WithCancel(ctx)
 	cancel := x.cancel
 	rewardCallsMade.Add(1)
 	r.tasks.Go(func() {
 		began := r.s.options.Now()
-		verdict := r.s.options.Scorer.Score(ctx, route, call)
+		verdict := r.s.options.Scorer.Score(ctx, route, customer, call)
 		cancelled := ctx.Err() != nil
 		cancel()
 		r.onRewardCallEnded(key, sampleID, call.ID, x, verdict, cancelled, r.s.options.Now()-began)
--- a/internal/customers/customers.go
+++ b/internal/customers/customers.go
@@ -51,13 +51,13 @@
 // deployments whose callers need no key.
 type Directory struct {
 	byKey map[keyHash]Customer
-	names map[string]bool
+	names map[string]Customer
 }
 
 // New returns a directory. The error contains the position and the name of the first invalid
 // entry, but no key.
 func New(entries []Entry) (*Directory, error) {
-	d := &Directory{byKey: map[keyHash]Customer{}, names: map[string]bool{}}
+	d := &Directory{byKey: map[keyHash]Customer{}, names: map[string]Customer{}}
 	for i, e := range entries {
 		if err := d.add(e); err != nil {
 			return nil, fmt.Errorf("customer %d %q: %w", i, e.Name, err)
@@ -70,10 +70,10 @@
 	switch {
 	case e.Name == "":
 		return ErrMissingName
-	case d.names[e.Name]:
+	case d.names[e.Name].Name != "":
 		return ErrDuplicateName
 	}
-	d.names[e.Name] = true
+	d.names[e.Name] = e.Customer
 	for _, key := range e.Keys {
 		if key == "" {
 			return ErrEmptyKey
@@ -100,6 +100,17 @@
 	return c, nil
 }
 
+// Named returns the customer with a name. One that is not configured, or not any more, has no
+// priority of its own.
+func (d *Directory) Named(name string) Customer {
+	if d != nil {
+		if c, ok := d.names[name]; ok {
+			return c
+		}
+	}
+	return Customer{Name: name}
+}
+
 // ActiveKey describes a key of the current configuration to operators.
 type ActiveKey struct {
 	Customer string `json:"customer"` // name
--- a/internal/customers/customers_test.go
+++ b/internal/customers/customers_test.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// Guards against a batch that loses its customer's priority, or gets another's after a configuration
+// without that customer.
+func TestNamed(t *testing.T) {
+	g, priority := NewWithT(t), 3
+	d, err := New([]Entry{{Customer: Customer{Name: "a", Priority: &priority}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(d.Named("a")).To(Equal(Customer{Name: "a", Priority: &priority}))
+	g.Expect(d.Named("removed")).To(Equal(Customer{Name: "removed"}))
+	g.Expect((*Directory)(nil).Named("a")).To(Equal(Customer{Name: "a"}))
+}
+
 // The list of keys that operators see must distinguish the keys without containing one.
 func TestActiveKeysShowOnlyHashes(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -82,7 +83,7 @@
 // request returns a call as the admission sees it.
 func (c *Call) request(route routes.Route) admission.Request {
 	return admission.Request{
-		Customer: c.Customer, Priority: c.Priority, Route: route.Name, LatencyTarget: route.LatencyTarget,
+		Customer: cmp.Or(c.Customer, c.ShareCustomer), Priority: c.Priority, Route: route.Name, LatencyTarget: route.LatencyTarget,
 		TimeLimit: c.TimeLimit, TimeLeft: time.Until(c.Deadline),
 	}
 }
@@ -131,7 +132,7 @@
 	}
 	callsRefused.Add(1)
 	refusal := g.refuseNotRun(call, route, service, "not admitted: "+string(d.Refused))
-	g.log.Warn().Str("request", call.ID).Str("route", route.Name).Str("service", service).Str("customer", call.Customer).
+	g.log.Warn().Str("request", call.ID).Str("route", route.Name).Str("service", service).Str("customer", request.Customer).
 		Int("priority", request.Priority).Bool("late", call.late). // not as "level", which is the severity of the line
 		Str("reason", string(d.Refused)).Float64("fraction", d.Fraction).Float64("total", d.Total).Str("source", string(d.Source)).Dur("source_age", d.SourceAge).
 		Bool("queue_known", d.Load.Known).Dur("queue", d.Load.QueueTime).Dur("queue_age", d.Load.Age).Dur("left", request.TimeLeft).Dur("retry_after", refusal.RetryAfter).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,11 +27,14 @@
 type Call struct {
 	ID       string // attempt ID chosen by the caller
 	Customer string // name of the customer, "" where callers are not customers; Header names it too
-	Method   string
-	Host     string
-	Target   string // path and query as received
-	Header   http.Header
-	Body     []byte
+	// ShareCustomer is the customer whose share the call takes if Customer is "": that of a batch
+	// whose reward call is not counted as a call of the customer.
+	ShareCustomer string
+	Method        string
+	Host          string
+	Target        string // path and query as received
+	Header        http.Header
+	Body          []byte
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	// TimeLimit is for how long the caller waits, as it stated it; 0: it didn't.
