admission: priorities beyond the last level are limited in one place

Cause: reports count levels above 63 as 63, while the admission looked up the real level. A call of priority 32 or above was not found among the fleet's demand, and level 63 is that of late calls.

shares.LevelOf limits the priority to 31, so that the level keeps the parity of late calls; the admission uses it for its own demand, the report and the lookup. prepare keeps its bounds, which a report needs to be accepted, but they no longer change a level of the admission.

Test: priority 40 has level 62 (failed before: 80, seen from the code, not run).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -148,19 +148,20 @@
 
 // level returns the level of a call, lower ones first.
 func (s *Service) level(r Request, load Load) int {
-	level := 2 * max(0, r.Priority)
+	return shares.LevelOf(r.Priority, s.late(r, load))
+}
+
+// late reports whether a call can't be answered within its latency target any more.
+func (s *Service) late(r Request, load Load) bool {
 	if r.TimeLimit <= 0 || r.LatencyTarget <= 0 {
-		return level
+		return false
 	}
 	limits := s.routeTimeLimits(r.Route)
 	if limits == nil {
-		return level
+		return false
 	}
 	waited := limits.Observe(r.TimeLimit)
-	if waited > 0 && waited+load.QueueTime+load.RunTime > r.LatencyTarget {
-		level++
-	}
-	return level
+	return waited > 0 && waited+load.QueueTime+load.RunTime > r.LatencyTarget
 }
 
 func (s *Service) routeTimeLimits(route string) *limits.TimeLimits {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -49,6 +49,7 @@
 		"too late":                 {0.5, short, busy, 0.5, admission.Decision{Refused: admission.Deadline, Fraction: 0.5}},
 		"queue time unknown":       {0.5, short, admission.Load{QueueTime: time.Second}, 0.5, admission.Decision{Fraction: 0.5}},
 		"less urgent":              {0.5, call("a", 2), busy, 0.5, admission.Decision{Refused: admission.Share, Level: 4, Fraction: 0.1}},
+		"priority beyond the last": {0.5, call("a", 40), busy, 0.5, admission.Decision{Refused: admission.Share, Level: 62, Fraction: 0.1}},
 		"priority below the first": {0.5, small, busy, 0.5, admission.Decision{Fraction: 0.5}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -36,7 +36,7 @@
 	// minShare is the part of the total demand, one in so many, below which customers are
 	// aggregated.
 	minShare = 256
-	// maxLevel is the last level; reporters count higher ones as this one.
+	// maxLevel is the last level, that of late calls of the last priority (LevelOf).
 	maxLevel = 63
 	// maxName bounds the length of names in bytes.
 	maxName = 256
@@ -157,6 +157,18 @@
 // RateOfUnits converts units to a rate.
 func RateOfUnits(units uint64) float64 { return float64(units) / rateUnits }
 
+// LevelOf returns the level of a call: 2 x priority, plus 1 if it is late. Priorities beyond the last
+// one, 31, count as that one: demand must be reported and admitted at the same level, and a call that
+// is not late must not become one. Levels are limited here only; prepare's bounds are those of a report
+// that Validate accepts, and change no level of this function.
+func LevelOf(priority int, late bool) int {
+	level := 2 * min(max(priority, 0), maxLevel/2)
+	if late {
+		level++
+	}
+	return level
+}
+
 func compareDemands(a, b Demand) int {
 	return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Level, b.Level))
 }
