admission: a test of the blend of own and fleet demand

Covers customers that a table does not list, which take their part of the entry of all such, and a daemon without own demand. The comment of FleetDemand says that own demand replaces an ageing table.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -71,7 +71,8 @@
 
 // The sources.
 const (
-	OwnDemand   Source = "own"
+	OwnDemand Source = "own"
+	// FleetDemand is that of a table, which own demand replaces by and by as the table ages.
 	FleetDemand Source = "fleet"
 )
 
--- a/internal/admission/demand_test.go
+++ b/internal/admission/demand_test.go
@@ -165,3 +165,17 @@
 		}
 	}
 }
+
+// Guards against demand that is lost or counted twice where the two are joined, and against a customer
+// that the table does not list and that starts from nothing.
+func TestBlend(t *testing.T) {
+	g := NewWithT(t)
+	table := shares.Table{Demands: []shares.Demand{{Rate: 40, Customers: 4}, {Customer: "large", Rate: 60}}}
+	own := []limits.Demand{{Customer: "large", Rate: 1}, {Customer: "new", Rate: 3}}
+	g.Expect(blend(own, table, 0.5)).To(Equal([]limits.Demand{
+		{Weight: 3 * limits.DefaultWeight, Rate: 15},
+		{Customer: "large", Weight: limits.DefaultWeight, Rate: 42.5},
+		{Customer: "new", Weight: limits.DefaultWeight, Rate: 5 + 37.5},
+	}))
+	g.Expect(blend(nil, table, 0)).To(Equal(blend(own, table, 1)), "without own demand the table is used")
+}
