--- a/internal/batchrun/cluster_test.go
+++ b/internal/batchrun/cluster_test.go
@@ -216,6 +216,7 @@
 		}
 	}
 	if model == scoredModel {
+		head.Customer = testCustomer
 		for i := range items {
 			items[i].RewardCallID = rewardCallID(items[i].ID)
 		}
--- a/internal/batchrun/fake_scorer_test.go
+++ b/internal/batchrun/fake_scorer_test.go
@@ -33,6 +33,9 @@
 	failed bool
 }
 
+// testCustomer has the batches with reward calls, which take its share of the service that scores.
+const testCustomer = "customer"
+
 // rewardCallID returns the ID of a sample's reward call.
 func rewardCallID(sample string) string { return "reward-" + sample }
 
@@ -44,11 +47,14 @@
 }
 
 // Score returns a signature with the number of the call, from 1.
-func (f *fakeScorer) Score(ctx context.Context, route routes.Route, _ customers.Customer, c batch.RewardCall) ScoreResult {
+func (f *fakeScorer) Score(ctx context.Context, route routes.Route, customer customers.Customer, c batch.RewardCall) ScoreResult {
 	sample := strings.TrimPrefix(c.ID, "reward-")
 	if c.Host != testHost || route.Name != "rewards" || string(c.Body) != "score "+sample {
 		f.t.Errorf("sample %s has the reward call %+v on route %s", sample, c, route.Name)
 	}
+	if customer.Name != testCustomer {
+		f.t.Errorf("the reward call of sample %s has the customer %q", sample, customer.Name)
+	}
 	f.mu.Lock()
 	failed := f.failuresLeft[sample] > 0
 	if failed {
