--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -4,7 +4,7 @@
 // A Service admits a fraction of the calls such that the wait in the upstreams' queues stays at
 // a target (limits.Overload). The fraction is divided among customers by the demand of the whole
 // fleet, or by that of this daemon's own callers while the fleet's is unknown
-// (limits.Fractions). Calls that can still be answered within their latency target come before
+// (limits.Fractions). As a table of the fleet's demand ages, own demand takes its place. Calls that can still be answered within their latency target come before
 // those of callers that were refused and came back: the same number is served in either order,
 // but not the same number within the target. An admitted call waits, in the order of limits.Queue, while
 // no upstream has room or this daemon has too many calls in flight.
@@ -74,7 +74,8 @@
 
 // The sources.
 const (
-	OwnDemand   Source = "own"
+	OwnDemand Source = "own"
+	// FleetDemand is that of a table, which own demand replaces by and by as the table ages.
 	FleetDemand Source = "fleet"
 )
 
@@ -155,19 +156,20 @@
 
 // level returns the level of a call, lower ones first.
 func (s *Service) level(r Request, load Load) int {
-	level := 2 * max(0, r.Priority)
+	return shares.LevelOf(r.Priority, s.late(r, load))
+}
+
+// late reports whether a call can't be answered within its latency target any more.
+func (s *Service) late(r Request, load Load) bool {
 	if r.TimeLimit <= 0 || r.LatencyTarget <= 0 {
-		return level
+		return false
 	}
 	limits := s.routeTimeLimits(r.Route)
 	if limits == nil {
-		return level
+		return false
 	}
 	waited := limits.Observe(r.TimeLimit)
-	if waited > 0 && waited+load.QueueTime+load.RunTime > r.LatencyTarget {
-		level++
-	}
-	return level
+	return waited > 0 && waited+load.QueueTime+load.RunTime > r.LatencyTarget
 }
 
 func (s *Service) routeTimeLimits(route string) *limits.TimeLimits {
@@ -184,16 +186,11 @@
 	if s.sharesSet && now-s.sharesAt < sharesMaxAge {
 		return
 	}
-	var demands []limits.Demand
+	demands := s.demand.Demands(now)
+	s.source = OwnDemand
 	if s.fleetFresh(now) {
 		s.source = FleetDemand
-		for _, d := range s.fleet.Demands {
-			weight := limits.DefaultWeight * float64(max(1, d.Customers))
-			demands = append(demands, limits.Demand{Customer: d.Customer, Level: d.Level, Weight: weight, Rate: d.Rate})
-		}
-	} else {
-		s.source = OwnDemand
-		demands = s.demand.Demands(now)
+		demands = blend(demands, s.fleet, tablePart(now-s.fleetAt))
 	}
 	s.shares = limits.Fractions(demands, admitted)
 	s.sharesAt, s.sharesSet = now, true
@@ -225,7 +222,7 @@
 	}
 	s.overload.Adopt(t.Admitted, now)
 	if s.target > 0 && now-s.observedAt > ownLoadMaxAge {
-		s.overload.Update(t.QueueTime, now-at, s.target, now)
+		s.overload.Update(t.QueueTime, now-at+t.QueueAge, s.target, now)
 	}
 }
 
@@ -237,7 +234,10 @@
 	if !s.overload.Contended(now) {
 		return shares.Report{}, false
 	}
-	r := shares.Report{QueueTime: s.observed.QueueTime, Admitted: s.overload.Admitted(now), Known: s.observed.Known && now-s.observedAt <= ownLoadMaxAge}
+	r := shares.Report{
+		QueueTime: s.observed.QueueTime, QueueAge: now - s.observedAt + s.observed.Age, Admitted: s.overload.Admitted(now),
+		Known: s.observed.Known && now-s.observedAt <= ownLoadMaxAge,
+	}
 	for _, d := range s.demand.Demands(now) {
 		r.Demands = append(r.Demands, shares.Demand{Customer: d.Customer, Level: d.Level, Rate: d.Rate})
 	}
--- a/internal/shares/coordinator.go
+++ b/internal/shares/coordinator.go
@@ -14,6 +14,10 @@
 // reportCost is the number of entries as which a report without entries counts.
 const reportCost = 16
 
+// reviewWindow bounds the time that a review looks back, so that reports from before the end of a
+// contention do not hide those that are missing since. 125 reports are due in it in a large fleet.
+const reviewWindow = 500 * time.Millisecond
+
 // ErrFull means that the coordinator holds too many reports to accept another one.
 var ErrFull = errors.New("shares: coordinator is full")
 
@@ -22,6 +26,8 @@
 	services map[string]*fleetDemand
 	held     int           // entries held, with reportCost for each report
 	lastSlot time.Duration // time of the last report that was scheduled
+	// reviewedAt is the time of the last comparison of reports that were due with those that came.
+	reviewedAt time.Duration
 }
 
 // fleetDemand is the demand of all daemons for one service. Its sums are kept up to date with each
@@ -48,12 +54,17 @@
 }
 
 type heldReport struct {
-	sequence  uint64
-	expires   time.Duration
-	entries   []heldEntry
-	queueTime time.Duration
-	admitted  float64
-	known     bool
+	sequence uint64
+	received time.Duration
+	due      time.Duration // of the daemon's next report
+	expires  time.Duration
+	entries  []heldEntry
+	// aggregated has the entries of several customers, which few daemons have.
+	aggregated []Demand
+	queueTime  time.Duration
+	measured   time.Duration // time of queueTime
+	admitted   float64
+	known      bool
 }
 
 type heldEntry struct {
@@ -88,9 +99,9 @@
 	interval := c.schedule(now)
 	if old, ok := f.reports[r.VM]; !ok || r.Sequence > old.sequence {
 		c.remove(f, r.VM)
-		c.add(f, r, now+validIntervals*interval)
+		c.add(f, r, now, interval)
 	}
-	t := f.table()
+	t := f.table(now)
 	t.NextReport = interval
 	return t, nil
 }
@@ -113,10 +124,35 @@
 // reportSpacing apart, so that those of n daemons are spread over max(MinInterval,
 // n*reportSpacing), also if all daemons are contended from the same moment on.
 func (c *Coordinator) schedule(now time.Duration) time.Duration {
+	if now-c.reviewedAt >= MinInterval {
+		c.review(now)
+	}
 	c.lastSlot = min(max(c.lastSlot+reportSpacing, now+MinInterval), now+maxInterval)
 	return c.lastSlot - now
 }
 
+// review moves the schedule back if most of the reports that were due since the last review have not
+// come: a contention of many daemons has then ended, or they cannot reach this one, and those that
+// still report need not wait for the others' slots. If fewer are missing, as those of daemons that were
+// killed or of failed calls, the schedule catches up within an interval by itself.
+func (c *Coordinator) review(now time.Duration) {
+	since := max(c.reviewedAt, now-reviewWindow)
+	received, missing := 1, 0 // the report that is being scheduled
+	for _, f := range c.services {
+		for _, r := range f.reports {
+			if due := r.due + callTimeout; due > since && due <= now {
+				missing++
+			} else if r.received > since {
+				received++
+			}
+		}
+	}
+	c.reviewedAt = now
+	if ahead := c.lastSlot - now; missing > received && ahead > MinInterval {
+		c.lastSlot = now + time.Duration(float64(ahead)*float64(received)/float64(received+missing))
+	}
+}
+
 // Expire removes expired reports of all services.
 func (c *Coordinator) Expire(now time.Duration) {
 	for name, f := range c.services {
@@ -138,11 +174,17 @@
 	}
 }
 
-func (c *Coordinator) add(f *fleetDemand, r Report, expires time.Duration) {
-	held := &heldReport{sequence: r.Sequence, expires: expires, queueTime: r.QueueTime, admitted: r.Admitted, known: r.Known}
+func (c *Coordinator) add(f *fleetDemand, r Report, now, interval time.Duration) {
+	held := &heldReport{
+		sequence: r.Sequence, received: now, due: now + interval, expires: now + validIntervals*interval,
+		queueTime: r.QueueTime, measured: now - r.QueueAge, admitted: r.Admitted, known: r.Known,
+	}
 	held.entries = make([]heldEntry, 0, len(r.Demands))
 	for _, d := range r.Demands {
 		held.entries = append(held.entries, f.addSum(d))
+		if d.Customer == "" && d.Customers > 1 {
+			held.aggregated = append(held.aggregated, d)
+		}
 	}
 	f.reports[r.VM] = held
 	c.held += heldCost(len(held.entries))
@@ -195,13 +237,15 @@
 	}
 }
 
-// table returns the fleet's demand, without the time of the next report.
-func (f *fleetDemand) table() Table {
+// table returns the fleet's demand, without the time of the next report. Its means are those of
+// new measurements only, so that their age is that of the reports which tell of a change.
+func (f *fleetDemand) table(now time.Duration) Table {
 	t := Table{Daemons: len(f.reports), Demands: f.demands()}
 	measured := 0
 	for _, r := range f.reports {
-		if r.known {
+		if r.known && now-r.measured < maxMeasureAge {
 			measured++
+			t.QueueAge += now - r.measured
 			t.QueueTime += r.queueTime
 			t.Admitted += r.admitted
 		}
@@ -209,15 +253,29 @@
 	if measured > 0 {
 		t.Known = true
 		t.QueueTime /= time.Duration(measured)
+		t.QueueAge /= time.Duration(measured)
 		t.Admitted = min(1, t.Admitted/float64(measured))
 	}
 	return t
 }
 
+// aggregatedCustomers returns the number of customers in the entries "" of reports, by level. Daemons
+// mostly aggregate the same customers, so it is the largest number of one report: their sum would give
+// the entry a weight that grows with the fleet.
+func (f *fleetDemand) aggregatedCustomers() (counts [maxLevel + 1]int) {
+	for _, r := range f.reports {
+		for _, d := range r.aggregated {
+			counts[d.Level] = max(counts[d.Level], d.Customers)
+		}
+	}
+	return counts
+}
+
 // demands returns the sums, with those of small customers aggregated.
 func (f *fleetDemand) demands() []Demand {
 	var large []*customerSum
 	var aggregated [maxLevel + 1]Demand
+	reported := f.aggregatedCustomers()
 	for _, c := range f.customers {
 		if c.name != "" && c.units*minShare >= f.units {
 			large = append(large, c)
@@ -225,7 +283,11 @@
 		}
 		for _, l := range c.levels {
 			if l.units > 0 {
-				aggregated[l.level].Customers++
+				customers := 1
+				if c.name == "" {
+					customers = max(1, reported[l.level])
+				}
+				aggregated[l.level].Customers = min(maxCustomers, aggregated[l.level].Customers+customers)
 				aggregated[l.level].Rate += float64(l.units) // exact up to 2^53
 			}
 		}
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -36,13 +36,18 @@
 	// minShare is the part of the total demand, one in so many, below which customers are
 	// aggregated.
 	minShare = 256
-	// maxLevel is the last level; reporters count higher ones as this one.
+	// maxLevel is the last level, that of late calls of the last priority (LevelOf).
 	maxLevel = 63
 	// maxName bounds the length of names in bytes.
 	maxName = 256
 	// maxRate bounds the rate of one entry in calls per second. It is far above what a VM can
 	// receive, and sums of such rates stay exact in 64 bits.
 	maxRate = 1e6
+	// maxMeasureAge is the age from which on a measurement is not part of a table's means. Reports
+	// are valid for longer, for their demand; the overload control ignores older queue times.
+	maxMeasureAge = 500 * time.Millisecond
+	// maxCustomers bounds the customers of one entry, whose weight is that of so many.
+	maxCustomers = 1 << 20
 	// maxQueueTime is far above the timeout of any caller, and fits in 32 bits of microseconds.
 	maxQueueTime = time.Hour
 	// rateUnits is the number of units of a call per second in which rates are summed and sent.
@@ -65,6 +70,7 @@
 	Sequence    uint64 // rises with each report of the VM, also over restarts
 	Demands     []Demand
 	QueueTime   time.Duration
+	QueueAge    time.Duration // of QueueTime when the report is sent
 	Admitted    float64
 	Known       bool // QueueTime and Admitted are measured
 }
@@ -73,8 +79,9 @@
 type Table struct {
 	Demands    []Demand // sorted by customer and level, without zero rates
 	QueueTime  time.Duration
+	QueueAge   time.Duration // mean age of QueueTime when the table is sent
 	Admitted   float64
-	Known      bool          // QueueTime and Admitted are means over the daemons that measured them
+	Known      bool          // QueueTime and Admitted are means over the daemons that measured them lately
 	Daemons    int           // number of daemons whose reports are included
 	NextReport time.Duration // after which the daemon is to report again
 }
@@ -90,7 +97,7 @@
 	if err := errors.Join(validateName("VM", r.VM), validateName("service", r.Service)); err != nil {
 		return err
 	}
-	return errors.Join(validateDemands(r.Demands), validateMeans(r.QueueTime, r.Admitted, r.Known))
+	return errors.Join(validateDemands(r.Demands), validateMeans(r.QueueTime, r.QueueAge, r.Admitted, r.Known))
 }
 
 // Validate returns an error that wraps ErrMalformed if a table is not one of a coordinator.
@@ -101,7 +108,7 @@
 	case t.NextReport < MinInterval || t.NextReport > maxInterval:
 		return fmt.Errorf("%w: next report in %v", ErrMalformed, t.NextReport)
 	}
-	return errors.Join(validateDemands(t.Demands), validateMeans(t.QueueTime, t.Admitted, t.Known))
+	return errors.Join(validateDemands(t.Demands), validateMeans(t.QueueTime, t.QueueAge, t.Admitted, t.Known))
 }
 
 func validateName(what, name string) error {
@@ -123,19 +130,21 @@
 			return fmt.Errorf("%w: level %d", ErrMalformed, d.Level)
 		case !(d.Rate >= 0 && d.Rate <= maxRate): // also if it is not a number
 			return fmt.Errorf("%w: rate %v", ErrMalformed, d.Rate)
-		case d.Customers < 0:
+		case d.Customers < 0 || d.Customers > maxCustomers:
 			return fmt.Errorf("%w: %d customers", ErrMalformed, d.Customers)
 		}
 	}
 	return nil
 }
 
-func validateMeans(queueTime time.Duration, admitted float64, known bool) error {
+func validateMeans(queueTime, queueAge time.Duration, admitted float64, known bool) error {
 	switch {
 	case !known:
 		return nil
 	case queueTime < 0 || queueTime > maxQueueTime:
 		return fmt.Errorf("%w: queue time %v", ErrMalformed, queueTime)
+	case queueAge < 0 || queueAge > maxQueueTime:
+		return fmt.Errorf("%w: queue time of %v ago", ErrMalformed, queueAge)
 	case !(admitted >= 0 && admitted <= 1): // also if it is not a number
 		return fmt.Errorf("%w: admitted fraction %v", ErrMalformed, admitted)
 	}
@@ -148,6 +157,18 @@
 // RateOfUnits converts units to a rate.
 func RateOfUnits(units uint64) float64 { return float64(units) / rateUnits }
 
+// LevelOf returns the level of a call: 2 x priority, plus 1 if it is late. Priorities beyond the last
+// one, 31, count as that one: demand must be reported and admitted at the same level, and a call that
+// is not late must not become one. Levels are limited here only; prepare's bounds are those of a report
+// that Validate accepts, and change no level of this function.
+func LevelOf(priority int, late bool) int {
+	level := 2 * min(max(priority, 0), maxLevel/2)
+	if late {
+		level++
+	}
+	return level
+}
+
 func compareDemands(a, b Demand) int {
 	return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Level, b.Level))
 }
@@ -169,6 +190,7 @@
 	slices.SortFunc(demands, compareDemands)
 	r.Demands = compact(demands)
 	r.QueueTime = min(max(r.QueueTime, 0), maxQueueTime)
+	r.QueueAge = min(max(r.QueueAge, 0), maxQueueTime)
 	r.Known = r.Known && r.Admitted >= 0 && r.Admitted <= 1
 	return r
 }
@@ -205,7 +227,7 @@
 		}
 		for _, d := range entries {
 			rates[d.Level] += d.Rate
-			counts[d.Level] += max(1, d.Customers)
+			counts[d.Level] = min(maxCustomers, counts[d.Level]+max(1, d.Customers))
 		}
 	}
 	for level, n := range counts {
