--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -4,10 +4,11 @@
 // A Service admits a fraction of the calls such that the wait in the upstreams' queues stays at
 // a target (limits.Overload). The fraction is divided among customers by the demand of the whole
 // fleet, or by that of this daemon's own callers while the fleet's is unknown
-// (limits.Fractions). As a table of the fleet's demand ages, own demand takes its place. Calls that can still be answered within their latency target come before
-// those of callers that were refused and came back: the same number is served in either order,
-// but not the same number within the target. An admitted call waits, in the order of limits.Queue, while
-// no upstream has room or this daemon has too many calls in flight.
+// (limits.Fractions); as a table of the fleet's demand ages, own demand takes its place. Calls
+// that can still be answered within their latency target come before those of callers that were
+// refused and came back: the same number is served in either order, but not the same number
+// within the target. An admitted call waits, in the order of limits.Queue, while no upstream has
+// room or this daemon has too many calls in flight.
 //
 // Invariants: while no upstream has reported a wait or refused a call for being full, all calls
 // are admitted; a refused call has not been sent.
--- a/internal/routing/leastwait.go
+++ b/internal/routing/leastwait.go
@@ -100,35 +100,6 @@
 	Ran          bool               // false: refused with the statement that the call has not run
 }
 
-// waitState is what is known of one incarnation of an upstream. Times are 0 for never.
-type waitState struct {
-	inFlight       int           // own calls
-	lastSeenAt     time.Duration // when it was last used or considered
-	lastResponseAt time.Duration
-
-	report     loadreport.Report
-	reportedAt time.Duration
-	change     int // own calls begun since the report, less those ended
-
-	// runTime is the mean run time at a slowdown of 1. It is measured at measuredAt.
-	runTime    time.Duration
-	measuredAt time.Duration
-	// serviceRunTime is the mean of the candidates at the last Pick.
-	serviceRunTime time.Duration
-
-	queueLimit  int           // length of the queue at which it refused, 0: unknown
-	fullAt      time.Duration // when it was last known to be full
-	refusalRate float64       // share of calls refused while it had free slots
-	refusedAt   time.Duration // when it last did that
-	sends       []sendRecord  // oldest first
-}
-
-// sendRecord is the expected wait of an own call when it was sent.
-type sendRecord struct {
-	at   time.Duration
-	wait float64 // in run times of the upstream, -1: unknown
-}
-
 // estimate is what a Pick expects of a candidate.
 type estimate struct {
 	state *waitState
@@ -207,25 +178,6 @@
 	return best, best >= 0 && !bestFull
 }
 
-// HasRoom reports whether some candidate is not known to be full, which is when Pick does.
-func (l *LeastWait) HasRoom(candidates []Candidate, now time.Duration) bool {
-	_, ok := l.Pick(candidates, now, func() float64 { return 0 })
-	return ok
-}
-
-// KnownFullUntil returns when the knowledge that some candidate is full expires first. Slow
-// candidates may have no room without being known to be full; the time is then a run time from now.
-func (l *LeastWait) KnownFullUntil(candidates []Candidate, now time.Duration) time.Duration {
-	meanRun, _ := l.estimate(candidates, now)
-	until := now + time.Duration(meanRun)
-	for i, c := range candidates {
-		if s := l.estimates[i].state; !c.Tried && s.full(now) {
-			until = min(until, s.fullAt+min(loadTTL, s.expectedRunTime(now)))
-		}
-	}
-	return until
-}
-
 // estimate fills l.estimates. It returns the mean run time of the candidates at a slowdown of
 // 1, in ns, and how busy the busiest is by the reports: 0 up to half of its slots, 1 if none
 // is free. The mean is the harmonic one, by which a few slow upstreams count little.
@@ -304,75 +256,6 @@
 	return fullSlotsCost * used * used
 }
 
-// reportWeight returns 1 for a report just received, falling to 0 at loadTTL.
-func (s *waitState) reportWeight(now time.Duration) float64 {
-	return freshness(s.reportedAt, loadTTL, now)
-}
-
-// slowdown returns the last reported slowdown. It fades to 1 with the age of the report: it
-// changes several times a second, and an upstream that is avoided for it reports no other.
-func (s *waitState) slowdown(now time.Duration) float64 {
-	return 1 + s.reportWeight(now)*(s.lastSlowdown()-1)
-}
-
-// lastRunTime returns the run time in ns as it was last measured, however long ago.
-func (s *waitState) lastRunTime() float64 { return float64(s.runTime) * s.lastSlowdown() }
-
-func (s *waitState) lastSlowdown() float64 {
-	if s.reportedAt == 0 {
-		return 1
-	}
-	return s.report.Slowdown
-}
-
-func (s *waitState) measurementWeight(now time.Duration) float64 {
-	return freshness(s.measuredAt, runTimeTTL, now)
-}
-
-// freshness falls from 1 at the given time to 0 after ttl. It is 0 for a time of 0 (never).
-func freshness(at, ttl, now time.Duration) float64 {
-	if at == 0 {
-		return 0
-	}
-	return max(0, 1-float64(now-at)/float64(ttl))
-}
-
-// currentLoad returns the last reported load, corrected by own calls since.
-func (s *waitState) currentLoad() int { return max(0, s.inFlight, s.report.Load()+s.change) }
-
-// expectedRunTime returns the measured run time. It moves to the mean of the service as the
-// measurement gets older, so that an upstream that was slow is tried again when the others
-// are busy.
-func (s *waitState) expectedRunTime(now time.Duration) time.Duration {
-	service := s.serviceRunTime
-	if service == 0 {
-		service = defaultRunTime
-	}
-	weight, measured := s.measurementWeight(now), float64(s.runTime)*s.slowdown(now)
-	return time.Duration(weight*measured + (1-weight)*float64(service))
-}
-
-// refusalCost returns the expected number of further sends of a call, because of refusals
-// that a full queue does not explain. Without it an upstream that refuses calls because of
-// a fault would look idle and attract them.
-func (s *waitState) refusalCost(now time.Duration) float64 {
-	rate := min(maxRefusalRate, s.currentRefusalRate(now))
-	return rate / (1 - rate)
-}
-
-func (s *waitState) currentRefusalRate(now time.Duration) float64 {
-	return s.refusalRate * freshness(s.refusedAt, runTimeTTL, now)
-}
-
-func (s *waitState) warm(now time.Duration) bool {
-	return s.lastResponseAt > 0 && now-s.lastResponseAt <= warmDuration
-}
-
-// full reports whether the upstream was full less than one run time ago.
-func (s *waitState) full(now time.Duration) bool {
-	return s.fullAt > 0 && now-s.fullAt < min(loadTTL, s.expectedRunTime(now))
-}
-
 // Begin notes that a call was sent to an upstream.
 func (l *LeastWait) Begin(key string, now time.Duration) {
 	s := l.state(key, now)
@@ -395,12 +278,6 @@
 	s.change--
 }
 
-// waitInRuns returns the expected wait of a call sent now by the upstream's last report, in
-// run times.
-func (s *waitState) waitInRuns() float64 {
-	return max(0, float64(s.currentLoad()-s.report.Slots+1)) / float64(s.report.Slots)
-}
-
 // Observe notes a response. End must have been called for its call.
 func (l *LeastWait) Observe(key string, o Observation, now time.Duration) {
 	s := l.state(key, now)
@@ -416,147 +293,6 @@
 	}
 }
 
-func (s *waitState) observeReport(r loadreport.Report, now time.Duration) {
-	s.report, s.reportedAt, s.change = r, now, 0
-	switch {
-	case s.queueLimit > 0 && r.Waiting >= s.queueLimit:
-		s.fullAt = now
-	case r.Load() < r.Slots:
-		// A shorter queue does not end the knowledge: at the peak it is full again at once.
-		s.fullAt = 0
-	}
-}
-
-// observeRefusal notes a refusal. An upstream that reports free slots refused for another
-// reason than a full queue.
-func (s *waitState) observeRefusal(r *loadreport.Report, now time.Duration) {
-	if r != nil && r.Running < r.Slots {
-		s.refusalRate = refusalWeight + (1-refusalWeight)*s.currentRefusalRate(now)
-		s.refusedAt = now
-		return
-	}
-	s.fullAt = now
-	if r != nil {
-		s.queueLimit = r.Waiting
-	}
-}
-
-// observeRun adds a response time, less the wait, to the mean run time. The wait is known
-// in run times, so the response time is divided by one more than that.
-func (s *waitState) observeRun(o Observation, now time.Duration) {
-	wait := -1.0
-	for i := len(s.sends) - 1; i >= 0; i-- {
-		if s.sends[i].at <= now-o.ResponseTime {
-			wait = s.sends[i].wait
-			break
-		}
-	}
-	if wait < 0 {
-		// The queue was probably as long as it is now.
-		wait = 0
-		if o.Load != nil {
-			wait = s.waitInRuns()
-		}
-	}
-	run := float64(o.ResponseTime) / (1 + wait) / s.slowdown(now)
-	if s.runTime == 0 || s.measurementWeight(now) == 0 {
-		s.runTime = time.Duration(run)
-	} else {
-		s.runTime += time.Duration(runTimeWeight * (run - float64(s.runTime)))
-	}
-	s.refusalRate *= 1 - refusalWeight
-	s.measuredAt = now
-}
-
-// QueueTime returns the expected wait at an upstream of a call sent now. It reports false
-// without a report younger than loadTTL.
-func (l *LeastWait) QueueTime(key string, now time.Duration) (time.Duration, bool) {
-	s := l.states[key]
-	if s == nil || s.reportWeight(now) == 0 {
-		return 0, false
-	}
-	return time.Duration(s.waitInRuns() * float64(s.expectedRunTime(now))), true
-}
-
-// LastSendQueueTime returns the wait at an upstream that was expected of the last call that
-// Begin noted, without that call itself. It reports false as QueueTime does.
-func (l *LeastWait) LastSendQueueTime(key string, now time.Duration) (time.Duration, bool) {
-	s := l.states[key]
-	if s == nil || len(s.sends) == 0 || s.reportWeight(now) == 0 {
-		return 0, false
-	}
-	return time.Duration(s.sends[len(s.sends)-1].wait * float64(s.expectedRunTime(now))), true
-}
-
-// ServiceRunTime returns the mean run time of a service's upstreams as of the last Pick among
-// them, 0 before the first one.
-func (l *LeastWait) ServiceRunTime(keys []string) time.Duration {
-	for _, key := range keys {
-		if s := l.states[key]; s != nil && s.serviceRunTime > 0 {
-			return s.serviceRunTime
-		}
-	}
-	return 0
-}
-
-// ServiceQueueTime returns the expected wait of a call sent now to a service: the mean over the
-// upstreams with a fresh report, weighted by their slots and by how new the report is, and the
-// mean age of these reports. Slow upstreams are left out while others have reported: they get
-// calls only into free slots, and their queues say nothing about the wait at the others. It
-// reports false if there is no fresh report.
-func (l *LeastWait) ServiceQueueTime(keys []string, now time.Duration) (queueTime time.Duration, age time.Duration, ok bool) {
-	queueTime, age, ok = l.meanQueueTime(keys, now, false)
-	if !ok {
-		return l.meanQueueTime(keys, now, true)
-	}
-	return queueTime, age, ok
-}
-
-func (l *LeastWait) meanQueueTime(keys []string, now time.Duration, slowToo bool) (queueTime time.Duration, age time.Duration, ok bool) {
-	var waits, ages, weights float64
-	for _, key := range keys {
-		wait, fresh := l.QueueTime(key, now)
-		if !fresh {
-			continue
-		}
-		s := l.states[key]
-		if !slowToo && s.slow(now) {
-			continue
-		}
-		weight := float64(s.report.Slots) * s.reportWeight(now)
-		waits += weight * float64(wait)
-		ages += weight * float64(now-s.reportedAt)
-		weights += weight
-	}
-	if weights == 0 {
-		return 0, 0, false
-	}
-	return time.Duration(waits / weights), time.Duration(ages / weights), true
-}
-
-// IsSlow reports whether the run time of an upstream is several times that of its service.
-func (l *LeastWait) IsSlow(key string, now time.Duration) bool {
-	s := l.states[key]
-	return s != nil && s.slow(now)
-}
-
-// slow reports whether an upstream's run time is several times the service's.
-func (s *waitState) slow(now time.Duration) bool {
-	return s.serviceRunTime > 0 && float64(s.expectedRunTime(now)) > slowRatio*float64(s.serviceRunTime)
-}
-
-// LastReport returns the last load report of an upstream, however old, and its age.
-func (l *LeastWait) LastReport(key string, now time.Duration) (report loadreport.Report, age time.Duration, ok bool) {
-	s := l.states[key]
-	if s == nil || s.reportedAt == 0 {
-		return loadreport.Report{}, 0, false
-	}
-	return s.report, now - s.reportedAt, true
-}
-
-// Len returns the number of upstreams whose state is kept.
-func (l *LeastWait) Len() int { return len(l.states) }
-
 // Trim drops the state of upstreams that are gone.
 func (l *LeastWait) Trim(now time.Duration) {
 	for key, s := range l.states {
