--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -15,7 +15,7 @@
 
 // checkProbation ends a suspect's quarantine once its answer has got past the point where
 // its upstream died. A crash makes suspects of all requests that ran on the upstream. If
-// each ran alone to its end, a training step would wait long for the innocent ones; and a
+// each ran alone to its end, a training step would wait long for the harmless ones; and a
 // request that kills at a fixed point of its answer has done so by then. The request
 // continues, and the next suspect runs beside it.
 func (r *requestRun) checkProbation(sl *slot) {
@@ -77,7 +77,7 @@
 // mayWaitForPeerTrial reports whether the request waits for the end of another daemon's
 // trial of it. A request that has begun does, since its caller may have seen a part of the
 // answer, and so does a sample of a training step, since a refusal would fail its whole
-// group of samples. Most requests that were running when an upstream died are innocent,
+// group of samples. Most requests that were running when an upstream died are harmless,
 // and the trial shows that within seconds.
 func (r *requestRun) mayWaitForPeerTrial() bool {
 	return !r.isHedge && (r.sends.Total > 0 || r.placement.route.Class == routing.ClassRollout)
--- a/internal/dispatch/quarantinetable.go
+++ b/internal/dispatch/quarantinetable.go
@@ -7,7 +7,7 @@
 
 // quarantineDivisor bounds the upstreams in quarantine: a third of the group's live
 // upstreams, and at least one. A crash makes suspects of all requests that were in flight;
-// with a single quarantine, the innocent ones would wait long for each other. More
+// with a single quarantine, the harmless ones would wait long for each other. More
 // quarantines cost no more upstreams, since a request runs in one at a time.
 const quarantineDivisor = 3
 
--- a/internal/dispatch/stoppable.go
+++ b/internal/dispatch/stoppable.go
@@ -66,7 +66,7 @@
 
 // stop stops the attempts of a suspect and returns their upstreams. Attempts on
 // upstreams that have died are left to fail by themselves, since they report how far
-// they got: the one with the most tokens may be the killer.
+// they got: the one with the most tokens may be the one that crashed the upstream.
 func (a *stoppableAttempts) stop(suspect poison.Mark) []ident.Upstream {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -82,7 +82,7 @@
 }
 
 // stopCopies stops the running attempts of a request that is a suspect or convicted. A
-// request that was answered by this daemon recently is probably innocent and isn't
+// request that was answered by this daemon recently is probably harmless and isn't
 // stopped.
 func (d *Dispatcher) stopCopies(fp poison.Fingerprint) {
 	d.poisonMu.Lock()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -25,22 +25,22 @@
 	silence time.Duration
 	names   []string // of the peer's certificate; empty in the clear
 
-	mu      sync.Mutex // orders patient and the read deadline
-	patient bool
+	mu             sync.Mutex // orders silenceAllowed and the read deadline
+	silenceAllowed bool
 }
 
-// setPatient leaves reads without a deadline, also one under way. A server's
+// allowSilence leaves reads without a deadline, also one under way. A server's
 // end of a forwarded call hears nothing while it makes the answer; its writes
 // find a dead peer.
-func (c *watchedConn) setPatient(patient bool) {
+func (c *watchedConn) allowSilence(allowed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.patient = patient
+	c.silenceAllowed = allowed
 	_ = c.SetReadDeadline(c.readDeadline()) // fails only on a closed connection
 }
 
 func (c *watchedConn) readDeadline() time.Time {
-	if c.patient {
+	if c.silenceAllowed {
 		return time.Time{}
 	}
 	return time.Now().Add(c.silence)
--- a/internal/peer/copies.go
+++ b/internal/peer/copies.go
@@ -198,7 +198,7 @@
 	}
 	// It rests between questions, each of which has a timeout of its own.
 	if watched, ok := conn.Transport().(*watchedConn); ok {
-		watched.setPatient(true)
+		watched.allowSilence(true)
 	}
 	return conn, nil
 }
@@ -261,7 +261,7 @@
 	// The connection rests between questions; TCP's keep-alive finds a dead daemon.
 	if transport, ok := drpcctx.Transport(ctx); ok {
 		if watched, ok := transport.(*watchedConn); ok {
-			watched.setPatient(true)
+			watched.allowSilence(true)
 		}
 	}
 	at := p.service.options.Copies.PlaceHere(decodeCopy(in))
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -99,8 +99,8 @@
 // answer sends what make returns in parts, and an empty part each heartbeat
 // until then, so that the caller can tell a slow answer from a dead VM.
 func (p *server) answer(stream partStream, make func(context.Context) ([]byte, error)) error {
-	setPatient(stream, true)
-	defer setPatient(stream, false)
+	allowSilence(stream, true)
+	defer allowSilence(stream, false)
 	body, err := p.wait(stream, make)
 	if err != nil {
 		return stream.Send(&peerpb.Part{Fault: encodeFault(err), Last: true})
@@ -142,9 +142,9 @@
 	return result
 }
 
-func setPatient(stream drpc.Stream, patient bool) {
+func allowSilence(stream drpc.Stream, allowed bool) {
 	transport, _ := drpcctx.Transport(stream.Context())
 	if watched, ok := transport.(*watchedConn); ok {
-		watched.setPatient(patient)
+		watched.allowSilence(allowed)
 	}
 }
