admission: a free slot starts one waiting call

Cause (review): when one upstream showed room, all calls that waited started as far as the window went; those that found no slot were refused although they could wait on. Test first: TestOneFreeSlotStartsOneCall (6 started before). Ruled out: queueing such a call again, which loses its place.

--- a/internal/admission/waiting.go
+++ b/internal/admission/waiting.go
@@ -27,6 +27,7 @@
 type Room struct {
 	Free      bool          // some upstream is not known to be full, or there is none
 	Slots     int           // of all upstreams, 0 if none has reported its load
+	FreeSlots int           // those known to be free
 	RunTime   time.Duration // mean time that a call runs
 	ExpiresAt time.Duration // unless Free, when the knowledge of a full upstream expires first
 }
@@ -111,7 +112,9 @@
 	if deadline, ok := s.waiting.queue.NextDeadline(); ok {
 		at = time.Duration(deadline.UnixNano())
 	}
-	if !room.Free {
+	if room.Free {
+		at = min(at, now+room.RunTime) // the next call may start even if no response comes
+	} else {
 		at = min(at, room.ExpiresAt)
 	}
 	return max(at, now+minWakeDelay), true
@@ -190,8 +193,13 @@
 		if w.window > 0 {
 			capacity = int(w.window)
 		}
-		if !room.Free {
+		switch {
+		case !room.Free:
 			capacity = min(capacity, w.inFlight())
+		case w.queue.Queued(routing.ClassProduction) > 0:
+			// One call at least, which finds out whether there is room. Calls that started together
+			// for one free slot would find all upstreams full again and be refused.
+			capacity = min(capacity, w.inFlight()+max(1, room.FreeSlots))
 		}
 	}
 	w.queue.SetCapacity(capacity, 0)
--- a/internal/admission/waiting_test.go
+++ b/internal/admission/waiting_test.go
@@ -13,7 +13,7 @@
 
 var (
 	fullRoom = admission.Room{Slots: 6, RunTime: 25 * ms}
-	freeRoom = admission.Room{Slots: 6, RunTime: 25 * ms, Free: true}
+	freeRoom = admission.Room{Slots: 6, FreeSlots: 6, RunTime: 25 * ms, Free: true}
 )
 
 // contendedService is contended for the first seconds.
@@ -49,6 +49,23 @@
 	g.Expect(order).To(Equal([]string{"urgent", "large, less time", "small", "large", "large", "large"}), "as many as there are slots")
 }
 
+// Guards against waiting calls that all start for one free slot: those that find no room would be
+// refused although they could wait on. Load: 6 calls wait when one slot of 6 comes free.
+func TestOneFreeSlotStartsOneCall(t *testing.T) {
+	g, s := NewWithT(t), contendedService()
+	for range 6 {
+		s.Enter(admission.Request{LatencyTarget: 150 * ms, TimeLeft: 800 * ms}, 0, fullRoom, 0)
+	}
+	oneSlot := admission.Room{Slots: 6, FreeSlots: 1, RunTime: 25 * ms, Free: true}
+	starts, _ := s.Next(oneSlot, ms)
+	g.Expect(starts).To(HaveLen(1))
+	at, ok := s.WakeAt(oneSlot, ms)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(at).To(Equal(26*ms), "also without a response the next one starts a run time later")
+	starts, _ = s.Next(fullRoom, 2*ms)
+	g.Expect(starts).To(BeEmpty())
+}
+
 // Guards against a call that waits until its deadline, and against one that is refused while it
 // could still be in time. Load: one call of each kind at a service without room.
 func TestLatestStart(t *testing.T) {
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -144,6 +144,7 @@
 	if !present {
 		out.Free = true
 	}
+	out.FreeSlots = b.leastWait.FreeSlots(candidates, now)
 	if !out.Free {
 		out.ExpiresAt = b.leastWait.KnownFullUntil(candidates, now)
 	}
--- a/internal/routing/leastwait_queries.go
+++ b/internal/routing/leastwait_queries.go
@@ -25,6 +25,20 @@
 	return until
 }
 
+// FreeSlots returns how many slots of the candidates are free by their fresh reports and the own
+// calls sent since.
+func (l *LeastWait) FreeSlots(candidates []Candidate, now time.Duration) int {
+	free := 0
+	for _, c := range candidates {
+		s := l.states[c.Key]
+		if s == nil || c.Tried || s.full(now) || s.reportWeight(now) == 0 {
+			continue
+		}
+		free += max(0, s.report.Slots-s.currentLoad())
+	}
+	return free
+}
+
 // QueueTime returns the expected wait at an upstream of a call sent now. It reports false
 // without a report younger than loadTTL.
 func (l *LeastWait) QueueTime(key string, now time.Duration) (time.Duration, bool) {
