--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -192,7 +192,7 @@
 	load, now := g.serviceLoad(s), g.now()
 	// The queue of a slow upstream is full of calls that no other one had room for, or that came
 	// before it was slow. It says nothing about the room at the others.
-	slow := g.balancer.isSlow(u.Incarnation(), now)
+	slow := g.balancer.isSlow(u.Incarnation())
 	s.mu.Lock()
 	full := !slow && response.NotRun && response.Status != http.StatusMisdirectedRequest && !refusedWithFreeSlots(response)
 	if full {
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -109,10 +109,10 @@
 }
 
 // isSlow reports whether an upstream takes several times as long as the others of its service.
-func (b *balancer) isSlow(incarnation string, now time.Duration) bool {
+func (b *balancer) isSlow(incarnation string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.leastWait.IsSlow(incarnation, now)
+	return b.leastWait.IsSlow(incarnation)
 }
 
 // room returns what is known of the room at a service's upstreams.
--- a/internal/routing/leastwait_queries.go
+++ b/internal/routing/leastwait_queries.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		s := l.states[key]
-		if !slowToo && s.slow(now) {
+		if !slowToo && s.slow() {
 			continue
 		}
 		weight := float64(s.report.Slots) * s.reportWeight(now)
@@ -106,9 +106,9 @@
 }
 
 // IsSlow reports whether the run time of an upstream is several times that of its service.
-func (l *LeastWait) IsSlow(key string, now time.Duration) bool {
+func (l *LeastWait) IsSlow(key string) bool {
 	s := l.states[key]
-	return s != nil && s.slow(now)
+	return s != nil && s.slow()
 }
 
 // LastReport returns the last load report of an upstream, however old, and its age.
--- a/internal/routing/leastwait_state.go
+++ b/internal/routing/leastwait_state.go
@@ -162,7 +162,9 @@
 	s.measuredAt = now
 }
 
-// slow reports whether an upstream's run time is several times the service's.
-func (s *waitState) slow(now time.Duration) bool {
-	return s.serviceRunTime > 0 && float64(s.expectedRunTime(now)) > slowRatio*float64(s.serviceRunTime)
+// slow reports whether an upstream's run time, as it was last measured, is several times the
+// service's. The expected run time fades towards the service's as the report ages, but the queue
+// of that report does not become shorter by that.
+func (s *waitState) slow() bool {
+	return s.serviceRunTime > 0 && s.lastRunTime() > slowRatio*float64(s.serviceRunTime)
 }
