routing: a refused send costs half a run, not a whole one

Cause: an upstream that sheds 60% of its calls at once counted as if each refusal took a run, so that calls went to upstreams with full queues instead.

--- a/internal/routing/leastwait.go
+++ b/internal/routing/leastwait.go
@@ -40,7 +40,11 @@
 	// cost of fewer calls is in proportion to their square. It makes an upstream that uses half
 	// of its slots cost more than a new connection to an idle one.
 	fullSlotsCost = 0.5
-	tieSpread     = 0.045 // upper bound of a random cost, so that daemons break ties differently
+	// refusedSendCost is the cost of a send that is refused at once: a round trip and the place in
+	// the number of sends that a call may take. At the cost of a run, calls went to upstreams with full
+	// queues because others shed a part of them.
+	refusedSendCost = 0.5
+	tieSpread       = 0.045 // upper bound of a random cost, so that daemons break ties differently
 	// loadSpread replaces tieSpread when upstreams are busy. Reports are older than the time
 	// in which a slot becomes free, so smaller differences are noise, and daemons that trust
 	// them all send to the same upstream.
@@ -242,7 +246,7 @@
 	if e.state.lastRunTime() > slowRatio*meanRun {
 		run = max(run, staleSlowCost)
 	}
-	return run*(1+e.state.refusalCost(now)) + queue
+	return run + refusedSendCost*e.state.refusalCost(now) + queue
 }
 
 // wait returns the expected wait in the queue in ns: until enough calls have ended that one
