--- a/review/standin/case_late_answer.go
+++ b/review/standin/case_late_answer.go
@@ -15,7 +15,7 @@
 	lateEngines  = 5
 	lateTrainers = 2
 	lateItems    = 64
-	lateSteps    = 20
+	lateSteps    = 30
 	lateStepTime = 2 * time.Second
 	// Of the answers of 3 of the 5 engines (0.6), 0.03 come a second time, in spans of 5 s.
 	lateShare = 0.03
