--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -54,6 +55,8 @@
 	servers []*server
 	random  *rand.Rand
 	randMu  sync.Mutex
+	// usedPorts are the addresses that daemons got.
+	usedPorts map[string]bool
 }
 
 func newWorld(recordFile string) (*world, error) {
@@ -67,7 +70,7 @@
 	}
 	return &world{
 		record: &recorder{file: f, start: time.Now()}, dir: dir, store: metastore.New(partitions),
-		random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
+		random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)), usedPorts: map[string]bool{},
 	}, nil
 }
 
@@ -91,13 +94,31 @@
 	ended              chan struct{}
 }
 
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+const (
+	// Ports of daemons lie below those that the system gives to outgoing connections, one of which
+	// could otherwise take a daemon's port before the daemon listens on it.
+	firstPort = 12000
+	portCount = 16000
+	portTries = 200
+)
+
+var errNoPort = errors.New("no free port")
+
+// freePort returns a loopback address that nobody listens on and that was not returned before.
+func (w *world) freePort() (string, error) {
+	for range portTries {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+w.pick(portCount)))
+		if w.usedPorts[address] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		w.usedPorts[address] = true
+		return address, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errNoPort
 }
 
 // startDaemon starts a process with the command of the deploy file and settings like those of a
@@ -112,7 +133,7 @@
 	go func() { _ = http.Serve(storeFront, platformtest.NewStoreHandler(client)) }() // until the case ends
 	var ports [4]string
 	for i := range ports {
-		if ports[i], err = freePort(); err != nil {
+		if ports[i], err = w.freePort(); err != nil {
 			return nil, err
 		}
 	}
