exchange: the connection of another request's answer is closed

Callers saw: further requests on such a connection failed or were sent again.

Cause: net/http returns a connection to its pool before a response without a body is handed out, so closing the response left it there. The answer to the request that had been given the wrong one was then still due, and stood where the next request's was expected; each exchange on the connection was off by one, up to its idle timeout.

Nothing on the connection can be matched any more once one answer is wrong, so Response.Discard closes it whatever its state in the pool.

--- a/internal/upstream/exchange/answer.go
+++ b/internal/upstream/exchange/answer.go
@@ -92,6 +92,14 @@
 	r.cancel(nil)
 }
 
+// Discard ends the exchange and closes its connection, also if the body was read to its end or
+// is empty. It is for a response that isn't the one to its request: what follows on the
+// connection belongs to yet another request.
+func (r *Response) Discard() {
+	r.Close()
+	r.attempt.closeConn()
+}
+
 // Framed reports whether the response marks its own end, by its length or by chunked
 // encoding.
 func (r *Response) Framed() bool { return r.framed }
--- a/internal/upstream/exchange/send.go
+++ b/internal/upstream/exchange/send.go
@@ -182,6 +182,15 @@
 	return x.reused
 }
 
+// closeConn closes the connection of the request, even if it is idle again.
+func (x *attempt) closeConn() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn != nil {
+		_ = x.conn.Close() // nothing more is expected on it
+	}
+}
+
 func (x *attempt) connFailed() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
