--- a/internal/upstream/exchange/answer.go
+++ b/internal/upstream/exchange/answer.go
@@ -100,6 +100,9 @@
 	r.attempt.closeConn()
 }
 
+// Reused reports whether the connection had served a request before.
+func (r *Response) Reused() bool { return r.attempt.isReused() }
+
 // Framed reports whether the response marks its own end, by its length or by chunked
 // encoding.
 func (r *Response) Framed() bool { return r.framed }
