upstream: status queries reject the response to another request

Cause: checkRequestID skipped requests without an ID. Such a request's answer names none, so one that does is another's.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -140,7 +140,7 @@
 		k.client.options.OnLeaving(k.target.Name)
 	}
 	if err := k.checkRequestID(resp); err != nil {
-		resp.Close()
+		resp.Discard()
 		return nil, err
 	}
 	return resp, nil
@@ -148,10 +148,10 @@
 
 // checkRequestID returns an error if the request ID in the header is that of another request.
 // This is checked before the status and X-Not-Run, which would belong to the other request
-// too.
+// too. A status query has no ID, so a response to it that names a request is another's.
 func (k *call) checkRequestID(resp *exchange.Response) error {
 	got := resp.Header.Get(wire.HeaderRequestID)
-	if got == "" || k.requestID == "" || got == string(k.requestID) {
+	if got == "" || got == string(k.requestID) {
 		return nil
 	}
 	return k.responseFault(Crossed, resp, fmt.Errorf("response is for request %q, not %q", got, k.requestID))
--- a/internal/upstream/faults_test.go
+++ b/internal/upstream/faults_test.go
@@ -170,6 +170,8 @@
 	},
 		Entry("Score, for another request", scoreCall, sizedResponse(200, "", `{"id":"r2","reward":1}`), Crossed, outcome.Unknown),
 		Entry("Score, no reward", scoreCall, sizedResponse(200, "", `{"id":"r1"}`), Malformed, outcome.Unknown),
+		Entry("Load, the response to another request", loadCall, sizedResponse(200, "X-Request-Id: r2\r\n", `{}`), Crossed, outcome.Unknown),
+		Entry("Load, the rejection of another request", loadCall, sizedResponse(503, "X-Request-Id: r2\r\nX-Not-Run: true\r\n", ""), Crossed, outcome.Unknown),
 		Entry("Order, fencing number too low", orderCall, sizedResponse(409, "", `{"highest_fence":9}`), Rejected, outcome.NotRun),
 		Entry("Order, failed", orderCall, sizedResponse(500, "", `{}`), Status, outcome.Ran),
 		Entry("Order, no response", orderCall, "", Reset, outcome.Unknown),
@@ -198,6 +200,11 @@
 	return err
 }
 
+func loadCall(ctx context.Context, c *Client, t Target) error {
+	_, err := c.Load(ctx, t)
+	return err
+}
+
 func orderCall(ctx context.Context, c *Client, t Target) error {
 	_, err := c.Order(ctx, t, wire.Order{Fence: 8})
 	return err
