batchrun: the attempt after a failure uses a new connection

A late copy of the 500 that ended a former attempt passed the check of the ID as the answer to the next attempt at that engine, so one failure could count twice, and a sample could be listed dead after fewer answers of 500 than the route's maximum.

Change: a run or a reward call that follows a failure is sent on a new connection, on which no former answer can stand (SampleRun.NewConn, ScoreRequest, gateway.Call.NewConn). A copied refusal only ends the next run early, and a copied 422 is true for every run, so these keep their connections.

Evidence: TestAttemptAfterAFailureUsesANewConnection failed before.

--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -20,6 +20,9 @@
 	batch.Request
 	// ReceivedEvents is the number of the text's events that have been received already.
 	ReceivedEvents int
+	// NewConn asks for a new connection. A late copy of an engine's answer to an earlier run has
+	// the same ID, so on a reused connection it would pass for the answer to this one.
+	NewConn bool
 }
 
 // Errors of a run that didn't complete. Any other error means that the engine or the
--- a/internal/batchrun/fake_engines_test.go
+++ b/internal/batchrun/fake_engines_test.go
@@ -66,6 +66,8 @@
 	sample string
 	after  int // events that the caller had received before
 	engine string
+	// newConn says that the run was asked for on a new connection.
+	newConn bool
 }
 
 // receivedOrder is a load order that an engine has seen.
@@ -131,7 +133,7 @@
 		return 0, ErrFailed
 	}
 	run = len(f.runs) + 1
-	f.runs[run] = fakeRun{r.ID, r.ReceivedEvents, u.ID}
+	f.runs[run] = fakeRun{r.ID, r.ReceivedEvents, u.ID, r.NewConn}
 	return run, nil
 }
 
--- a/internal/batchrun/fake_scorer_test.go
+++ b/internal/batchrun/fake_scorer_test.go
@@ -8,10 +8,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"github.com/dogwoodflow/dogwoodflow/internal/batch"
-	"github.com/dogwoodflow/dogwoodflow/internal/customers"
-	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 )
 
 // fakeScorer is a Scorer that checks the reward calls it gets.
@@ -31,6 +27,8 @@
 	sample string // ID of the sample
 	began  time.Time
 	failed bool
+	// newConn says that the call was asked for on new connections.
+	newConn bool
 }
 
 // testCustomer has the batches with reward calls, which take its share of the service that scores.
@@ -47,20 +45,21 @@
 }
 
 // Score returns a signature with the number of the call, from 1.
-func (f *fakeScorer) Score(ctx context.Context, route routes.Route, customer customers.Customer, c batch.RewardCall) ScoreResult {
+func (f *fakeScorer) Score(ctx context.Context, r ScoreRequest) ScoreResult {
+	c := r.Call
 	sample := strings.TrimPrefix(c.ID, "reward-")
-	if c.Host != testHost || route.Name != "rewards" || string(c.Body) != "score "+sample {
-		f.t.Errorf("sample %s has the reward call %+v on route %s", sample, c, route.Name)
+	if c.Host != testHost || r.Route.Name != "rewards" || string(c.Body) != "score "+sample {
+		f.t.Errorf("sample %s has the reward call %+v on route %s", sample, c, r.Route.Name)
 	}
-	if customer.Name != testCustomer {
-		f.t.Errorf("the reward call of sample %s has the customer %q", sample, customer.Name)
+	if r.Customer.Name != testCustomer {
+		f.t.Errorf("the reward call of sample %s has the customer %q", sample, r.Customer.Name)
 	}
 	f.mu.Lock()
 	failed := f.failuresLeft[sample] > 0
 	if failed {
 		f.failuresLeft[sample]--
 	}
-	f.calls = append(f.calls, fakeRewardCall{sample, time.Now(), failed})
+	f.calls = append(f.calls, fakeRewardCall{sample, time.Now(), failed, r.NewConn})
 	signature, duration := fmt.Sprintf("signature:%d", len(f.calls)), f.callDuration
 	f.mu.Unlock()
 	select {
--- a/internal/batchrun/reward_call.go
+++ b/internal/batchrun/reward_call.go
@@ -15,8 +15,17 @@
 
 // Scorer makes reward calls.
 type Scorer interface {
-	// Score sends a reward call of a customer's batch over its route, within that route's limits.
-	Score(ctx context.Context, route routes.Route, customer customers.Customer, call batch.RewardCall) ScoreResult
+	// Score sends a reward call over its route, within that route's limits.
+	Score(ctx context.Context, r ScoreRequest) ScoreResult
+}
+
+// ScoreRequest asks for the score of a sample.
+type ScoreRequest struct {
+	Route    routes.Route
+	Customer customers.Customer // whose batch the sample belongs to
+	Call     batch.RewardCall
+	// NewConn asks for new connections, as in SampleRun.
+	NewConn bool
 }
 
 // ScoreResult is the outcome of a reward call.
@@ -94,20 +103,20 @@
 		r.giveUpLocked(key, s.ID, "its reward call failed at every attempt")
 		return
 	}
-	r.startRewardCallLocked(ctx, key, s.ID, route, config.Customers.Named(b.Customer), *call, x)
+	r.startRewardCallLocked(ctx, key, s.ID, ScoreRequest{Route: route, Customer: config.Customers.Named(b.Customer), Call: *call, NewConn: x.failures > 0}, x)
 }
 
 // startRewardCallLocked makes a reward call in the background.
-func (r *runner) startRewardCallLocked(ctx context.Context, key sampleKey, sampleID string, route routes.Route, customer customers.Customer, call batch.RewardCall, x *rewardCall) {
+func (r *runner) startRewardCallLocked(ctx context.Context, key sampleKey, sampleID string, request ScoreRequest, x *rewardCall) {
 	ctx, x.cancel = context.WithCancel(ctx)
 	cancel := x.cancel
 	rewardCallsMade.Add(1)
 	r.tasks.Go(func() {
 		began := r.s.options.Now()
-		verdict := r.s.options.Scorer.Score(ctx, route, customer, call)
+		verdict := r.s.options.Scorer.Score(ctx, request)
 		cancelled := ctx.Err() != nil
 		cancel()
-		r.onRewardCallEnded(key, sampleID, call.ID, x, verdict, cancelled, r.s.options.Now()-began)
+		r.onRewardCallEnded(key, sampleID, request.Call.ID, x, verdict, cancelled, r.s.options.Now()-began)
 	})
 }
 
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -91,6 +91,7 @@
 type retryState struct {
 	notBefore   time.Duration
 	avoidEngine string // incarnation of the engine that failed, "" if it isn't at fault
+	failed      bool   // an engine answered one of this owner's runs with a failure
 }
 
 // run is a sample's run on an engine.
--- a/internal/batchrun/sample_run.go
+++ b/internal/batchrun/sample_run.go
@@ -96,7 +96,7 @@
 	x := &run{ctx: ctx, key: key, sampleID: s.ID, upstream: u, incarnation: u.Incarnation(), model: model, hasReward: s.RewardCallID != "", expectedTokens: s.ExpectedTokens, text: t, startedAt: now, cancel: cancel, startEvents: t.eventCount(), lastEventAt: now}
 	r.runs[key] = x
 	r.engineLocked(u.Incarnation()).running++
-	request := SampleRun{ID: s.ID, Host: head.Host, Customer: head.Customer, Request: requests[w.Index], ReceivedEvents: t.eventCount()}
+	request := SampleRun{ID: s.ID, Host: head.Host, Customer: head.Customer, Request: requests[w.Index], ReceivedEvents: t.eventCount(), NewConn: r.retries[key].failed}
 	if request.ReceivedEvents > 0 {
 		samplesResumed.Add(1)
 	}
@@ -174,6 +174,7 @@
 // handleRunErrorLocked decides when and where a sample is retried after a run without a result,
 // and what that means for the run's engine e.
 func (r *runner) handleRunErrorLocked(x *run, e *engine, err error, now time.Duration) {
+	failed := r.retries[x.key].failed || errors.Is(err, ErrFailed)
 	retry := retryState{notBefore: now + retryDelay, avoidEngine: x.incarnation}
 	switch {
 	case errors.Is(err, errHandedOver), errors.Is(err, errUnwanted):
@@ -209,6 +210,7 @@
 			r.checkCrashLocked(x)
 		}
 	}
+	retry.failed = failed
 	r.retries[x.key] = retry
 }
 
--- a/internal/batchrun/submit_test.go
+++ b/internal/batchrun/submit_test.go
@@ -116,6 +116,28 @@
 	})
 }
 
+// Guards against one failure that counts twice: a late copy of an engine's or a scorer's failure
+// has the ID of the next attempt as well, so that attempt must not use the same connection.
+func TestAttemptAfterAFailureUsesANewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newTestCluster(t, 1, 1, 2, scoredModel)
+		defer w.stop()
+		w.engines.failures["m1-late-0-0"] = 1
+		w.scorer.failuresLeft["m1-late-0-1"] = 1
+		items := submitScored(g, w, "late", 1)
+		time.Sleep(12 * time.Second)
+		g.Expect(results(g, w.vms[0])).To(HaveLen(len(items)))
+		for _, x := range w.engines.runs {
+			g.Expect(x.newConn).To(Equal(x.sample == items[0].ID), x.sample)
+		}
+		for i, call := range w.scorer.calls {
+			retried := slices.ContainsFunc(w.scorer.calls[:i], func(c fakeRewardCall) bool { return c.sample == call.sample })
+			g.Expect(call.newConn).To(Equal(retried), call.sample)
+		}
+	})
+}
+
 // Guards against a step that is late because the new owner of its partition must wait until another
 // VM's lease on an engine has expired before it may order a load. The engine's weights are too old
 // for the step. The VM with the last claim on the engine must load it on the owner's request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,9 @@
 	Priority int
 	// Lease is the memory held for the call; an answer that is read grows it. Nil: no bound.
 	Lease *membudget.Lease
+	// NewConn asks for new connections: an earlier call with the same ID was answered with a
+	// failure, and a late copy of that answer on a reused connection would pass for a new one.
+	NewConn bool
 	// AnswerReserve is the number of bytes that the lease holds for an answer from the start.
 	AnswerReserve int64
 
@@ -318,7 +321,7 @@
 	a.inFlight++
 	transmission := a.g.beginTransmission(u)
 	go func() {
-		response, err := a.g.upstreams.Call(ctx, u, a.call, a.route.Kind != routes.Safe)
+		response, err := a.g.upstreams.Call(ctx, u, a.call, a.call.NewConn || a.route.Kind != routes.Safe)
 		a.g.countRun(a.call, transmission, response, err)
 		a.g.recordSend(ctx, u, a.call, response, err, time.Since(startedAt))
 		a.results <- sendResult{u, response, err, time.Since(startedAt)}
