crashes: samples that lost engines in a burst run again at once

Callers saw (report of a system like ours): after a burst of crashes, with engines up and room on them, samples were never placed again.

Cause: a sample that lost two engines in a row ran alone before it ran beside others, one sample of a model at a time. From the fourth lost engine on nothing ended that: each such sample ran alone to its end, one after the other, so the wait of the last one grew with the number of samples hit and not with the number of engines.

Change: one sample that crashes its engines shares each with fewer samples than it has slots. Progress ends every trial, after 4 or 8 events where a sample has lost four engines or more, and clears "crashed alone".

TestSampleThatCrashesEngines is unchanged: no other sample beside it from the third crash on.

--- a/internal/batchrun/crash_test.go
+++ b/internal/batchrun/crash_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/crashes"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 )
@@ -109,3 +110,54 @@
 		})
 	}
 }
+
+// runBurst submits a step whose engines crash for a while, each soon after samples have started on
+// it. It returns the results that are listed at the end of the calm time after that, how many
+// samples the step has, and how many engines crashed. Where the owner changes, the first VM dies in
+// the middle of the burst.
+func runBurst(t *testing.T, seed uint64, ownerChanges bool, calm time.Duration) (listed []Result, samples, crashCount int) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			burst  = 15 * time.Second
+			uptime = 60 * time.Millisecond // with samples
+		)
+		g := NewWithT(t)
+		w := newTestClusterWithPolicy(t, DefaultPolicy(policy.Set{}), seed, 1, 3, 4, "m0")
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		samples = len(w.submitBatch(g, "m0", "burst", 4, 8, 1))
+		for begin := time.Now(); time.Since(begin) < burst; time.Sleep(uptime) {
+			busy := w.engines.busyEngines()
+			time.Sleep(uptime)
+			for _, id := range busy {
+				w.engines.crash(id)
+			}
+			if ownerChanges && time.Since(begin) > burst/2 {
+				ownerChanges = false
+				w.kill(w.vms[0])
+			}
+		}
+		time.Sleep(calm)
+		listed = results(g, w.vms[1])
+		w.engines.mu.Lock()
+		defer w.engines.mu.Unlock()
+		crashCount = len(w.engines.crashes)
+	})
+	return listed, samples, crashCount
+}
+
+// Guards against samples that are never placed again after a burst in which engines crashed under
+// them several times. All must be complete once the engines have been up for a while, also if the
+// partition's owner changes.
+func TestSamplesCompleteAfterABurstOfCrashes(t *testing.T) {
+	const calm = 8 * time.Second // three until the engines count as steady, five until a waiting sample counts as lost
+	for seed := range uint64(4) {
+		listed, samples, crashCount := runBurst(t, seed, seed%2 == 1, calm)
+		g := NewWithT(t)
+		g.Expect(crashCount).To(BeNumerically(">=", 16))
+		g.Expect(listed).To(HaveLen(samples), "seed %d", seed)
+		for _, r := range listed {
+			g.Expect(r.State).To(Equal(batch.Completed), "seed %d", seed)
+		}
+	}
+}
--- a/internal/batchrun/fake_engines_test.go
+++ b/internal/batchrun/fake_engines_test.go
@@ -209,6 +209,20 @@
 	}
 }
 
+// busyEngines returns the IDs of the engines that run samples, in ascending order.
+func (f *fakeEngines) busyEngines() []string {
+	var out []string
+	for _, id := range f.ids() {
+		f.mu.Lock()
+		busy := f.engines[id].running > 0
+		f.mu.Unlock()
+		if busy && !f.isDown(id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // ids returns the IDs of all engines in ascending order.
 func (f *fakeEngines) ids() []string {
 	f.mu.Lock()
--- a/internal/batchrun/schedule.go
+++ b/internal/batchrun/schedule.go
@@ -39,8 +39,7 @@
 	return r.s.modelPartitions.demand()
 }
 
-// scheduleLocked starts waiting samples on engines as the policy plans, and at most one
-// trial.
+// scheduleLocked starts waiting samples on engines as the policy plans, and trials.
 func (r *runner) scheduleLocked(ctx context.Context, model string, engines []registry.Upstream, w *modelWork, now time.Duration) {
 	if len(w.waiting) == 0 {
 		return
@@ -54,12 +53,13 @@
 		}
 		candidates = append(candidates, batch.Engine{ID: u.Incarnation(), Version: u.Models[model], Running: e.running, Slots: u.Slots, RelativeGap: relativeGaps[u.Incarnation()]})
 	}
-	ordinary, trials := r.splitTrialsLocked(w.waiting)
+	ordinary, trials := r.splitTrialsLocked(model, engines, w.waiting)
+	others := len(ordinary) + r.runCountLocked(model, false)
 	for _, start := range r.s.options.Policy.PlanSamples(ordinary, candidates, now) {
 		at := slices.IndexFunc(engines, func(u registry.Upstream) bool { return u.Incarnation() == start.Engine })
 		r.startRunLocked(ctx, model, engines[at], start.Sample)
 	}
-	r.startTrialLocked(ctx, model, engines, trials, now)
+	r.startTrialsLocked(ctx, model, engines, trials, others, now)
 	w.waiting = slices.DeleteFunc(w.waiting, func(x batch.WaitingSample) bool {
 		return r.runs[sampleKey{x.Batch, x.Index}] != nil
 	})
--- a/internal/crashes/samples.go
+++ b/internal/crashes/samples.go
@@ -8,12 +8,15 @@
 	// for most of the samples that shared it. Those that shared it with the sample to
 	// blame, and move on with it, get further on their next upstream, which clears them.
 	trialAfterConsecutive = 2
-	// trialAfterTotal is the number of upstreams lost in total after which a sample runs
-	// alone however far it got: it may crash them at no fixed position.
+	// trialAfterTotal is the number of upstreams lost in total from which each further one
+	// leads to a trial, however far the sample got: it may crash them at no fixed position.
 	trialAfterTotal = 4
 	// progressMargin is how many events past the position of a crash show that the sample
 	// didn't cause it: more than an upstream may have produced and not yet sent.
 	progressMargin = 2
+	// maxTrialMargin bounds the same for samples that lost trialAfterTotal upstreams or more.
+	// Each sample waits for the trials of those before it, so a trial must be short.
+	maxTrialMargin = 8
 	// CrasherPause is the pause between two runs of a sample that crashed an upstream
 	// while it ran alone. Such a sample may not be given up, nor be kept off upstreams for
 	// five seconds, which include the time until it has a slot.
@@ -41,8 +44,8 @@
 // Invariants:
 //   - a sample that crashes each upstream at the same position loses two that it shares
 //     with other samples, and runs alone from the third one on;
-//   - a sample that got progressMargin events past its last crash is ordinary again, until
-//     it has lost trialAfterTotal upstreams.
+//   - a sample that got its margin of events past its last crash is ordinary again, however many
+//     upstreams it has lost: a burst of crashes that had other causes keeps no sample waiting.
 type SampleTracker[K comparable] struct {
 	byKey map[K]*sampleState // samples that lost an upstream
 }
@@ -57,6 +60,21 @@
 	crashedAlone bool          // it was alone on one of the upstreams
 }
 
+// needsTrial reports whether the sample must run alone.
+func (s *sampleState) needsTrial() bool {
+	return s.consecutive >= trialAfterConsecutive || s.consecutive > 0 && s.total >= trialAfterTotal
+}
+
+// margin returns how many events past the position of its last crash clear the sample. It doubles
+// with each upstream from the fourth on.
+func (s *sampleState) margin() int {
+	margin := progressMargin
+	for n := trialAfterTotal; n <= s.total && margin < maxTrialMargin; n++ {
+		margin *= 2
+	}
+	return margin
+}
+
 // NewSampleTracker returns an empty set.
 func NewSampleTracker[K comparable]() *SampleTracker[K] {
 	return &SampleTracker[K]{byKey: map[K]*sampleState{}}
@@ -74,7 +92,7 @@
 		return
 	}
 	state.lastUpstream = upstream
-	if state.total > 0 && events >= state.furthest+progressMargin {
+	if state.total > 0 && events >= state.furthest+state.margin() {
 		state.consecutive = 0
 	}
 	state.consecutive++
@@ -88,10 +106,10 @@
 // ends its trial.
 func (s *SampleTracker[K]) Progressed(key K, events int) bool {
 	state := s.byKey[key]
-	if state == nil || state.consecutive == 0 || state.total >= trialAfterTotal || events < state.furthest+progressMargin {
+	if state == nil || state.consecutive == 0 || events < state.furthest+state.margin() {
 		return false
 	}
-	inTrial := state.consecutive >= trialAfterConsecutive
+	inTrial := state.needsTrial()
 	state.consecutive, state.crashedAlone = 0, false
 	return inTrial
 }
@@ -100,7 +118,7 @@
 func (s *SampleTracker[K]) RunMode(key K) (RunMode, time.Duration) {
 	state := s.byKey[key]
 	switch {
-	case state == nil || state.consecutive < trialAfterConsecutive && state.total < trialAfterTotal:
+	case state == nil || !state.needsTrial():
 		return Ordinary, 0
 	case !state.crashedAlone:
 		return Trial, 0
