gateway: crashes delay a reward call and don't block it

Found by reading, beside the report of samples never placed again: a sample's reward call goes through the gateway, which refuses a request under which three upstreams crashed for ten minutes (crashTTL), at every daemon. A burst of crashes among scorers under a sound sample's call therefore kept the sample from being listed until its batch was given up.

Change: a reward call is marked Owed. Blocked, it is refused with the rest of CrasherPause (4 s since the last crash) as Retry-After, and then sent again, to be run by one upstream at most. Callers' calls are blocked at the third crash as before.

Evidence: TestOwedCallIsDelayedAndNotBlockedByCrashes; without the change no call reached an upstream in the 20 s after the block (0 of the 2 or more that are owed). With it between 2 and 6 did, and the call was answered once the upstreams stopped crashing. TestRequestThatCrashesUpstreamsIsRefused, on callers' calls, is unchanged and passes.

--- a/internal/crashes/service.go
+++ b/internal/crashes/service.go
@@ -63,6 +63,14 @@
 	return s.table.Blocked(request, s.now())
 }
 
+// RetryDelay returns how long a request that is never refused for good must wait, 0: it may be
+// sent now.
+func (s *Tracker) RetryDelay(request poison.Fingerprint) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.RetryDelay(request, s.now())
+}
+
 var (
 	crashesMarked      = metrics.Counter("crashes_marked")
 	crashWriteFailures = metrics.Counter("crash_records_failed")
--- a/internal/crashes/table.go
+++ b/internal/crashes/table.go
@@ -72,6 +72,19 @@
 	return t.count(request, now) >= blockAfterCrashes
 }
 
+// RetryDelay returns how long a request that is sent however often it crashes upstreams must
+// wait: a blocked one is sent once in CrasherPause.
+func (t *Table) RetryDelay(request poison.Fingerprint, now time.Duration) time.Duration {
+	if !t.Blocked(request, now) {
+		return 0
+	}
+	var last time.Duration
+	for _, at := range t.crashes[request] {
+		last = max(last, at)
+	}
+	return max(0, last+CrasherPause-now)
+}
+
 // count returns how many crashes of a request haven't expired.
 func (t *Table) count(request poison.Fingerprint, now time.Duration) int {
 	n := 0
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -15,6 +15,9 @@
 	// Blocked reports whether a request has crashed so many upstreams that it must not be
 	// sent.
 	Blocked(request poison.Fingerprint) bool
+	// RetryDelay returns how long a blocked request must wait that is never refused for good, 0:
+	// it may be sent now.
+	RetryDelay(request poison.Fingerprint) time.Duration
 	// RecordCrash records that an upstream, named by its incarnation, crashed while it ran a
 	// request.
 	RecordCrash(ctx context.Context, request poison.Fingerprint, upstream string)
@@ -30,6 +33,8 @@
 	// it down. Meanwhile a request that succeeds on a retry shows that it is harmless, and
 	// no crash is recorded for it.
 	crashCheckDelay = 300 * time.Millisecond
+	// crashCheckTime is within which a crash is recorded if the upstream's address is reachable.
+	crashCheckTime = 2 * crashCheckDelay
 	// crashCheckTimeout bounds the check and the recording of a crash together.
 	crashCheckTimeout = 3 * time.Second
 )
@@ -41,16 +46,24 @@
 }
 
 // refuseCrasher refuses a request that has crashed too many upstreams. Otherwise each retry by its
-// caller would take down another upstream that other callers need.
+// caller would take down another upstream that other callers need. One that is owed is only
+// delayed, and then run by one upstream at most.
 func (g *Gateway) refuseCrasher(call *Call) *Refusal {
 	call.requestFingerprint = call.computeFingerprint()
 	if !g.crashes.Blocked(call.requestFingerprint) {
 		return nil
 	}
+	retryAfter := retryAfterCrash
+	if call.Owed {
+		if retryAfter = g.crashes.RetryDelay(call.requestFingerprint); retryAfter == 0 {
+			call.runOnce = true
+			return nil
+		}
+	}
 	callsRefused.Add(1)
 	g.log.Warn().Str("request", call.ID).Uint64("fingerprint", uint64(call.requestFingerprint)).Int("status", http.StatusServiceUnavailable).
-		Msg("request blocked: it crashed upstreams")
-	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterCrash, Reason: "request crashed upstreams"}
+		Bool("owed", call.Owed).Dur("retry_after", retryAfter).Msg("request blocked: it crashed upstreams")
+	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Reason: "request crashed upstreams"}
 }
 
 // checkForCrash checks, after a delay, whether an upstream whose connection broke has
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -27,6 +27,7 @@
 	resetOnly bool // they reset the connection of a killer but stay up
 
 	mu      sync.Mutex
+	calm    bool            // they respond to a killer too
 	down    map[string]bool // by ID
 	killers int             // killer requests that reached an upstream
 }
@@ -37,7 +38,7 @@
 	if f.down[u.ID] {
 		return nil, &exchange.Failure{Kind: exchange.Dial, Err: errors.New("connection refused")}
 	}
-	if string(c.Body) != "killer" {
+	if string(c.Body) != "killer" || f.calm {
 		return &Response{Status: http.StatusOK}, nil
 	}
 	f.killers++
@@ -100,3 +101,51 @@
 		})
 	}
 }
+
+// Guards against a reward call, and with it its sample, that is refused for good after a burst in
+// which scorers crashed under it. Once they are up again it must be answered; until then it may
+// take down one scorer in each pause.
+func TestOwedCallIsDelayedAndNotBlockedByCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		start := time.Now()
+		now := func() time.Duration { return time.Since(start) }
+		view := fleet.New(now)
+		view.UpdateUpstreams(func(r *registry.Registry, _ time.Duration) {
+			for i := range 20 {
+				r.Put(registry.Upstream{ID: fmt.Sprint("u", i), Service: "s", DataCentre: "here"})
+			}
+		})
+		tracker := crashes.New("vm", metastore.NewClient(metastore.New(1), time.Second), now, zerolog.Nop())
+		go tracker.Run(ctx)
+		f := &crashingUpstreams{down: map[string]bool{}}
+		gate := New(Options{View: view, Upstreams: f, Crashes: tracker, Suspects: health.NewSuspects(), DataCentre: "here", Now: now, Logger: zerolog.Nop()})
+		r := routes.Route{Kind: routes.Safe, MaxAttempts: 2, Services: []routes.WeightedService{{Service: "s", Weight: 1}}}
+		do := func() (*Response, *Refusal) {
+			return gate.Do(ctx, r, &Call{ID: "c", Body: []byte("killer"), Owed: true, Deadline: time.Now().Add(time.Second)})
+		}
+		for range 2 {
+			_, refusal := do()
+			g.Expect(refusal).NotTo(BeNil())
+			time.Sleep(time.Second)
+		}
+		const burst = 20 * time.Second
+		before := f.killers
+		for began := time.Now(); time.Since(began) < burst; {
+			_, refusal := do()
+			g.Expect(refusal).NotTo(BeNil())
+			g.Expect(refusal.RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", crashes.CrasherPause)))
+			time.Sleep(refusal.RetryAfter)
+		}
+		g.Expect(f.killers - before).To(And(BeNumerically(">=", 2), BeNumerically("<=", int(burst/crashes.CrasherPause)+1)))
+		f.mu.Lock()
+		f.calm = true
+		f.mu.Unlock()
+		time.Sleep(crashes.CrasherPause)
+		response, refusal := do()
+		g.Expect(refusal).To(BeNil())
+		g.Expect(response.Status).To(Equal(http.StatusOK))
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,12 +47,16 @@
 	// NewConn asks for new connections: an earlier call with the same ID was answered with a
 	// failure, and a late copy of that answer on a reused connection would pass for a new one.
 	NewConn bool
+	// Owed marks the call of a sample that an accepted batch keeps. Upstreams that crashed under
+	// it delay it, but don't block it.
+	Owed bool
 	// AnswerReserve is the number of bytes that the lease holds for an answer from the start.
 	AnswerReserve int64
 
 	latencyTarget      time.Duration // of the route
 	late               bool          // it can't be answered within the latency target any more
 	needsRoom          bool          // its first send must not go to an upstream that is known to be full
+	runOnce            bool          // one upstream may run it at most
 	requestFingerprint poison.Fingerprint
 	succeeded          atomic.Bool // an upstream ran the request and responded
 }
@@ -198,12 +202,18 @@
 	defer cancel()
 	a := &activeCall{g: g, route: route, call: call, service: service, tried: map[string]bool{}, results: make(chan sendResult, maxSends),
 		rule: sendRule(route, route.Kind == routes.Safe)}
+	if call.runOnce {
+		a.rule.MaxRuns = 1
+	}
 	response, refusal := a.run(ctx)
 	place.answered = response != nil
 	if response != nil {
 		response.ServerErrors = a.serverErrors
 	} else {
 		refusal.ServerErrors = a.serverErrors
+		if call.runOnce {
+			refusal.RetryAfter = max(refusal.RetryAfter, crashCheckTime) // the crash isn't recorded before
+		}
 	}
 	a.report(response, refusal, time.Since(startedAt))
 	return response, refusal
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -57,6 +57,7 @@
 type noCrashes struct{}
 
 func (noCrashes) Blocked(poison.Fingerprint) bool                         { return false }
+func (noCrashes) RetryDelay(poison.Fingerprint) time.Duration             { return 0 }
 func (noCrashes) RecordCrash(context.Context, poison.Fingerprint, string) {}
 func (noCrashes) RecordSuccess(context.Context, poison.Fingerprint)       {}
 
