--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -140,7 +140,7 @@
 		k.client.options.OnLeaving(k.target.Name)
 	}
 	if err := k.checkRequestID(resp); err != nil {
-		resp.Discard()
+		resp.CloseConn()
 		return nil, err
 	}
 	return resp, nil
--- a/internal/upstream/exchange/answer.go
+++ b/internal/upstream/exchange/answer.go
@@ -24,6 +24,9 @@
 	// encoding. A response that ends when the connection closes can't be distinguished
 	// from a truncated one.
 	framed bool
+
+	waitLimited bool          // waitLeft applies in place of SendOptions.ReadTimeout
+	waitLeft    time.Duration // for which further reads may wait in all
 }
 
 func newResponse(ctx context.Context, cancel context.CancelCauseFunc, x *attempt, resp *http.Response) *Response {
@@ -36,11 +39,19 @@
 	}
 }
 
-// Read reads the body with a timeout for this read. An error other than io.EOF is a
-// *Failure.
+// Read reads the body with a timeout, see SendOptions.ReadTimeout and LimitWait. An error other
+// than io.EOF is a *Failure.
 func (r *Response) Read(p []byte) (int, error) {
-	r.attempt.watchdog.reset(r.attempt.options.ReadTimeout)
+	limit := r.attempt.options.ReadTimeout
+	if r.waitLimited {
+		if limit = r.waitLeft; limit <= 0 {
+			r.cancel(errNoProgress)
+		}
+	}
+	r.attempt.watchdog.reset(limit)
+	began := time.Now()
 	n, err := r.body.Read(p)
+	r.waitLeft -= time.Since(began)
 	// The watchdog is off between reads: a slow caller isn't a silent server.
 	r.attempt.watchdog.stop()
 	if err == nil || errors.Is(err, io.EOF) {
@@ -49,6 +60,11 @@
 	return n, r.attempt.classify(r.ctx, err)
 }
 
+// LimitWait bounds for how long further reads of the body wait in all, until it is called again.
+// With a timeout for each read, a server that sends a byte now and then would never be silent.
+// The limit must be positive.
+func (r *Response) LimitWait(limit time.Duration) { r.waitLimited, r.waitLeft = true, limit }
+
 // SetReadTimeout sets the timeout of further reads of the body, 0: only the context limits
 // them.
 func (r *Response) SetReadTimeout(limit time.Duration) { r.attempt.options.ReadTimeout = limit }
@@ -92,10 +108,10 @@
 	r.cancel(nil)
 }
 
-// Discard ends the exchange and closes its connection, also if the body was read to its end or
+// CloseConn ends the exchange and closes its connection, also if the body was read to its end or
 // is empty. It is for a response that isn't the one to its request: what follows on the
 // connection belongs to yet another request.
-func (r *Response) Discard() {
+func (r *Response) CloseConn() {
 	r.Close()
 	r.attempt.closeConn()
 }
