platform: an answer without end takes a bounded share of the memory

Reward calls read up to 64 MB each into memory without any lease.

Causes: the answer to a call could have 64 MB whatever the VM's memory (a quarter of 164 MB is held for all calls). A body that doesn't mark its own end was read to the limit before it was rejected. Of a reward call's answer only the header is used, but its body was kept.

An unframed body is rejected unread. Reward calls drain the body to confirm its end and keep none of it (Response.Drain).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	// NewConn asks for new connections: an earlier call with the same ID was answered with a
 	// failure, and a late copy of that answer on a reused connection would pass for a new one.
 	NewConn bool
+	// DiscardAnswer drops the body of a complete answer, of which only the header is used.
+	DiscardAnswer bool
 	// Owed marks the call of a sample that an accepted batch keeps. Upstreams that crashed under
 	// it delay it, but don't block it.
 	Owed bool
--- a/internal/upstream/exchange/answer.go
+++ b/internal/upstream/exchange/answer.go
@@ -77,6 +77,9 @@
 // ReadAllLeased is ReadAll with a lease that grows by what the body takes beyond prepaid bytes,
 // which are in the lease already. It fails as NoRoom if the lease can't grow.
 func (r *Response) ReadAllLeased(limit int64, lease *membudget.Lease, prepaid int64) ([]byte, error) {
+	if !r.framed {
+		return nil, r.newFailure(Truncated, errUnframed)
+	}
 	length := r.contentLength
 	if r.body == http.NoBody {
 		length = 0 // the length in the response to a HEAD request is that of another body
@@ -90,10 +93,23 @@
 	case err != nil:
 		return nil, err
 	}
+	return data, nil
+}
+
+// Drain reads the body to its end as ReadAll does, and keeps none of it.
+func (r *Response) Drain(limit int64) error {
 	if !r.framed {
-		return nil, r.newFailure(Truncated, errUnframed)
+		return r.newFailure(Truncated, errUnframed)
 	}
-	return data, nil
+	if r.body != http.NoBody && r.contentLength > limit {
+		return r.newFailure(Malformed, ErrTooLarge)
+	}
+	// One byte beyond the limit, to tell a body of just that length from a longer one.
+	n, err := io.Copy(io.Discard, io.LimitReader(r, limit+1))
+	if err == nil && n > limit {
+		err = r.newFailure(Malformed, ErrTooLarge)
+	}
+	return err
 }
 
 func (r *Response) newFailure(kind Kind, err error) *Failure {
