upstream: comments, empty lines and single bytes without end are bounded

Seen by reading, beside the platform's streams: the event reader of the product's own engines forgot the size of blocks without data, so comments or empty lines could go on for as long as the request's deadline; and the body of a status query (16 MB at most) could take five seconds for each byte.

Evidence: the entries "sends comments without end" and "sends empty lines without end" and the test of a status query whose bytes come one by one failed before (for the last, the error came after an hour, the test's deadline, in place of five seconds); all pass now.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -171,8 +171,10 @@
 	return resp, k.decodeBody(resp, result)
 }
 
-// decodeBody decodes the JSON body of a response into result.
+// decodeBody decodes the JSON body of a response into result. The body may take as long as one
+// part of a stream, however slowly its bytes come.
 func (k *call) decodeBody(resp *exchange.Response, result any) error {
+	resp.LimitWait(k.client.options.ProgressTimeout)
 	data, err := resp.ReadAll(k.client.options.MaxBodyBytes)
 	if err != nil {
 		return k.responseError(resp, err)
--- a/internal/upstream/faults_test.go
+++ b/internal/upstream/faults_test.go
@@ -55,6 +55,8 @@
 		Entry("sends a negative token count", streamResponse("r1", strings.Replace(chunk, `"tokens":1`, `"tokens":-1`, 1)+endMarker), closeConn, Malformed, outcome.Unknown, ""),
 		Entry("sends invalid JSON", streamResponse("r1", "data: {\n\n"+endMarker), closeConn, Malformed, outcome.Unknown, ""),
 		Entry("sends an unknown field name", streamResponse("r1", "dat"+chunk+endMarker), closeConn, Malformed, outcome.Unknown, ""),
+		Entry("sends comments without end", streamResponse("r1", chunk+strings.Repeat(": x\n\n", 400)), closeConn, Malformed, outcome.Unknown, "a"),
+		Entry("sends empty lines without end", streamResponse("r1", chunk+strings.Repeat("\n", 2<<10)), closeConn, Malformed, outcome.Unknown, "a"),
 		Entry("sends an endless line", streamResponse("r1", "data: "+strings.Repeat("x", 40<<10)), closeConn, Malformed, outcome.Unknown, ""),
 		Entry("sends an endless event", streamResponse("r1", strings.Repeat("data: x\n", 1<<10)), closeConn, Malformed, outcome.Unknown, ""),
 		Entry("sends a response that is no event stream", sizedResponse(200, "X-Request-Id: r1\r\n", "{}"), closeConn, Malformed, outcome.Unknown, ""),
--- a/internal/upstream/timeout_test.go
+++ b/internal/upstream/timeout_test.go
@@ -135,6 +135,23 @@
 		request := ServiceRequest{Method: "GET", Path: "/", FirstByteTimeout: time.Second}
 		g.Expect(callWithinMinute(newPipedClient(Options{}, &dials, respondWith()), request)).To(failWith(Silent, outcome.Unknown))
 	})
+	runInBubble("a response to a status query whose bytes come one by one ends in a timeout", t, func(g *WithT) {
+		c := newPipedClient(Options{}, &dials, func(conn net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")
+			for err == nil {
+				time.Sleep(time.Second)
+				_, err = io.WriteString(conn, " ")
+			}
+		})
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+		defer cancel()
+		_, err := c.Load(ctx, unusedTarget)
+		g.Expect(err).To(failWith(Silent, outcome.Unknown))
+		g.Expect(time.Since(start)).To(Equal(DefaultProgressTimeout))
+		time.Sleep(2 * time.Second) // the upstream notices the closed connection
+	})
 	runInBubble("a dial that hangs ends in a timeout: the outcome is \"not run\"", t, func(g *WithT) {
 		c := New(Options{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			<-ctx.Done()
