dogwoodflowd: lines of net/http are structured and bounded

Seen in the trials of bytes without end: what an upstream sends on an idle connection was written to standard error as one quoted line of up to four times 4 KB, past the logger, its rate limit and its format.

Cause: net/http's client reports it to the standard log package, which nobody set. Change: logline.StdWriter makes one warning of at most 2 KB of each such line. Evidence: TestLinesOfTheStandardLogAreBounded: 4 KB of zeros, a line of 16 KB before, one of under 4 KB now.

--- a/cmd/dogwoodflowd/main.go
+++ b/cmd/dogwoodflowd/main.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	stdlog "log"
 	"os"
 	"runtime/debug"
 
@@ -57,6 +58,7 @@
 	out := logline.New(os.Stdout)
 	defer out.Close()
 	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
+	logStandardLines(log)
 	disabled, err := policy.Parse(d.DisabledMechanisms)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "dogwoodflowd:", err)
@@ -76,7 +78,15 @@
 	if d.LogFormat == "console" {
 		log = log.Output(zerolog.ConsoleWriter{Out: os.Stderr})
 	}
-	return log.Level(level).With().Timestamp().Str("vm", string(d.VM)).Logger()
+	log = log.Level(level).With().Timestamp().Str("vm", string(d.VM)).Logger()
+	logStandardLines(log)
+	return log
+}
+
+// logStandardLines makes the standard log package, which net/http uses, write structured lines.
+func logStandardLines(log zerolog.Logger) {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(logline.StdWriter{Logger: log})
 }
 
 func goVersion() string {
