gateway: a crash on a reused connection counts

Cause: a reset on a connection that had served a request looks like that of an idle connection which the server closed in the meantime, so recordSend neither suspected the server nor checked whether it had crashed. The busier a server, the more of its crashes came so.

Change: such a reset starts the check, which alone can tell the two apart: a crashed server accepts no connection 300 ms later. It still casts no suspicion by itself.

Evidence: TestCrashOnAReusedConnectionCounts sent the request ten times before and four times now (two calls with two sends each); where the upstream stays up all ten are still sent.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -25,6 +25,7 @@
 // crashingUpstreams crash on the request body "killer" and respond to any other.
 type crashingUpstreams struct {
 	resetOnly bool // they reset the connection of a killer but stay up
+	reused    bool // their connections had served a request before
 
 	mu      sync.Mutex
 	calm    bool            // they respond to a killer too
@@ -43,7 +44,7 @@
 	}
 	f.killers++
 	f.down[u.ID] = !f.resetOnly
-	return nil, &exchange.Failure{Kind: exchange.Reset, Sent: true, Err: errors.New("connection reset")}
+	return nil, &exchange.Failure{Kind: exchange.Reset, Sent: true, Reused: f.reused, Err: errors.New("connection reset")}
 }
 
 func (f *crashingUpstreams) Open(context.Context, registry.Upstream, *Call, Resume) (*Stream, error) {
@@ -56,6 +57,24 @@
 	return !f.down[u.ID]
 }
 
+// newCrashGateway returns a gateway before twenty upstreams.
+func newCrashGateway(ctx context.Context, f *crashingUpstreams) *Gateway {
+	start := time.Now()
+	now := func() time.Duration { return time.Since(start) }
+	view := fleet.New(now)
+	view.UpdateUpstreams(func(r *registry.Registry, _ time.Duration) {
+		for i := range 20 {
+			r.Put(registry.Upstream{ID: fmt.Sprint("u", i), Service: "s", DataCentre: "here"})
+		}
+	})
+	tracker := crashes.New("vm", metastore.NewClient(metastore.New(1), time.Second), now, zerolog.Nop())
+	go tracker.Run(ctx)
+	return New(Options{View: view, Upstreams: f, Crashes: tracker, Suspects: health.NewSuspects(), DataCentre: "here", Now: now, Logger: zerolog.Nop()})
+}
+
+// crashRoute is a route to the upstreams of newCrashGateway.
+var crashRoute = routes.Route{Kind: routes.Safe, MaxAttempts: 2, Services: []routes.WeightedService{{Service: "s", Weight: 1}}}
+
 // Guards against a request that crashes each upstream that runs it and is retried by its
 // caller until no upstream is left for other calls. After three crashes it must be refused
 // without a send. A request whose connections are only reset must still be sent.
@@ -66,21 +85,10 @@
 				g := NewWithT(t)
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
-				start := time.Now()
-				now := func() time.Duration { return time.Since(start) }
-				view := fleet.New(now)
-				view.UpdateUpstreams(func(r *registry.Registry, _ time.Duration) {
-					for i := range 20 {
-						r.Put(registry.Upstream{ID: fmt.Sprint("u", i), Service: "s", DataCentre: "here"})
-					}
-				})
-				tracker := crashes.New("vm", metastore.NewClient(metastore.New(1), time.Second), now, zerolog.Nop())
-				go tracker.Run(ctx)
 				f := &crashingUpstreams{resetOnly: resetOnly, down: map[string]bool{}}
-				gate := New(Options{View: view, Upstreams: f, Crashes: tracker, Suspects: health.NewSuspects(), DataCentre: "here", Now: now, Logger: zerolog.Nop()})
-				r := routes.Route{Kind: routes.Safe, MaxAttempts: 2, Services: []routes.WeightedService{{Service: "s", Weight: 1}}}
+				gate := newCrashGateway(ctx, f)
 				do := func(body string) (*Response, *Refusal) {
-					return gate.Do(ctx, r, &Call{ID: "c", Body: []byte(body), Deadline: time.Now().Add(time.Second)})
+					return gate.Do(ctx, crashRoute, &Call{ID: "c", Body: []byte(body), Deadline: time.Now().Add(time.Second)})
 				}
 				for range 5 {
 					_, refusal := do("killer")
@@ -102,6 +110,31 @@
 	}
 }
 
+// Guards against a request that is never blocked because its crashes come on connections that had
+// served other calls: such a reset looks like that of an idle connection. If the upstream is up, it
+// must still count as no crash.
+func TestCrashOnAReusedConnectionCounts(t *testing.T) {
+	for _, resetOnly := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			f := &crashingUpstreams{resetOnly: resetOnly, reused: true, down: map[string]bool{}}
+			gate := newCrashGateway(ctx, f)
+			for range 5 {
+				_, refusal := gate.Do(ctx, crashRoute, &Call{ID: "c", Body: []byte("killer"), Deadline: time.Now().Add(time.Second)})
+				g.Expect(refusal).NotTo(BeNil())
+				time.Sleep(time.Second)
+			}
+			if resetOnly {
+				g.Expect(f.killers).To(Equal(10))
+			} else {
+				g.Expect(f.killers).To(Equal(4), "two calls with two sends each")
+			}
+		})
+	}
+}
+
 // Guards against a reward call, and with it its sample, that is refused for good after a burst in
 // which scorers crashed under it. Once they are up again it must be answered; until then it may
 // take down one scorer in each pause.
@@ -110,21 +143,10 @@
 		g := NewWithT(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		start := time.Now()
-		now := func() time.Duration { return time.Since(start) }
-		view := fleet.New(now)
-		view.UpdateUpstreams(func(r *registry.Registry, _ time.Duration) {
-			for i := range 20 {
-				r.Put(registry.Upstream{ID: fmt.Sprint("u", i), Service: "s", DataCentre: "here"})
-			}
-		})
-		tracker := crashes.New("vm", metastore.NewClient(metastore.New(1), time.Second), now, zerolog.Nop())
-		go tracker.Run(ctx)
 		f := &crashingUpstreams{down: map[string]bool{}}
-		gate := New(Options{View: view, Upstreams: f, Crashes: tracker, Suspects: health.NewSuspects(), DataCentre: "here", Now: now, Logger: zerolog.Nop()})
-		r := routes.Route{Kind: routes.Safe, MaxAttempts: 2, Services: []routes.WeightedService{{Service: "s", Weight: 1}}}
+		gate := newCrashGateway(ctx, f)
 		do := func() (*Response, *Refusal) {
-			return gate.Do(ctx, r, &Call{ID: "c", Body: []byte("killer"), Owed: true, Deadline: time.Now().Add(time.Second)})
+			return gate.Do(ctx, crashRoute, &Call{ID: "c", Body: []byte("killer"), Owed: true, Deadline: time.Now().Add(time.Second)})
 		}
 		for range 2 {
 			_, refusal := do()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -383,7 +383,11 @@
 		g.balancer.recordSuccess(u.Incarnation(), observation(response, responseTime), now)
 		g.observeLoad(call, u, response)
 		g.clearCrashes(ctx, call, response)
-	case ctx.Err() == nil && errors.As(err, &f) && f.Kind != exchange.Malformed && f.Kind != exchange.NoRoom && !f.StaleConn():
+	case ctx.Err() != nil || !errors.As(err, &f) || f.Kind == exchange.Malformed || f.Kind == exchange.NoRoom:
+	case f.StaleConn():
+		// The upstream may have closed an idle connection, or crashed: only the check can tell.
+		g.checkForCrash(ctx, u, call, f)
+	default:
 		g.balancer.recordFailure(u.Incarnation(), now)
 		g.checkForCrash(ctx, u, call, f)
 	}
