crashes: suspects that run count for the isolation as well

Found in the read-through: only waiting suspects were counted. Where a burst hit more samples than the engines have slots, the first ones started beside others, and the few that still waited were isolated, each of which emptied an engine for its trial.

--- a/internal/batchrun/schedule.go
+++ b/internal/batchrun/schedule.go
@@ -54,7 +54,7 @@
 		candidates = append(candidates, batch.Engine{ID: u.Incarnation(), Version: u.Models[model], Running: e.running, Slots: u.Slots, RelativeGap: relativeGaps[u.Incarnation()]})
 	}
 	ordinary, trials := r.splitTrialsLocked(model, engines, w.waiting)
-	others := len(ordinary) + r.runCountLocked(model, false)
+	others := len(ordinary) + r.runsBesideOthersLocked(model)
 	for _, start := range r.s.options.Policy.PlanSamples(ordinary, candidates, now) {
 		at := slices.IndexFunc(engines, func(u registry.Upstream) bool { return u.Incarnation() == start.Engine })
 		r.startRunLocked(ctx, model, engines[at], start.Sample)
--- a/internal/batchrun/trial.go
+++ b/internal/batchrun/trial.go
@@ -101,6 +101,9 @@
 // splitTrialsLocked separates the waiting samples of a model that have to run alone from the
 // others. engines are the model's.
 func (r *runner) splitTrialsLocked(model string, engines []registry.Upstream, waiting []batch.WaitingSample) (ordinary, trials []batch.WaitingSample) {
+	if len(engines) == 0 {
+		return waiting, nil
+	}
 	slots := 0
 	for _, u := range engines {
 		slots = max(slots, u.Slots)
@@ -114,7 +117,7 @@
 		w.NotBefore = max(w.NotBefore, from)
 		trials = append(trials, w)
 	}
-	isolate := crashes.IsolateSuspects(len(trials)+r.runCountLocked(model, true), slots)
+	isolate := crashes.IsolateSuspects(len(trials)+r.runningSuspectsLocked(model), slots)
 	r.logIsolationLocked(model, isolate, len(trials))
 	if !isolate {
 		return waiting, nil
@@ -179,11 +182,23 @@
 	r.log.Info().Str("batch", w.Batch).Str("sample", x.sampleID).Str("upstream", x.incarnation).Int("crashes", lost).Msg("sample runs alone")
 }
 
-// runCountLocked returns how many samples of a model run now, either alone or beside others.
-func (r *runner) runCountLocked(model string, alone bool) int {
+// runningSuspectsLocked returns how many of a model's runs are of samples that lost engines and
+// haven't got past the crash yet.
+func (r *runner) runningSuspectsLocked(model string) int {
+	n := 0
+	for key, x := range r.runs {
+		if mode, _ := r.crashes.RunMode(key); x.model == model && mode != crashes.Ordinary {
+			n++
+		}
+	}
+	return n
+}
+
+// runsBesideOthersLocked returns how many samples of a model run beside others.
+func (r *runner) runsBesideOthersLocked(model string) int {
 	n := 0
 	for _, x := range r.runs {
-		if x.trial == alone && x.model == model {
+		if x.model == model && !x.trial {
 			n++
 		}
 	}
--- a/internal/crashes/trials.go
+++ b/internal/crashes/trials.go
@@ -7,7 +7,7 @@
 )
 
 // IsolateSuspects reports whether samples that lost engines have to run alone, given how many
-// there are and the slots of an engine.
+// wait or run that haven't got past the crash, and the slots of an engine.
 //
 // A sample that crashes its engines shares each with fewer others than an engine has slots, so it
 // leaves at most so many suspects. More than that were crashed by something else; run one after
--- a/internal/crashes/trials_test.go
+++ b/internal/crashes/trials_test.go
@@ -133,13 +133,16 @@
 		}
 		suspects = append(suspects, TrialCandidate[int]{Key: key, NotBefore: from})
 	}
-	trials := 0
-	for _, r := range m.running {
+	trials, running := 0, 0
+	for key, r := range m.running {
+		if mode, _ := m.tracker.RunMode(key); mode != Ordinary {
+			running++
+		}
 		if r.trial {
 			trials++
 		}
 	}
-	if !IsolateSuspects(len(suspects)+trials, m.slots) {
+	if !IsolateSuspects(len(suspects)+running, m.slots) {
 		ordinary, suspects = slices.Clone(m.waiting), nil
 	}
 	others := len(ordinary) + len(m.running) - trials
@@ -216,13 +219,13 @@
 	}
 }
 
-// Engines died in a burst under sound samples. With the engines up again and under half full, no
-// sample may wait until it counts as lost: five seconds without a run, once the shortest window
-// after a disruption, three seconds, has passed.
+// Engines died in a burst under sound samples. With the engines up again, no sample may wait until
+// it counts as lost: five seconds without a run, once the shortest window after a disruption, three
+// seconds, has passed. The last table entries have twice as many samples as slots.
 func TestSamplesRunSoonAfterABurstOfCrashes(t *testing.T) {
 	const maxWait = 3*time.Second + 5*time.Second
 	for _, c := range []struct{ engines, slots int }{{2, 16}, {3, 16}, {9, 16}, {16, 6}, {48, 8}} {
-		for _, samples := range []int{1, 5, c.slots, c.slots + 1, c.engines * c.slots / 2} {
+		for _, samples := range []int{1, 5, c.slots, c.slots + 1, c.engines * c.slots / 2, 2 * c.engines * c.slots} {
 			for _, crashes := range []int{1, 2, 4, 8, 15} {
 				m := newBurstModel(samples, c.engines, c.slots, crashes)
 				m.run()
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -33,7 +33,7 @@
 	// it down. Meanwhile a request that succeeds on a retry shows that it is harmless, and
 	// no crash is recorded for it.
 	crashCheckDelay = 300 * time.Millisecond
-	// crashCheckTime is within which a crash is recorded if the upstream's address is reachable.
+	// crashCheckTime is the time from a crash until it is recorded, unless the check hangs.
 	crashCheckTime = 2 * crashCheckDelay
 	// crashCheckTimeout bounds the check and the recording of a crash together.
 	crashCheckTimeout = 3 * time.Second
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -384,6 +384,7 @@
 		g.observeLoad(call, u, response)
 		g.clearCrashes(ctx, call, response)
 	case ctx.Err() != nil || !errors.As(err, &f) || f.Kind == exchange.Malformed || f.Kind == exchange.NoRoom:
+		// It doesn't say that the upstream is down.
 	case f.StaleConn():
 		// The upstream may have closed an idle connection, or crashed: only the check can tell.
 		g.checkForCrash(ctx, u, call, f)
--- a/internal/upstream/eventlines/eventlines.go
+++ b/internal/upstream/eventlines/eventlines.go
@@ -56,5 +56,5 @@
 	return buffered
 }
 
-// Drain reads one byte, to reach the end of the stream if nothing follows.
-func (r *Reader) Drain() { _, _ = r.in.ReadByte() }
+// ReadEnd reads one byte, to reach the end of the stream if nothing follows.
+func (r *Reader) ReadEnd() { _, _ = r.in.ReadByte() }
--- a/internal/upstream/exchange/answer.go
+++ b/internal/upstream/exchange/answer.go
@@ -45,7 +45,7 @@
 	limit := r.attempt.options.ReadTimeout
 	if r.waitLimited {
 		if limit = r.waitLeft; limit <= 0 {
-			r.cancel(errNoProgress)
+			r.cancel(errNoProgress) // makes the read below fail, or the one after the buffer's rest
 		}
 	}
 	r.attempt.watchdog.reset(limit)
--- a/internal/upstream/sse.go
+++ b/internal/upstream/sse.go
@@ -97,4 +97,4 @@
 }
 
 // readEnd reads the end of the response if no data precedes it.
-func (r *eventReader) readEnd() { r.lines.Drain() }
+func (r *eventReader) readEnd() { r.lines.ReadEnd() }
