poison: a step's sample is delayed by deaths and not rejected for good

Trainers on the product's own interface could see: a group of sound samples delivered as failed, "poison", after a burst in which two engines died under one of them, the second while it ran alone.

Cause: a sample was convicted at its second counted death for ten minutes, as a caller's request is, and the step took the refusal for final. Samples are handed in for later and owed.

Change: dispatch notes samples of steps, and the requests that score them, as owed; a convicted request that is owed becomes a suspect again four seconds after each death, and a success in a trial clears it. The step retries such a refusal at its RetryAfter.

No existing test was changed. The platform uses nothing of these packages but the fingerprint.

--- a/internal/app/rollouts.go
+++ b/internal/app/rollouts.go
@@ -114,7 +114,8 @@
 	failure := rollout.Failure{RetryAfter: e.RetryAfter, Reason: e.Reason.String()}
 	switch {
 	case e.Reason == dispatch.ReasonPoison:
-		failure.Kind = rollout.Poison
+		// The step is owed its samples: RetryAfter says when this one may run alone again.
+		failure.Kind = rollout.Transient
 	case refusedForGood(err):
 		failure.Kind = rollout.Permanent
 	case e.Outcome == outcome.NotRun && e.Reason == dispatch.ReasonNoUpstream:
--- a/internal/dispatch/probation_test.go
+++ b/internal/dispatch/probation_test.go
@@ -231,6 +231,43 @@
 	}))
 })
 
+var _ = Describe("a step's sample under which engines died in a burst", func() {
+	// Two engines died under a sound sample, the second one while it ran alone. The sample was
+	// rejected for ten minutes, and its group was delivered as failed. A caller's request with as
+	// many deaths must still be rejected.
+	It("runs alone again after a pause", withDaemon(2, PolicyFull, func(g Gomega, w *world, d *Dispatcher) {
+		sample := GenerateRequest{ID: "s", Team: "t", Model: "m", Class: ClassRollout, Prompt: "sample", MaxTokens: answerTokens}
+		call := GenerateRequest{ID: "c", Team: "t", Model: "m", Prompt: "call", MaxTokens: answerTokens}
+		for _, request := range []GenerateRequest{sample, call} {
+			for _, boot := range []string{"a", "b"} {
+				d.recordDeath(requestFingerprint(request), poison.Death{Upstream: "e9", BootID: boot})
+			}
+		}
+		_, err := d.Generate(context.Background(), sample, nil)
+		g.Expect(dispatchError(err).Reason).To(Equal(ReasonPoison))
+		retryAfter := dispatchError(err).RetryAfter
+		g.Expect(retryAfter).To(BeNumerically("<=", 4*time.Second))
+		time.Sleep(retryAfter)
+		answer, err := d.Generate(context.Background(), sample, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Text).To(Equal(fullAnswer()))
+		_, err = d.Generate(context.Background(), call, nil)
+		g.Expect(dispatchError(err).Reason).To(Equal(ReasonPoison))
+		g.Expect(dispatchError(err).RetryAfter).To(BeNumerically(">", time.Minute))
+	}))
+
+	It("costs at most one engine in each pause if it does kill them", withDaemon(6, PolicyFull, func(g Gomega, w *world, d *Dispatcher) {
+		sample := GenerateRequest{ID: "s", Team: "t", Model: "m", Class: ClassRollout, Prompt: killerPrompt, MaxTokens: answerTokens}
+		const duration = 20 * time.Second
+		for began := time.Now(); time.Since(began) < duration; {
+			_, err := d.Generate(context.Background(), sample, nil)
+			g.Expect(err).To(HaveOccurred())
+			time.Sleep(max(dispatchError(err).RetryAfter, 100*time.Millisecond))
+		}
+		g.Expect(w.deaths()).To(And(BeNumerically(">", 2), BeNumerically("<=", 2+int(duration/(4*time.Second)))))
+	}))
+})
+
 var _ = Describe("the trials of two suspects at two daemons", func() {
 	// Both suspects were running on an engine that died. The daemons quarantined the same
 	// engine at the same moment, before they heard of each other's trial. A third daemon was
--- a/internal/dispatch/requestrun.go
+++ b/internal/dispatch/requestrun.go
@@ -62,6 +62,9 @@
 	if r.dispatcher.options.Policy == PolicyNaive {
 		return r.shard.acquire(ctx, r.placement, 0)
 	}
+	if r.placement.route.Class == routing.ClassRollout {
+		r.dispatcher.setOwed(r.fingerprint)
+	}
 	decision := r.dispatcher.poisonDecision(r.fingerprint)
 	switch {
 	case decision.Verdict == poison.Busy && r.mayWaitForPeerTrial():
--- a/internal/dispatch/trials.go
+++ b/internal/dispatch/trials.go
@@ -18,6 +18,13 @@
 	return d.suspectMarks.Admit(fp, d.options.Now())
 }
 
+// setOwed notes that a request is a sample of a training step or scores one.
+func (d *Dispatcher) setOwed(fp poison.Fingerprint) {
+	d.poisonMu.Lock()
+	defer d.poisonMu.Unlock()
+	d.suspectMarks.SetOwed(fp, d.options.Now())
+}
+
 // logSuspect logs what this daemon knows of a suspect, with the fields that addFields adds.
 // The number of lines is limited by the requests in flight on the upstreams that die.
 func (d *Dispatcher) logSuspect(fp poison.Fingerprint, message string, addFields func(*zerolog.Event)) {
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -10,8 +10,13 @@
 // maxDeathsPerMark bounds the deaths that one mark holds.
 const maxDeathsPerMark = 8
 
-// deathsToConvict is the number of counted deaths at which a request is rejected.
-const deathsToConvict = 2
+const (
+	// deathsToConvict is the number of counted deaths at which a request is rejected.
+	deathsToConvict = 2
+	// owedPause is the time from a death to the next trial of a request that is never rejected for
+	// good. Such a request costs at most one upstream in that time.
+	owedPause = 4 * time.Second
+)
 
 // Options configure the marks of a daemon.
 type Options struct {
@@ -47,7 +52,8 @@
 // not safe for concurrent use.
 //
 // Invariants:
-//   - a request with two deaths that count isn't admitted until its mark expires. So a
+//   - a request with two deaths that count isn't admitted until its mark expires, unless it is
+//     owed: then it runs in a trial again after each owedPause. So a
 //     request that crashes its upstream at its start, at some token or at its end costs
 //     at most two upstreams. Copies that other daemons have in flight before they hear
 //     of the first death run on the same upstream (see [Placements]), or are stopped when
@@ -81,8 +87,8 @@
 	if m == nil || m.CountedDeaths() == 0 {
 		return Decision{Verdict: Clean}
 	}
-	if m.CountedDeaths() >= deathsToConvict {
-		return Decision{Verdict: Convicted, RetryAfter: m.Expires.Sub(now)}
+	if retryAt := k.retryAt(m); now.Before(retryAt) {
+		return Decision{Verdict: Convicted, RetryAfter: retryAt.Sub(now)}
 	}
 	if m.TrialVM != "" && m.TrialVM != k.options.Self && now.Before(m.TrialExpires) {
 		return Decision{Verdict: Busy, RetryAfter: m.TrialExpires.Sub(now)}
@@ -90,6 +96,28 @@
 	return Decision{Verdict: Suspect}
 }
 
+// retryAt returns until when a request is rejected, the zero time if it isn't.
+func (k *Tracker) retryAt(m *Mark) time.Time {
+	switch {
+	case m.CountedDeaths() < deathsToConvict:
+		return time.Time{}
+	case m.owed:
+		return m.Expires.Add(owedPause - k.options.MarkTTL)
+	}
+	return m.Expires
+}
+
+// isConvicted reports whether no trial can clear the request any more.
+func (m *Mark) isConvicted() bool { return m.CountedDeaths() >= deathsToConvict && !m.owed }
+
+// SetOwed notes that a suspect is a sample of a training step. Its step has been accepted and is
+// kept, so no number of deaths rejects it for good.
+func (k *Tracker) SetOwed(fp Fingerprint, now time.Time) {
+	if m := k.unexpiredMark(fp, now); m != nil {
+		m.owed = true
+	}
+}
+
 // Died records that an upstream's process ended while the request ran on it. It reports
 // whether that changed the mark, so that peers have to be told at once.
 func (k *Tracker) Died(fp Fingerprint, d Death, now time.Time) bool {
@@ -138,7 +166,7 @@
 	if m.TrialVM == k.options.Self {
 		m.endTrial()
 	}
-	if succeeded && m.CountedDeaths() < deathsToConvict {
+	if succeeded && !m.isConvicted() {
 		m.clearDeaths()
 	}
 }
@@ -155,7 +183,7 @@
 // one that crashes upstreams at no fixed position is rejected as well.
 func (k *Tracker) Progressed(fp Fingerprint, tokens int, now time.Time) bool {
 	m := k.unexpiredMark(fp, now)
-	if m == nil || m.TrialVM != k.options.Self || m.CountedDeaths() >= deathsToConvict {
+	if m == nil || m.TrialVM != k.options.Self || m.isConvicted() {
 		return false
 	}
 	for _, d := range m.Deaths {
--- a/scripts/prove/labels.sh
+++ b/scripts/prove/labels.sh
@@ -17,8 +17,8 @@
 "$BIN/standin" fault --value 600 "http://127.0.0.1:$(upstream_port 2)" report_before_serving
 start_trainer trainer 3 --steps 2 --prompts 64 --tokens-min 200 --tokens-max 500
 
-# One kill a step: a request that was running at both could rightly be taken for
-# the cause (poison) and its group given up.
+# One kill a step: a sample that was running at both could be taken for the cause
+# (poison), and would wait some seconds for each trial.
 for step in 1 2; do
   samples trainer $step 20
   publish_next
