--- a/internal/app/rollouts.go
+++ b/internal/app/rollouts.go
@@ -114,7 +114,7 @@
 	failure := rollout.Failure{RetryAfter: e.RetryAfter, Reason: e.Reason.String()}
 	switch {
 	case e.Reason == dispatch.ReasonPoison:
-		// The step is owed its samples: RetryAfter says when this one may run alone again.
+		// Samples of an accepted step are durable: RetryAfter says when this one may run alone again.
 		failure.Kind = rollout.Transient
 	case refusedForGood(err):
 		failure.Kind = rollout.Permanent
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -49,15 +49,15 @@
 	rewardCalls      map[sampleKey]*rewardCall
 	// estimator learns how long samples run. It is common to all models, since they share
 	// engines.
-	estimator      *batch.Estimator
-	finished       map[sampleKey]bool // their result is in the outbox
-	retries        map[sampleKey]retryState
-	crashes        *crashes.SampleTracker[sampleKey]
-	crashChecks    map[string][]brokenRun     // by incarnation being checked, the runs that broke there
-	unisolated     map[string]bool            // by model, its suspects run beside other samples
-	engines        map[string]*engine         // by incarnation
-	requests       map[string][]batch.Request // by ID of an open batch, nil while they are read
-	ignoredResults []sampleKey                // of results that had no effect, under ignoredMu
+	estimator          *batch.Estimator
+	finished           map[sampleKey]bool // their result is in the outbox
+	retries            map[sampleKey]retryState
+	crashes            *crashes.SampleTracker[sampleKey]
+	crashChecks        map[string][]brokenRun     // by incarnation being checked, the runs that broke there
+	isolationSuspended map[string]bool            // by model, its suspects run beside other samples
+	engines            map[string]*engine         // by incarnation
+	requests           map[string][]batch.Request // by ID of an open batch, nil while they are read
+	ignoredResults     []sampleKey                // of results that had no effect, under ignoredMu
 
 	ignoredMu sync.Mutex // separate from mu, because it is locked under the partition's lock
 }
@@ -119,7 +119,7 @@
 		s: s, partition: p, outbox: newOutbox(s.options.Log, s.blobs, p.number, log), inContact: inContact, log: log,
 		wakeups: make(chan struct{}, 1), runs: map[sampleKey]*run{}, texts: map[sampleKey]*text{}, rewardCalls: map[sampleKey]*rewardCall{}, estimator: batch.NewEstimator(),
 		demandNotBefore: map[string]time.Duration{}, requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]retryState{}, engines: map[string]*engine{},
-		crashes: crashes.NewSampleTracker[sampleKey](), crashChecks: map[string][]brokenRun{}, unisolated: map[string]bool{},
+		crashes: crashes.NewSampleTracker[sampleKey](), crashChecks: map[string][]brokenRun{}, isolationSuspended: map[string]bool{},
 	}
 }
 
--- a/internal/batchrun/trial.go
+++ b/internal/batchrun/trial.go
@@ -127,10 +127,10 @@
 
 // logIsolationLocked logs when a model's suspects start or cease to run beside other samples.
 func (r *runner) logIsolationLocked(model string, isolate bool, suspects int) {
-	if isolate != r.unisolated[model] {
+	if isolate != r.isolationSuspended[model] {
 		return
 	}
-	r.unisolated[model] = !isolate
+	r.isolationSuspended[model] = !isolate
 	r.log.Warn().Str("model", model).Int("suspects", suspects).Bool("isolated", isolate).Msg("isolation of samples that lost engines changed")
 }
 
--- a/internal/dispatch/requestrun.go
+++ b/internal/dispatch/requestrun.go
@@ -63,7 +63,7 @@
 		return r.shard.acquire(ctx, r.placement, 0)
 	}
 	if r.placement.route.Class == routing.ClassRollout {
-		r.dispatcher.setOwed(r.fingerprint)
+		r.dispatcher.setDurable(r.fingerprint)
 	}
 	decision := r.dispatcher.poisonDecision(r.fingerprint)
 	switch {
--- a/internal/dispatch/trials.go
+++ b/internal/dispatch/trials.go
@@ -18,11 +18,11 @@
 	return d.suspectMarks.Admit(fp, d.options.Now())
 }
 
-// setOwed notes that a request is a sample of a training step or scores one.
-func (d *Dispatcher) setOwed(fp poison.Fingerprint) {
+// setDurable notes that a request is a sample of a training step or scores one.
+func (d *Dispatcher) setDurable(fp poison.Fingerprint) {
 	d.poisonMu.Lock()
 	defer d.poisonMu.Unlock()
-	d.suspectMarks.SetOwed(fp, d.options.Now())
+	d.suspectMarks.SetDurable(fp, d.options.Now())
 }
 
 // logSuspect logs what this daemon knows of a suspect, with the fields that addFields adds.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -46,7 +46,7 @@
 }
 
 // refuseCrasher refuses a request that has crashed too many upstreams. Otherwise each retry by its
-// caller would take down another upstream that other callers need. One that is owed is only
+// caller would take down another upstream that other callers need. A durable one is only
 // delayed, and then run by one upstream at most.
 func (g *Gateway) refuseCrasher(call *Call) *Refusal {
 	call.requestFingerprint = call.computeFingerprint()
@@ -54,7 +54,7 @@
 		return nil
 	}
 	retryAfter := retryAfterCrash
-	if call.Owed {
+	if call.Durable {
 		if retryAfter = g.crashes.RetryDelay(call.requestFingerprint); retryAfter == 0 {
 			call.runOnce = true
 			return nil
@@ -62,7 +62,7 @@
 	}
 	callsRefused.Add(1)
 	g.log.Warn().Str("request", call.ID).Uint64("fingerprint", uint64(call.requestFingerprint)).Int("status", http.StatusServiceUnavailable).
-		Bool("owed", call.Owed).Dur("retry_after", retryAfter).Msg("request blocked: it crashed upstreams")
+		Bool("durable", call.Durable).Dur("retry_after", retryAfter).Msg("request blocked: it crashed upstreams")
 	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Reason: "request crashed upstreams"}
 }
 
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -138,7 +138,7 @@
 // Guards against a reward call, and with it its sample, that is refused for good after a burst in
 // which scorers crashed under it. Once they are up again it must be answered; until then it may
 // take down one scorer in each pause.
-func TestOwedCallIsDelayedAndNotBlockedByCrashes(t *testing.T) {
+func TestDurableCallIsDelayedAndNotBlockedByCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -146,7 +146,7 @@
 		f := &crashingUpstreams{down: map[string]bool{}}
 		gate := newCrashGateway(ctx, f)
 		do := func() (*Response, *Refusal) {
-			return gate.Do(ctx, crashRoute, &Call{ID: "c", Body: []byte("killer"), Owed: true, Deadline: time.Now().Add(time.Second)})
+			return gate.Do(ctx, crashRoute, &Call{ID: "c", Body: []byte("killer"), Durable: true, Deadline: time.Now().Add(time.Second)})
 		}
 		for range 2 {
 			_, refusal := do()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,9 +49,9 @@
 	NewConn bool
 	// DiscardAnswer drops the body of a complete answer, of which only the header is used.
 	DiscardAnswer bool
-	// Owed marks the call of a sample that an accepted batch keeps. Upstreams that crashed under
+	// Durable marks the call of a sample that an accepted batch keeps. Upstreams that crashed under
 	// it delay it, but don't block it.
-	Owed bool
+	Durable bool
 	// AnswerReserve is the number of bytes that the lease holds for an answer from the start.
 	AnswerReserve int64
 
--- a/internal/poison/mark.go
+++ b/internal/poison/mark.go
@@ -82,7 +82,7 @@
 	// trialStarted: the trial is this daemon's own and runs. Before, the daemon waits for
 	// the upstream to become idle.
 	trialStarted bool
-	owed         bool // a sample of a training step of this daemon, see [Tracker.SetOwed]
+	durable      bool // a sample of a training step of this daemon, see [Tracker.SetDurable]
 }
 
 // CountedDeaths returns the number of deaths that count against the request.
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -13,9 +13,9 @@
 const (
 	// deathsToConvict is the number of counted deaths at which a request is rejected.
 	deathsToConvict = 2
-	// owedPause is the time from a death to the next trial of a request that is never rejected for
+	// durableRetryPause is the time from a death to the next trial of a request that is never rejected for
 	// good. Such a request costs at most one upstream in that time.
-	owedPause = 4 * time.Second
+	durableRetryPause = 4 * time.Second
 )
 
 // Options configure the marks of a daemon.
@@ -53,7 +53,7 @@
 //
 // Invariants:
 //   - a request with two deaths that count isn't admitted until its mark expires, unless it is
-//     owed: then it runs in a trial again after each owedPause. So a
+//     durable: then it runs in a trial again after each durableRetryPause. So a
 //     request that crashes its upstream at its start, at some token or at its end costs
 //     at most two upstreams. Copies that other daemons have in flight before they hear
 //     of the first death run on the same upstream (see [Placements]), or are stopped when
@@ -101,20 +101,20 @@
 	switch {
 	case m.CountedDeaths() < deathsToConvict:
 		return time.Time{}
-	case m.owed:
-		return m.Expires.Add(owedPause - k.options.MarkTTL)
+	case m.durable:
+		return m.Expires.Add(durableRetryPause - k.options.MarkTTL)
 	}
 	return m.Expires
 }
 
 // isConvicted reports whether no trial can clear the request any more.
-func (m *Mark) isConvicted() bool { return m.CountedDeaths() >= deathsToConvict && !m.owed }
+func (m *Mark) isConvicted() bool { return m.CountedDeaths() >= deathsToConvict && !m.durable }
 
-// SetOwed notes that a suspect is a sample of a training step. Its step has been accepted and is
+// SetDurable notes that a suspect is a sample of a training step. Its step has been accepted and is
 // kept, so no number of deaths rejects it for good.
-func (k *Tracker) SetOwed(fp Fingerprint, now time.Time) {
+func (k *Tracker) SetDurable(fp Fingerprint, now time.Time) {
 	if m := k.unexpiredMark(fp, now); m != nil {
-		m.owed = true
+		m.durable = true
 	}
 }
 
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -133,16 +133,16 @@
 
 	// Upstreams die in a burst under a sample of a training step, each while it runs alone. It must
 	// not be rejected for good, however many there are.
-	It("lets an owed request run alone again after each death and a pause", func() {
+	It("lets a durable request run alone again after each death and a pause", func() {
 		k, now := New(Options{Self: "a"}), epoch
 		for n := range 2 * maxDeathsPerMark {
 			k.Died(1, Death{Upstream: "u", BootID: fmt.Sprint(n)}, now)
-			k.SetOwed(1, now)
+			k.SetDurable(1, now)
 			if n > 0 {
-				Expect(k.Admit(1, now)).To(Equal(Decision{Verdict: Convicted, RetryAfter: owedPause}))
+				Expect(k.Admit(1, now)).To(Equal(Decision{Verdict: Convicted, RetryAfter: durableRetryPause}))
 				Expect(k.ClaimTrial(1, "u", now)).To(BeFalse())
 			}
-			now = now.Add(owedPause)
+			now = now.Add(durableRetryPause)
 			Expect(k.Admit(1, now).Verdict).To(Equal(Suspect))
 			Expect(k.StartTrial(1, "u", now)).To(BeTrue())
 			k.EndTrial(1, false, now)
