follow: pauses of a loaded view are logged

A daemon whose configuration stays seconds behind the store's logs nothing about it.

Change: a line for each pause of a view that was loaded before, with the records that are missing, the time that the read took and for how long the store may have waited within it.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -217,6 +217,7 @@
 		return
 	}
 	until := f.options.Now() + throttleFactor*took
+	f.logPause(took, throttleFactor*took)
 	for ctx.Err() == nil && f.options.LowPriority() {
 		left := until - f.options.Now()
 		if left <= 0 {
@@ -226,6 +227,18 @@
 	}
 }
 
+// logPause logs a pause of a loaded view that lacks records. took is the time that the last read
+// took, of which the store may have spent up to readWait waiting for a record.
+func (f *Follower) logPause(took, length time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.loaded {
+		return
+	}
+	f.options.Logger.Info().Str("topic", f.options.Topic).Int("part", f.options.Partition).Int64("missing", f.partitionEnd-f.next).
+		Dur("took", took).Dur("max_wait", f.readWait).Dur("pause", length).Msg("reading of a view paused")
+}
+
 // priorityCheckInterval is the time between two checks, during that pause, whether the view is
 // still of low priority.
 const priorityCheckInterval = 50 * time.Millisecond
