follow: a loaded view stays within its bound while records follow each other

Cause: a low-priority view pauses for 20 times the time of a read that leaves it behind. The store's wait for a record counted as such time (5.7 s of pause after 285 ms of waiting), the pause held for loaded views as for those that load, and each superseded version was read in a page of its own, at 3.7 a second while as many were written.

Change: only reads without a wait tell of the load; the pause of a loaded view is bounded by half of the time within which its records take effect; a keyed view that lacks more than all newest records reads these instead, so that a catch-up doesn't grow with the superseded records; a page is no larger than that either. Views that aren't loaded pause as before.

A shorter pause alone doesn't bound the lag: with 10 ms a page and 270 ms a version it only just keeps up.

--- /dev/null
+++ b/internal/follow/catchup_test.go
@@ -0,0 +1,153 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
+	"github.com/dogwoodflow/dogwoodflow/internal/store"
+)
+
+// Guards against a pause after which a loaded view exceeds its bound, and against an unthrottled
+// view at a fleet's start.
+func TestPauseOfAView(t *testing.T) {
+	const ms, maxLag = time.Millisecond, time.Second
+	g := NewWithT(t)
+	for _, c := range []struct {
+		loaded              bool
+		readTime, behindFor time.Duration
+		want                time.Duration
+	}{
+		{false, 100 * ms, 5 * time.Second, 2000 * ms},
+		{true, 10 * ms, 0, 200 * ms},
+		{true, 100 * ms, 0, 800 * ms},
+		{true, 100 * ms, 500 * ms, 300 * ms},
+		{true, 10 * ms, 2 * time.Second, 0},
+		{true, 600 * ms, 0, 0},
+	} {
+		g.Expect(throttlePause(c.loaded, c.readTime, c.behindFor, maxLag)).To(Equal(c.want), "%+v", c)
+	}
+}
+
+func TestRescanTakesFewerBytesThanTheMissingRecords(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(backlog{records: 1, recordBytes: 100 << 10, newestBytes: 100 << 10}.rescan()).To(BeFalse())
+	g.Expect(backlog{records: 2, recordBytes: 100 << 10, newestBytes: 100 << 10}.rescan()).To(BeTrue())
+	g.Expect(backlog{records: 500, recordBytes: 200, newestBytes: 2 << 20}.rescan()).To(BeFalse())
+	g.Expect(backlog{}.rescan()).To(BeFalse())
+}
+
+// lagSink is a Sink that records when it knew which version, the number that a value begins with.
+type lagSink struct {
+	mu       sync.Mutex
+	versions map[int]time.Time // when this or a newer version was read first
+	newest   int
+}
+
+func (l *lagSink) Reset(entries []store.Entry) {
+	for _, e := range entries {
+		l.take(e.Key, e.Value)
+	}
+}
+
+func (l *lagSink) Record(_ int64, data []byte) {
+	if key, value, err := store.DecodeEntry(data); err == nil {
+		l.take(key, value)
+	}
+}
+
+func (l *lagSink) Gap(int64) {}
+
+func (l *lagSink) take(key string, value []byte) {
+	if key != "config" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	version, _ := strconv.Atoi(string(value[:versionDigits])) // always a number
+	for ; l.newest < version; l.newest++ {
+		l.versions[l.newest+1] = time.Now()
+	}
+}
+
+const versionDigits = 8
+
+// largeConfig returns a value of a size that begins with a version.
+func largeConfig(version, size int) []byte {
+	return append(fmt.Appendf(nil, "%0*d", versionDigits, version), make([]byte, size-versionDigits)...)
+}
+
+// Guards against a low-priority view that stays behind while large configurations follow each
+// other: by a pause that counts the store's wait for a record as its load, by pauses after each
+// page, or by reading each superseded version. The sizes are the largest that a fleet reads directly.
+func TestConfigurationsTakeEffectWithinTheirBound(t *testing.T) {
+	const (
+		inForceWithin = 2 * time.Second
+		readRate      = 80e6 // bytes per second
+		changesFor    = 8 * time.Second
+	)
+	for _, c := range []struct {
+		daemons, size int
+		gap           time.Duration
+	}{
+		{10, 20 << 10, 10 * time.Millisecond},
+		{10, 100 << 10, 270 * time.Millisecond},
+		{10, 100 << 10, 80 * time.Millisecond},
+		{10, 256 << 10, 15 * time.Millisecond},
+		{150, 256 << 10, 15 * time.Millisecond},
+		{150, 256 << 10, 400 * time.Millisecond},
+		{380, 100 << 10, 80 * time.Millisecond},
+		{1900, 20 << 10, 300 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%d daemons, %d KB each %s", c.daemons, c.size>>10, c.gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := metastore.New(1)
+				s.SetRateLimits(metastore.RateLimits{ReadBytesPerSecond: readRate})
+				g.Expect(s.Put("keyed.op", "config", largeConfig(0, c.size))).To(Succeed())
+				ctx, cancel := context.WithCancel(context.Background())
+				var work sync.WaitGroup
+				var sinks []*lagSink
+				start := time.Now().Add(-time.Minute)
+				for range c.daemons {
+					sink := &lagSink{versions: map[int]time.Time{}}
+					sinks = append(sinks, sink)
+					client := metastore.NewClient(s, 1500*time.Millisecond)
+					client.SetFaults(metastore.Faults{Latency: 4 * time.Millisecond})
+					f := New(Options{
+						Log: client, Topic: "keyed.op", Keyed: true, Sink: sink, LowPriority: func() bool { return true }, MaxLag: inForceWithin / 2,
+						Now: func() time.Duration { return time.Since(start) }, Logger: zerolog.Nop(),
+					})
+					work.Go(func() { f.Run(ctx) })
+				}
+				time.Sleep(20 * time.Second) // all are loaded
+				var written []time.Time
+				for began := time.Now(); time.Since(began) < changesFor; time.Sleep(c.gap) {
+					written = append(written, time.Now())
+					g.Expect(s.Put("keyed.op", "config", largeConfig(len(written), c.size))).To(Succeed())
+					g.Expect(s.Put("keyed.op", "version/m", fmt.Append(nil, len(written)))).To(Succeed())
+				}
+				time.Sleep(changesFor)
+				cancel()
+				work.Wait()
+				var worst time.Duration
+				for i, at := range written {
+					for _, sink := range sinks {
+						g.Expect(sink.versions).To(HaveKey(i+1), "version never read")
+						worst = max(worst, sink.versions[i+1].Sub(at))
+					}
+				}
+				t.Logf("largest lag %s, %d bytes read", worst, s.BytesRead("keyed.op"))
+				g.Expect(worst).To(BeNumerically("<=", inForceWithin))
+			})
+		})
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -42,6 +42,8 @@
 	// none arrived in time. A page of this size takes 0.1 s on a link of 4 Mbit/s, and a few
 	// calls read a log of 1 MB.
 	pageBytes = 48 << 10
+	// minPageBytes is the least limit, so that a topic with few small keys is read in few pages.
+	minPageBytes = 8 << 10
 )
 
 // defaultBackoff is the wait after failed reads. Its maximum is part of the time that a daemon
@@ -89,6 +91,9 @@
 	// it soon. What it lacks is then read with pauses, so that the reads of daemons that need
 	// theirs get through.
 	LowPriority func() bool
+	// MaxLag bounds the pauses of a low-priority view once it is loaded: a record that the view is
+	// known to lack is read within about this time.
+	MaxLag time.Duration
 	// Now is a monotonic clock that runs on while the VM is suspended.
 	Now    func() time.Duration
 	Logger zerolog.Logger
@@ -112,6 +117,11 @@
 	contactLost  bool          // reads have failed for contactLostAfter
 	failingSince time.Duration // since when reads fail, 0: they don't
 	readWait     time.Duration // how long the read in progress waits for a record
+	readTime     time.Duration // that the last read took for which the store didn't wait
+	behindSince  time.Duration // when the view was found to lack records, 0: it doesn't
+	recordSize   recordSize    // of the records read last
+	keySizes     keySizes      // of a keyed topic
+	lastKey      string        // last key of the last scan that replaced a loaded view, until checkEnd
 	changed      chan struct{} // closed and replaced each time the view was brought up to date
 
 	skipPause chan struct{} // ends the pause of an idle view
@@ -134,6 +144,8 @@
 	f.loadedBytes = 0
 	f.contactLost = false
 	f.failingSince = 0
+	f.behindSince = 0
+	f.lastKey = ""
 }
 
 // Run follows the partition until the context ends.
@@ -141,12 +153,11 @@
 	f.start()
 	failures := 0
 	for ctx.Err() == nil {
-		began := f.options.Now()
 		err := f.step(ctx)
 		if err == nil {
 			failures = 0
 			f.reportContact(true, nil)
-			f.throttle(ctx, f.options.Now()-began)
+			f.throttle(ctx)
 			f.pause(ctx)
 			continue
 		}
@@ -179,20 +190,73 @@
 
 // step does one read.
 func (f *Follower) step(ctx context.Context) error {
-	if f.options.Keyed && (!f.Loaded() || f.scanningKeys()) {
-		return f.readKeysPage(ctx)
+	if err := f.checkEnd(ctx); err != nil {
+		return err
+	}
+	began := f.options.Now()
+	if f.readsNewest() {
+		err := f.readKeysPage(ctx)
+		f.recordReadTime(began)
+		return err
+	}
+	wait := f.nextWait()
+	err := f.read(ctx, wait)
+	if wait == 0 {
+		f.recordReadTime(began)
+	}
+	return err
+}
+
+// checkEnd looks, after a scan that replaced a loaded view, how many records have been written since.
+// A read would find that out with the first of them, and in a row of large records that one is
+// superseded. A page of newest records after the last key has hardly more than the end.
+func (f *Follower) checkEnd(ctx context.Context) error {
+	f.mu.Lock()
+	lastKey := f.lastKey
+	f.mu.Unlock()
+	if lastKey == "" {
+		return nil
+	}
+	page, err := f.options.Log.Newest(ctx, f.options.Topic, f.options.Partition, lastKey)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastKey = ""
+	f.updateEndLocked(page.End)
+	return nil
+}
+
+// readsNewest reports whether the next read is of newest records.
+func (f *Follower) readsNewest() bool {
+	if !f.options.Keyed {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.loaded || f.keyScan.started {
+		return true
 	}
-	return f.read(ctx, f.nextWait())
+	return backlog{records: f.partitionEnd - f.next, recordBytes: f.recordSize.mean, newestBytes: f.keySizes.total}.rescan()
+}
+
+// recordReadTime records the time of a read that began at a time. The time of a read for which the
+// store waits for a record says nothing about the load on the store.
+func (f *Follower) recordReadTime(began time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readTime = f.options.Now() - began
 }
 
-// nextWait returns how long the next read waits for a record. A view that isn't loaded, or
-// whose last read failed, is read without waiting.
+// nextWait returns how long the next read waits for a record. A view that isn't loaded or is known
+// to lack records, or whose last read failed, is read without waiting.
 func (f *Follower) nextWait() time.Duration {
 	idle := f.idle()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case !f.loaded || f.failingSince != 0:
+	case !f.loaded || f.failingSince != 0 || f.behindSince != 0:
 		f.readWait = 0
 	case idle:
 		f.readWait = IdleWait
@@ -205,19 +269,12 @@
 // idle reports whether nothing on this daemon currently depends on the view.
 func (f *Follower) idle() bool { return f.options.Idle != nil && f.options.Idle() }
 
-// throttleFactor is the pause of a low-priority view after a page, as a multiple of the time
-// that the page took. The more daemons read at once the longer their pages take, so together
-// they leave all but a small part of the shared rate to others.
-const throttleFactor = 20
-
-// throttle pauses a low-priority view after a page that didn't bring it up to date. took is the
-// time that the page took.
-func (f *Follower) throttle(ctx context.Context, took time.Duration) {
-	if f.options.LowPriority == nil || !f.behind() {
+// throttle pauses a low-priority view that lacks records.
+func (f *Follower) throttle(ctx context.Context) {
+	if f.options.LowPriority == nil || !f.options.LowPriority() {
 		return
 	}
-	until := f.options.Now() + throttleFactor*took
-	f.logPause(took, throttleFactor*took)
+	until := f.options.Now() + f.throttlePause()
 	for ctx.Err() == nil && f.options.LowPriority() {
 		left := until - f.options.Now()
 		if left <= 0 {
@@ -227,27 +284,38 @@
 	}
 }
 
-// logPause logs a pause of a loaded view that lacks records. took is the time that the last read
-// took, of which the store may have spent up to readWait waiting for a record.
-func (f *Follower) logPause(took, length time.Duration) {
+// throttlePause returns the pause after the last read if the view is of low priority, and logs it if
+// the view is loaded.
+func (f *Follower) throttlePause() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.loaded {
-		return
+	if f.behindSince == 0 {
+		return 0
+	}
+	length := throttlePause(f.loaded, f.readTime, f.behindForLocked(), f.options.MaxLag)
+	if f.loaded && length > 0 {
+		f.options.Logger.Info().Str("topic", f.options.Topic).Int("part", f.options.Partition).Int64("missing", f.partitionEnd-f.next).
+			Dur("behind", f.behindForLocked()).Dur("read_took", f.readTime).Dur("pause", length).Msg("reading of a view paused")
 	}
-	f.options.Logger.Info().Str("topic", f.options.Topic).Int("part", f.options.Partition).Int64("missing", f.partitionEnd-f.next).
-		Dur("took", took).Dur("max_wait", f.readWait).Dur("pause", length).Msg("reading of a view paused")
+	return length
 }
 
 // priorityCheckInterval is the time between two checks, during that pause, whether the view is
 // still of low priority.
 const priorityCheckInterval = 50 * time.Millisecond
 
-// behind reports whether the view is known to lack records.
-func (f *Follower) behind() bool {
+// BehindFor returns for how long the view has been known to lack records, 0 if it isn't.
+func (f *Follower) BehindFor() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.keyScan.started || f.next < f.partitionEnd
+	return f.behindForLocked()
+}
+
+func (f *Follower) behindForLocked() time.Duration {
+	if f.behindSince == 0 {
+		return 0
+	}
+	return f.options.Now() - f.behindSince
 }
 
 // pause waits between two reads of a partition, to limit their number if it is busy.
@@ -308,6 +376,7 @@
 	}
 	if !f.keyScan.started {
 		f.keyScan = keyScan{started: true, end: page.End}
+		f.markBehindLocked()
 	}
 	f.keyScan.entries = append(f.keyScan.entries, page.Entries...)
 	f.keyScan.after = page.LastKey()
@@ -319,11 +388,13 @@
 	if f.loaded && scan.end < f.next {
 		return nil
 	}
+	if f.loaded {
+		f.lastKey = scan.after
+	}
 	f.options.Sink.Reset(scan.entries)
 	f.next, f.partitionEnd = scan.end, scan.end
-	for _, e := range scan.entries {
-		f.loadedBytes += len(e.Value)
-	}
+	f.keySizes = newKeySizes(scan.entries)
+	f.loadedBytes += f.keySizes.total
 	f.markLoadedLocked()
 	return nil
 }
@@ -346,7 +417,7 @@
 // waits for one, at most for the time wait.
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
 	from := f.NextOffset()
-	page, err := f.options.Log.Read(ctx, f.options.Topic, f.options.Partition, store.ReadOptions{Offset: from, MaxBytes: pageBytes, Wait: wait})
+	page, err := f.options.Log.Read(ctx, f.options.Topic, f.options.Partition, store.ReadOptions{Offset: from, MaxBytes: f.pageLimit(), Wait: wait})
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
 		return f.skipGap(ctx, trimmed.First)
@@ -358,6 +429,17 @@
 	return nil
 }
 
+// pageLimit returns the size of the next page. Of a keyed topic nobody needs more records than all
+// keys have newest ones: what is missing beyond that is superseded.
+func (f *Follower) pageLimit() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.options.Keyed {
+		return pageBytes
+	}
+	return min(pageBytes, max(minPageBytes, f.keySizes.total))
+}
+
 // skipGap continues after records that the store has dropped before they were read: of a keyed
 // topic the newest records are read again, any other topic is read from the oldest record that
 // is kept.
@@ -387,13 +469,31 @@
 		}
 		f.options.Sink.Record(offset, record)
 		f.next = offset + 1
+		if f.options.Keyed {
+			f.keySizes.apply(record)
+		}
 		if !f.loaded {
 			f.loadedBytes += len(record)
 		}
 	}
-	f.partitionEnd = page.End
-	if f.next >= page.End {
+	f.recordSize.add(page)
+	f.updateEndLocked(page.End)
+}
+
+// updateEndLocked records where the partition ends.
+func (f *Follower) updateEndLocked(end int64) {
+	f.partitionEnd = end
+	if f.next >= end {
 		f.markLoadedLocked()
+	} else {
+		f.markBehindLocked()
+	}
+}
+
+// markBehindLocked records that the view lacks records.
+func (f *Follower) markBehindLocked() {
+	if f.behindSince == 0 {
+		f.behindSince = f.options.Now()
 	}
 }
 
@@ -412,6 +512,11 @@
 
 // markCurrentLocked records that the view is up to date now, and wakes those that wait for it.
 func (f *Follower) markCurrentLocked() {
+	if lag := f.behindForLocked(); f.options.MaxLag > 0 && lag > f.options.MaxLag {
+		f.options.Logger.Warn().Str("topic", f.options.Topic).Int("part", f.options.Partition).Int64("next", f.next).
+			Dur("behind", lag).Dur("max_lag", f.options.MaxLag).Msg("view was behind for too long")
+	}
+	f.behindSince = 0
 	f.currentAt = f.options.Now()
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/internal/standin/metastore/client.go
+++ b/internal/standin/metastore/client.go
@@ -153,7 +153,7 @@
 	for {
 		page, appended, err := c.store.read(topic, part, from)
 		if err == nil && len(page.Records) > 0 {
-			return page, c.waitForTransfer(ctx, topic, totalBytes(page.Records))
+			return page, c.waitForTransfer(ctx, topic, page.Bytes())
 		}
 		if err != nil || from.Wait == 0 {
 			return page, err
@@ -179,14 +179,6 @@
 	return nil
 }
 
-func totalBytes(records [][]byte) int {
-	n := 0
-	for _, r := range records {
-		n += len(r)
-	}
-	return n
-}
-
 // Newest implements store.Log.
 func (c *Client) Newest(ctx context.Context, topic string, part int, after string) (store.NewestPage, error) {
 	c.addCalls(Calls{Reads: 1})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -44,6 +44,15 @@
 	End     int64    // offset after the partition's last record
 }
 
+// Bytes returns the size of the page's records.
+func (p Page) Bytes() int {
+	n := 0
+	for _, r := range p.Records {
+		n += len(r)
+	}
+	return n
+}
+
 // ReadOptions holds the parameters of a read.
 type ReadOptions struct {
 	Offset   int64         // of the first record to return
