follow: a catch-up reads to the partition's end

A batch that was accepted could be answered 404, and a listed result be missing, by a daemon that had just brought its view up to date, as the review read in the code.

Cause: CatchUp ended after a page once the view was younger than 1.4 s, which it is for that long after it was up to date last, whether or not the page reached the end.

Change: it reads to the end that its first page tells.

Result: the new test (five records of 40 KB) read one of five before, and reads all now. Packages batchrun, duties and relay pass.

--- a/internal/follow/catchup_test.go
+++ b/internal/follow/catchup_test.go
@@ -177,3 +177,20 @@
 		})
 	}
 }
+
+// Guards against a catch-up that ends before the partition's end because the view was up to date a
+// moment ago: an accepted batch would be called unknown, or a result that was listed wouldn't be there.
+func TestCatchUpReadsToTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newFixture(false, "long")
+		g.Expect(s.follower.read(context.Background(), 0)).To(Succeed())
+		g.Expect(s.follower.Loaded()).To(BeTrue())
+		for range 5 {
+			_, err := s.client.Append(context.Background(), "long", 0, [][]byte{make([]byte, 40<<10)})
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		g.Expect(s.follower.CatchUp(context.Background())).To(Succeed())
+		g.Expect(s.follower.NextOffset()).To(Equal(int64(5)))
+	})
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -417,17 +417,23 @@
 // read reads records from the next offset on and applies them. If there are none, the store
 // waits for one, at most for the time wait.
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
+	_, err := f.readPage(ctx, wait)
+	return err
+}
+
+// readPage is read. It returns where the partition ends, -1 if the records were lost.
+func (f *Follower) readPage(ctx context.Context, wait time.Duration) (end int64, err error) {
 	from := f.NextOffset()
 	page, err := f.options.Log.Read(ctx, f.options.Topic, f.options.Partition, store.ReadOptions{Offset: from, MaxBytes: f.pageLimit(), Wait: wait})
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
-		return f.skipGap(ctx, trimmed.First)
+		return -1, f.skipGap(ctx, trimmed.First)
 	}
 	if err != nil {
-		return err
+		return -1, err
 	}
 	f.apply(from, page)
-	return nil
+	return page.End, nil
 }
 
 // pageLimit returns the size of the next page. Of a keyed topic nobody needs more records than all
@@ -607,17 +613,20 @@
 	return out
 }
 
-// CatchUp reads to the end of the partition, concurrently with a read of Run that may be waiting.
+// CatchUp reads to the end that the partition has now, concurrently with a read of Run that may be
+// waiting.
 func (f *Follower) CatchUp(ctx context.Context) error {
 	if !f.Loaded() {
 		return fmt.Errorf("%w: nothing read yet", store.ErrNotDone)
 	}
-	for {
-		if err := f.read(ctx, 0); err != nil {
+	for end := int64(-1); end < 0 || f.NextOffset() < end; {
+		pageEnd, err := f.readPage(ctx, 0)
+		if err != nil {
 			return err
 		}
-		if f.Age() < StaleAfter {
-			return nil
+		if end < 0 {
+			end = pageEnd
 		}
 	}
+	return nil
 }
