follow: the known end of a partition never decreases

Cause: a catch-up runs beside the waiting read of the same view. If the response of the waiting read arrives last, its older end replaced the one that the catch-up had read.

Change: the largest end that was read counts.

Result: the new test failed before.

--- a/internal/follow/catchup_test.go
+++ b/internal/follow/catchup_test.go
@@ -194,3 +194,14 @@
 		g.Expect(s.follower.NextOffset()).To(Equal(int64(5)))
 	})
 }
+
+// Guards against a late response to a waiting read that makes a view count as up to date although a
+// later read has found more records.
+func TestKnownEndNeverDecreases(t *testing.T) {
+	g := NewWithT(t)
+	s := newFixture(false, "plain")
+	s.follower.apply(0, store.Page{End: 0})
+	s.follower.apply(0, store.Page{Records: [][]byte{{1}}, End: 3})
+	s.follower.apply(0, store.Page{Records: [][]byte{{1}}, End: 1})
+	g.Expect(s.follower.upToDate()).To(BeFalse())
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -110,7 +110,7 @@
 	next         int64         // offset of the next record to apply
 	loaded       bool          // the view was up to date once
 	keyScan      keyScan       // of a keyed topic whose newest records are being read
-	partitionEnd int64         // offset of the partition's end at the last read
+	partitionEnd int64         // offset of the partition's end, the largest that was read
 	startedAt    time.Duration // when Run began
 	loadedBytes  int           // size of the records applied until the view was loaded
 	currentAt    time.Duration // when the view was last known to be up to date
@@ -393,10 +393,10 @@
 		f.lastKey = scan.after
 	}
 	f.options.Sink.Reset(scan.entries)
-	f.next, f.partitionEnd = scan.end, scan.end
+	f.next = scan.end
 	f.keySizes = newKeySizes(scan.entries)
 	f.loadedBytes += f.keySizes.total
-	f.markLoadedLocked()
+	f.updateEndLocked(scan.end)
 	return nil
 }
 
@@ -487,10 +487,11 @@
 	f.updateEndLocked(page.End)
 }
 
-// updateEndLocked records where the partition ends.
+// updateEndLocked records where the partition ends according to a response. Responses of concurrent
+// reads may arrive in another order than they were made in, and a partition's end never decreases.
 func (f *Follower) updateEndLocked(end int64) {
-	f.partitionEnd = end
-	if f.next >= end {
+	f.partitionEnd = max(f.partitionEnd, end)
+	if f.next >= f.partitionEnd {
 		f.markLoadedLocked()
 	} else {
 		f.markBehindLocked()
