--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -304,13 +304,14 @@
 // still of low priority.
 const priorityCheckInterval = 50 * time.Millisecond
 
-// BehindFor returns for how long the view has been known to lack records, 0 if it isn't.
-func (f *Follower) BehindFor() time.Duration {
+// Behind reports whether the view is known to lack records.
+func (f *Follower) Behind() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.behindForLocked()
+	return f.behindSince != 0
 }
 
+// behindForLocked returns for how long the view has been known to lack records, 0 if it isn't.
 func (f *Follower) behindForLocked() time.Duration {
 	if f.behindSince == 0 {
 		return 0
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -253,6 +253,12 @@
 	return max(silentFor, s.ownShard.follower.Age()) + watermark.age()
 }
 
+// ConfigBehind reports whether the shard is known to have a newer configuration than the one in
+// force.
+func (s *Service) ConfigBehind() bool {
+	return s.ownShard.follower.Behind() || s.ownShard.subscriber.awaitsChunks()
+}
+
 // Refresh applies the shard again. It is called once the platform's topics aren't read directly
 // any more.
 func (s *Service) Refresh() { s.ownShard.reapply() }
--- a/internal/relay/subscriber.go
+++ b/internal/relay/subscriber.go
@@ -21,6 +21,14 @@
 	mu            sync.Mutex
 	chunks        map[int]chunk // of the configuration
 	appliedConfig int64         // offset after the configuration that was applied last
+	chunksMissing bool          // some but not all chunks of the newest configuration were read
+}
+
+// awaitsChunks reports whether some but not all chunks of the newest configuration were read.
+func (s *subscriber) awaitsChunks() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chunksMissing
 }
 
 // applyAll applies all values of the shard in place of what it applied before.
@@ -94,6 +102,7 @@
 	}
 	s.chunks[c.Index] = c
 	data, offset, complete, err := unpackConfig(s.chunks)
+	s.chunksMissing = err == nil && !complete
 	if err == nil && (!complete || offset <= s.appliedConfig) {
 		return
 	}
