batchrun: samples run at the service of their own batch's route

With batches of one model open on routes to two services, samples ran at a service that no configuration allows for them, or waited beside idle engines if that service had none.

Cause: an owner's work was kept by model, with one field for the service, which each open batch overwrote.

Change: work, runs, trials and isolation are kept by pool, the engines of one service that run one model. All services of a model load its newest weights; before, one of them did.

--- a/internal/batchrun/cluster_test.go
+++ b/internal/batchrun/cluster_test.go
@@ -34,6 +34,7 @@
 	eventInterval = 30 * time.Millisecond
 	scoreDuration = 200 * time.Millisecond
 	rewardPath    = "/rewards/"
+	splitPath     = testPath + "split/"
 )
 
 // testVM is one VM of a testCluster.
@@ -61,10 +62,12 @@
 	engines *fakeEngines
 	scorer  *fakeScorer
 	models  []string
-	vms     []*testVM
-	policy  Policy // of daemons that are started from now on
-	parts   int    // number of partitions of a topic
-	peers   Peers  // connects the daemons, nil if they can't reach each other
+	// services of the engines
+	services []string
+	vms      []*testVM
+	policy   Policy // of daemons that are started from now on
+	parts    int    // number of partitions of a topic
+	peers    Peers  // connects the daemons, nil if they can't reach each other
 
 	mu        sync.Mutex
 	published map[string]int64 // weights version by model
@@ -87,13 +90,19 @@
 	engines int
 	models  []string
 	peers   *clusterPeers // nil if the daemons can't reach each other
+	// services that the engines are divided among in turn, one "engines" by default. All serve all
+	// models. A second one gets the batches below splitPath.
+	services []string
 }
 
 func newTestClusterWithOptions(t *testing.T, o clusterOptions) *testCluster {
 	if o.policy.PlanSamples == nil {
 		o.policy = DefaultPolicy(policy.Set{})
 	}
-	w := &testCluster{t: t, policy: o.policy, parts: o.parts, start: time.Now(), store: metastore.New(o.parts), models: o.models, published: map[string]int64{}}
+	w := &testCluster{t: t, policy: o.policy, parts: o.parts, start: time.Now(), store: metastore.New(o.parts), models: o.models, services: o.services, published: map[string]int64{}}
+	if len(w.services) == 0 {
+		w.services = []string{"engines"}
+	}
 	if o.peers != nil {
 		o.peers.w = w
 		w.peers = o.peers
@@ -115,10 +124,7 @@
 // startDaemon starts a new daemon on a VM.
 func (w *testCluster) startDaemon(v *testVM) {
 	view := fleet.New(w.now)
-	view.SetConfig(routes.New(1, []routes.Route{
-		{Host: testHost, PathPrefix: testPath, Kind: routes.Batch, Services: []routes.WeightedService{{Service: "engines", Weight: 1}}},
-		{Name: "rewards", Host: testHost, PathPrefix: rewardPath, Kind: routes.Safe, MaxAttempts: 4, Services: []routes.WeightedService{{Service: "scorers", Weight: 1}}},
-	}, []routes.Service{{Name: "engines", Engine: &routes.Engine{Slots: 8, Models: w.models}}}, routes.Limits{}, nil))
+	view.SetConfig(w.config(1))
 	view.UpdateUpstreams(func(r *registry.Registry, now time.Duration) {
 		for _, id := range w.engines.ids() {
 			r.Put(w.registryEntry(id))
@@ -145,6 +151,28 @@
 	}()
 }
 
+// config returns the configuration of a version.
+func (w *testCluster) config(version int64) *routes.Config {
+	rules := []routes.Route{
+		{Name: "rewards", Host: testHost, PathPrefix: rewardPath, Kind: routes.Safe, MaxAttempts: 4, Services: []routes.WeightedService{{Service: "scorers", Weight: 1}}},
+	}
+	var services []routes.Service
+	for i, name := range w.services {
+		services = append(services, routes.Service{Name: name, Engine: &routes.Engine{Slots: 8, Models: w.models}})
+		rules = append(rules, routes.Route{Host: testHost, PathPrefix: []string{testPath, splitPath}[i], Kind: routes.Batch, Services: []routes.WeightedService{{Service: name, Weight: 1}}})
+	}
+	return routes.New(version, rules, services, routes.Limits{}, nil)
+}
+
+// serviceOf returns the service of an engine, by its ID: e0, e1 and so on.
+func (w *testCluster) serviceOf(engine string) string {
+	n, err := strconv.Atoi(engine[1:])
+	if err != nil {
+		return w.services[0]
+	}
+	return w.services[n%len(w.services)]
+}
+
 // registerEngine gives all daemons the current registry entry of an engine.
 func (w *testCluster) registerEngine(id string) {
 	for _, v := range w.vms {
@@ -155,7 +183,7 @@
 }
 
 func (w *testCluster) registryEntry(id string) registry.Upstream {
-	return registry.Upstream{ID: id, Started: w.engines.startTimeOf(id), Service: "engines", Address: id, Slots: 8, Models: w.engines.versionsOf(id)}
+	return registry.Upstream{ID: id, Started: w.engines.startTimeOf(id), Service: w.serviceOf(id), Address: id, Slots: 8, Models: w.engines.versionsOf(id)}
 }
 
 // kill stops a VM's daemon and keeps it from writing anything to the store meanwhile.
--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -17,9 +17,8 @@
 // minGaps is the number of gaps from which an average is valid.
 const minGaps = 8
 
-// moveSamplesLocked moves samples of a model off slow engines. engines are those allocated to
-// the model.
-func (r *runner) moveSamplesLocked(model string, engines []registry.Upstream, w *modelWork, now time.Duration) {
+// moveSamplesLocked moves samples of a pool off slow engines.
+func (r *runner) moveSamplesLocked(model string, engines []registry.Upstream, w *poolWork, now time.Duration) {
 	if r.s.options.Policy.Enabled(policy.Moves) {
 		r.moveFromSlowEnginesLocked(model, engines, now)
 	}
--- a/internal/batchrun/move_test.go
+++ b/internal/batchrun/move_test.go
@@ -68,7 +68,7 @@
 		}
 		ctx, cancel := context.WithCancelCause(context.Background())
 		r.runs[sampleKey{"b", 0}] = &run{ctx: ctx, cancel: cancel, incarnation: "e0", startedAt: time.Minute - time.Second}
-		r.reconcileModelLocked(context.Background(), config, "m0", &modelWork{service: "engines"}, time.Minute)
+		r.reconcilePoolLocked(context.Background(), config, pool{"engines", "m0"}, &poolWork{}, time.Minute)
 		g.Expect(ctx.Err() != nil).To(Equal(inContact))
 	}
 }
--- a/internal/batchrun/reconcile.go
+++ b/internal/batchrun/reconcile.go
@@ -8,12 +8,18 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 )
 
-// modelWork is what a reconcile pass finds to do for one model.
-type modelWork struct {
-	service        string                // whose engines run the model
+// pool identifies the engines of one service that run one model. A model may be served by several
+// services, and the samples of a batch may run only on the engines of its own route's service.
+type pool struct {
+	service string
+	model   string
+}
+
+// poolWork is what a reconcile pass finds to do for one pool.
+type poolWork struct {
 	waiting        []batch.WaitingSample // samples that could start
 	active         bool                  // a sample still has to be generated
-	nextMinVersion int64                 // oldest weights version that the next step is expected to use
+	nextMinVersion int64                 // oldest weights version that the model's next step is expected to use
 	singleVersion  bool                  // an open batch allows only one weights version in a sample
 }
 
@@ -31,13 +37,13 @@
 	}
 	now := r.s.options.Now()
 	r.resetIgnoredLocked()
-	work := r.modelWorkLocked(ctx, config)
+	work := r.poolWorkLocked(ctx, config)
 	if len(work) > 0 && !r.upstreamsLoadedLocked() {
 		return // engines not known yet would be missing from the allocation
 	}
 	r.collectSamplesLocked(ctx, config, work, now)
-	for model, w := range work {
-		r.reconcileModelLocked(ctx, config, model, w, now)
+	for p, w := range work {
+		r.reconcilePoolLocked(ctx, config, p, w, now)
 	}
 }
 
@@ -54,11 +60,11 @@
 	return upstreams.Loaded()
 }
 
-// modelWorkLocked returns an entry without samples for each configured model that is
+// poolWorkLocked returns an entry without samples for each configured pool whose model is
 // assigned to this partition. It also records these models' demand, and assigns partitions
 // to models that have weights and no partition yet.
-func (r *runner) modelWorkLocked(ctx context.Context, config *routes.Config) map[string]*modelWork {
-	out := map[string]*modelWork{}
+func (r *runner) poolWorkLocked(ctx context.Context, config *routes.Config) map[pool]*poolWork {
+	out := map[pool]*poolWork{}
 	published := r.s.options.View.Published()
 	for _, service := range config.Services {
 		if service.Engine == nil {
@@ -67,7 +73,7 @@
 		for _, m := range service.Engine.Models {
 			switch assigned := r.s.partitionForModel(m); {
 			case assigned == r.partition:
-				out[m] = &modelWork{service: service.Name}
+				out[pool{service.Name, m}] = &poolWork{}
 				r.recordDemandLocked(ctx, m)
 			case assigned == nil && published[m] > 0 && r.partition.number == 0:
 				r.assignPartitionLocked(ctx, m)
@@ -79,32 +85,34 @@
 
 // collectSamplesLocked reconciles all open batches, adds their waiting samples to work, and
 // cancels the runs that are no longer wanted.
-func (r *runner) collectSamplesLocked(ctx context.Context, config *routes.Config, work map[string]*modelWork, now time.Duration) {
+func (r *runner) collectSamplesLocked(ctx context.Context, config *routes.Config, work map[pool]*poolWork, now time.Duration) {
 	r.partition.mu.Lock()
 	defer r.partition.mu.Unlock()
 	open := r.partition.state.Open()
 	wanted := map[string]bool{}
 	for _, b := range open {
 		wanted[b.ID] = true
-		w := work[b.Model]
 		route, ok := config.Match(b.Host, b.Path)
 		if !ok || route.Kind != routes.Batch {
 			r.giveUpBatchLocked(b, "no batch route matches the batch any more")
 			continue
 		}
+		p := pool{route.Services[0].Service, b.Model}
+		w := work[p]
 		if w == nil {
-			w = &modelWork{}
-			work[b.Model] = w
+			w = &poolWork{}
+			work[p] = w
 		}
-		w.service = route.Services[0].Service
 		w.singleVersion = w.singleVersion || b.SingleVersion
 		r.reconcileBatchLocked(ctx, config, b, w, now)
 	}
 	r.dropUnwantedLocked(wanted)
+	nextMinVersions := map[string]int64{} // by model, whose weights versions are common to all services
 	for _, b := range r.partition.state.All() {
-		if w := work[b.Model]; w != nil {
-			w.nextMinVersion = max(w.nextMinVersion, b.MinVersion+1) // each step needs the next version
-		}
+		nextMinVersions[b.Model] = max(nextMinVersions[b.Model], b.MinVersion+1) // each step needs the next version
+	}
+	for p, w := range work {
+		w.nextMinVersion = nextMinVersions[p.model]
 	}
 }
 
@@ -128,7 +136,7 @@
 
 // reconcileBatchLocked does what each sample of an open batch needs next, and adds the
 // samples that could start to w.
-func (r *runner) reconcileBatchLocked(ctx context.Context, config *routes.Config, b *batch.Batch, w *modelWork, now time.Duration) {
+func (r *runner) reconcileBatchLocked(ctx context.Context, config *routes.Config, b *batch.Batch, w *poolWork, now time.Duration) {
 	ready := r.requestsLocked(ctx, b) != nil
 	expired := now-b.ReadAt > time.Duration(b.RetentionMS)*time.Millisecond+retentionMargin
 	for i := range b.Samples {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -54,7 +54,7 @@
 	retries            map[sampleKey]retryState
 	crashes            *crashes.SampleTracker[sampleKey]
 	crashChecks        map[string][]brokenRun     // by incarnation being checked, the runs that broke there
-	isolationSuspended map[string]bool            // by model, its suspects run beside other samples
+	isolationSuspended map[pool]bool              // the pool's suspects run beside other samples
 	engines            map[string]*engine         // by incarnation
 	requests           map[string][]batch.Request // by ID of an open batch, nil while they are read
 	ignoredResults     []sampleKey                // of results that had no effect, under ignoredMu
@@ -102,9 +102,9 @@
 	sampleID       string
 	upstream       registry.Upstream
 	incarnation    string // of upstream
-	model          string
-	hasReward      bool // a reward call follows
-	expectedTokens int  // estimated by the caller
+	pool           pool   // that it was placed in
+	hasReward      bool   // a reward call follows
+	expectedTokens int    // estimated by the caller
 	text           *text
 	startedAt      time.Duration
 	cancel         context.CancelCauseFunc
@@ -119,7 +119,7 @@
 		s: s, partition: p, outbox: newOutbox(s.options.Log, s.blobs, p.number, log), inContact: inContact, log: log,
 		wakeups: make(chan struct{}, 1), runs: map[sampleKey]*run{}, texts: map[sampleKey]*text{}, rewardCalls: map[sampleKey]*rewardCall{}, estimator: batch.NewEstimator(),
 		demandNotBefore: map[string]time.Duration{}, requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]retryState{}, engines: map[string]*engine{},
-		crashes: crashes.NewSampleTracker[sampleKey](), crashChecks: map[string][]brokenRun{}, isolationSuspended: map[string]bool{},
+		crashes: crashes.NewSampleTracker[sampleKey](), crashChecks: map[string][]brokenRun{}, isolationSuspended: map[pool]bool{},
 	}
 }
 
--- a/internal/batchrun/sample_run.go
+++ b/internal/batchrun/sample_run.go
@@ -78,7 +78,7 @@
 
 // startRunLocked starts a run of a waiting sample on an engine. It resumes the sample's text so
 // far.
-func (r *runner) startRunLocked(ctx context.Context, model string, u registry.Upstream, w batch.WaitingSample) {
+func (r *runner) startRunLocked(ctx context.Context, p pool, u registry.Upstream, w batch.WaitingSample) {
 	key := sampleKey{w.Batch, w.Index}
 	r.partition.mu.Lock()
 	b := r.partition.state.Get(w.Batch)
@@ -93,7 +93,7 @@
 	r.partition.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
 	now := r.s.options.Now()
-	x := &run{ctx: ctx, key: key, sampleID: s.ID, upstream: u, incarnation: u.Incarnation(), model: model, hasReward: s.RewardCallID != "", expectedTokens: s.ExpectedTokens, text: t, startedAt: now, cancel: cancel, startEvents: t.eventCount(), lastEventAt: now}
+	x := &run{ctx: ctx, key: key, sampleID: s.ID, upstream: u, incarnation: u.Incarnation(), pool: p, hasReward: s.RewardCallID != "", expectedTokens: s.ExpectedTokens, text: t, startedAt: now, cancel: cancel, startEvents: t.eventCount(), lastEventAt: now}
 	r.runs[key] = x
 	r.engineLocked(u.Incarnation()).running++
 	request := SampleRun{ID: s.ID, Host: head.Host, Customer: head.Customer, Request: requests[w.Index], ReceivedEvents: t.eventCount(), NewConn: r.retries[key].failed}
@@ -122,7 +122,7 @@
 	first := x.text.eventCount() == x.startEvents
 	if first {
 		r.s.options.View.UpdateUpstreams(func(reg *registry.Registry, _ time.Duration) {
-			reg.RecordServed(x.upstream.ID, x.upstream.Started, x.model, e.Version)
+			reg.RecordServed(x.upstream.ID, x.upstream.Started, x.pool.model, e.Version)
 		})
 	}
 	switch {
--- a/internal/batchrun/schedule.go
+++ b/internal/batchrun/schedule.go
@@ -13,21 +13,20 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 )
 
-// reconcileModelLocked starts a model's waiting samples and keeps its engines' weights
-// current.
-func (r *runner) reconcileModelLocked(ctx context.Context, config *routes.Config, model string, w *modelWork, now time.Duration) {
-	settings := config.Services[w.service].Engine
+// reconcilePoolLocked starts a pool's waiting samples and keeps its engines' weights current.
+func (r *runner) reconcilePoolLocked(ctx context.Context, config *routes.Config, p pool, w *poolWork, now time.Duration) {
+	settings := config.Services[p.service].Engine
 	if settings == nil {
 		return
 	}
-	engines := r.s.allocator.enginesFor(w.service, settings, r.allocationDemand(), model)
+	engines := r.s.allocator.enginesFor(p.service, settings, r.allocationDemand(), p.model)
 	if r.inContact() {
 		// Out of contact no sample is moved: it could not be started on another engine
 		// before the store is back.
-		r.moveSamplesLocked(model, engines, w, now)
-		r.scheduleLocked(ctx, model, engines, w, now)
+		r.moveSamplesLocked(p.model, engines, w, now)
+		r.scheduleLocked(ctx, p, engines, w, now)
 	}
-	r.planLoadsLocked(ctx, model, engines, w, now)
+	r.planLoadsLocked(ctx, p.model, engines, w, now)
 }
 
 // allocationDemand returns the demand by model by which engines are allocated, nil for an
@@ -40,7 +39,7 @@
 }
 
 // scheduleLocked starts waiting samples on engines as the policy plans, and trials.
-func (r *runner) scheduleLocked(ctx context.Context, model string, engines []registry.Upstream, w *modelWork, now time.Duration) {
+func (r *runner) scheduleLocked(ctx context.Context, p pool, engines []registry.Upstream, w *poolWork, now time.Duration) {
 	if len(w.waiting) == 0 {
 		return
 	}
@@ -51,22 +50,22 @@
 		if r.unusableLocked(u.Incarnation(), now) {
 			continue
 		}
-		candidates = append(candidates, batch.Engine{ID: u.Incarnation(), Version: u.Models[model], Running: e.running, Slots: u.Slots, RelativeGap: relativeGaps[u.Incarnation()]})
+		candidates = append(candidates, batch.Engine{ID: u.Incarnation(), Version: u.Models[p.model], Running: e.running, Slots: u.Slots, RelativeGap: relativeGaps[u.Incarnation()]})
 	}
-	ordinary, trials := r.splitTrialsLocked(model, engines, w.waiting)
-	others := len(ordinary) + r.runsBesideOthersLocked(model)
+	ordinary, trials := r.splitTrialsLocked(p, engines, w.waiting)
+	others := len(ordinary) + r.runsBesideOthersLocked(p)
 	for _, start := range r.s.options.Policy.PlanSamples(ordinary, candidates, now) {
 		at := slices.IndexFunc(engines, func(u registry.Upstream) bool { return u.Incarnation() == start.Engine })
-		r.startRunLocked(ctx, model, engines[at], start.Sample)
+		r.startRunLocked(ctx, p, engines[at], start.Sample)
 	}
-	r.startTrialsLocked(ctx, model, engines, trials, others, now)
+	r.startTrialsLocked(ctx, p, engines, trials, others, now)
 	w.waiting = slices.DeleteFunc(w.waiting, func(x batch.WaitingSample) bool {
 		return r.runs[sampleKey{x.Batch, x.Index}] != nil
 	})
 }
 
 // planLoadsLocked starts the loads and evictions that the policy plans.
-func (r *runner) planLoadsLocked(ctx context.Context, model string, engines []registry.Upstream, w *modelWork, now time.Duration) {
+func (r *runner) planLoadsLocked(ctx context.Context, model string, engines []registry.Upstream, w *poolWork, now time.Duration) {
 	if r.s.loader.follower.Age() > follow.StaleAfter {
 		// No claim can be appended now. Samples would be evicted from one engine after
 		// another for loads that fail, until the store is back.
--- a/internal/batchrun/trial.go
+++ b/internal/batchrun/trial.go
@@ -98,9 +98,9 @@
 	r.wake()
 }
 
-// splitTrialsLocked separates the waiting samples of a model that have to run alone from the
-// others. engines are the model's.
-func (r *runner) splitTrialsLocked(model string, engines []registry.Upstream, waiting []batch.WaitingSample) (ordinary, trials []batch.WaitingSample) {
+// splitTrialsLocked separates the waiting samples of a pool that have to run alone from the
+// others. engines are the pool's.
+func (r *runner) splitTrialsLocked(p pool, engines []registry.Upstream, waiting []batch.WaitingSample) (ordinary, trials []batch.WaitingSample) {
 	if len(engines) == 0 {
 		return waiting, nil
 	}
@@ -117,28 +117,28 @@
 		w.NotBefore = max(w.NotBefore, from)
 		trials = append(trials, w)
 	}
-	isolate := crashes.IsolateSuspects(len(trials)+r.runningSuspectsLocked(model), slots)
-	r.logIsolationLocked(model, isolate, len(trials))
+	isolate := crashes.IsolateSuspects(len(trials)+r.runningSuspectsLocked(p), slots)
+	r.logIsolationLocked(p, isolate, len(trials))
 	if !isolate {
 		return waiting, nil
 	}
 	return ordinary, trials
 }
 
-// logIsolationLocked logs when a model's suspects start or cease to run beside other samples.
-func (r *runner) logIsolationLocked(model string, isolate bool, suspects int) {
-	if isolate != r.isolationSuspended[model] {
+// logIsolationLocked logs when a pool's suspects start or cease to run beside other samples.
+func (r *runner) logIsolationLocked(p pool, isolate bool, suspects int) {
+	if isolate != r.isolationSuspended[p] {
 		return
 	}
-	r.isolationSuspended[model] = !isolate
-	r.log.Warn().Str("model", model).Int("suspects", suspects).Bool("isolated", isolate).Msg("isolation of samples that lost engines changed")
+	r.isolationSuspended[p] = !isolate
+	r.log.Warn().Str("service", p.service).Str("model", p.model).Int("suspects", suspects).Bool("isolated", isolate).Msg("isolation of samples that lost engines changed")
 }
 
 // startTrialsLocked runs samples alone under which engines have crashed. Run together with others
 // such a sample would interrupt them with each crash: they would move to the next engine with it,
-// and the model's engines would crash one after the other for as long as its batch is kept.
-// others is the number of the model's samples that run, or wait to run, beside others.
-func (r *runner) startTrialsLocked(ctx context.Context, model string, engines []registry.Upstream, trials []batch.WaitingSample, others int, now time.Duration) {
+// and the pool's engines would crash one after the other for as long as its batch is kept.
+// others is the number of the pool's samples that run, or wait to run, beside others.
+func (r *runner) startTrialsLocked(ctx context.Context, p pool, engines []registry.Upstream, trials []batch.WaitingSample, others int, now time.Duration) {
 	if len(trials) == 0 {
 		return
 	}
@@ -158,20 +158,20 @@
 			continue
 		}
 		byID[u.Incarnation()] = u
-		free = append(free, crashes.TrialEngine{ID: u.Incarnation(), Version: u.Models[model], Running: e.running, InTrial: e.trial})
+		free = append(free, crashes.TrialEngine{ID: u.Incarnation(), Version: u.Models[p.model], Running: e.running, InTrial: e.trial})
 	}
 	plan := crashes.PlanTrials(candidates, free, others, now)
 	for _, id := range plan.Evict {
 		r.evictLocked(id, now)
 	}
 	for _, start := range plan.Start {
-		r.startTrialLocked(ctx, model, byID[start.Engine], byKey[start.Key])
+		r.startTrialLocked(ctx, p, byID[start.Engine], byKey[start.Key])
 	}
 }
 
 // startTrialLocked runs a sample alone on an engine.
-func (r *runner) startTrialLocked(ctx context.Context, model string, u registry.Upstream, w batch.WaitingSample) {
-	r.startRunLocked(ctx, model, u, w)
+func (r *runner) startTrialLocked(ctx context.Context, p pool, u registry.Upstream, w batch.WaitingSample) {
+	r.startRunLocked(ctx, p, u, w)
 	x := r.runs[sampleKey{w.Batch, w.Index}]
 	if x == nil {
 		return // the batch has ended
@@ -182,23 +182,23 @@
 	r.log.Info().Str("batch", w.Batch).Str("sample", x.sampleID).Str("upstream", x.incarnation).Int("crashes", lost).Msg("sample runs alone")
 }
 
-// runningSuspectsLocked returns how many of a model's runs are of samples that lost engines and
+// runningSuspectsLocked returns how many of a pool's runs are of samples that lost engines and
 // haven't got past the crash yet.
-func (r *runner) runningSuspectsLocked(model string) int {
+func (r *runner) runningSuspectsLocked(p pool) int {
 	n := 0
 	for key, x := range r.runs {
-		if mode, _ := r.crashes.RunMode(key); x.model == model && mode != crashes.Ordinary {
+		if mode, _ := r.crashes.RunMode(key); x.pool == p && mode != crashes.Ordinary {
 			n++
 		}
 	}
 	return n
 }
 
-// runsBesideOthersLocked returns how many samples of a model run beside others.
-func (r *runner) runsBesideOthersLocked(model string) int {
+// runsBesideOthersLocked returns how many samples of a pool run beside others.
+func (r *runner) runsBesideOthersLocked(p pool) int {
 	n := 0
 	for _, x := range r.runs {
-		if x.model == model && !x.trial {
+		if x.pool == p && !x.trial {
 			n++
 		}
 	}
