batchrun: a batch waits for the configuration that accepted it

A batch on a route that had just been added could come back given up whole, and one whose route had moved run at the former service.

No matching route there meant to give the samples up, for good.

Change: the batch's record has the version of the accepting configuration; an owner with an older one waits until it has that one.

--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -68,6 +68,8 @@
 	Customer string `cbor:"14,keyasint,omitempty"`
 	// AcceptedMS is when the batch was accepted, in Unix ms by the clock of the accepting VM.
 	AcceptedMS int64 `cbor:"13,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration by which the batch was accepted.
+	ConfigVersion int64 `cbor:"15,keyasint,omitempty"`
 }
 
 // Key returns the key of a batch, which is unique among the batches of all customers. The
--- a/internal/batchrun/reconcile.go
+++ b/internal/batchrun/reconcile.go
@@ -92,6 +92,9 @@
 	wanted := map[string]bool{}
 	for _, b := range open {
 		wanted[b.ID] = true
+		if r.awaitsConfigLocked(ctx, b, config) {
+			continue
+		}
 		route, ok := config.Match(b.Host, b.Path)
 		if !ok || route.Kind != routes.Batch {
 			r.giveUpBatchLocked(b, "no batch route matches the batch any more")
@@ -116,6 +119,24 @@
 	}
 }
 
+// awaitsConfigLocked reports whether a batch was accepted by a newer configuration than the one known
+// here. That one may lack the batch's route, or send its samples elsewhere.
+func (r *runner) awaitsConfigLocked(ctx context.Context, b *batch.Batch, config *routes.Config) bool {
+	awaits := b.ConfigVersion > config.Version
+	if awaits == r.awaitingConfig[b.ID] {
+		return awaits
+	}
+	r.log.Info().Str("batch", b.ID).Int64("accepted_by", b.ConfigVersion).Int64("config", config.Version).Bool("waits", awaits).
+		Msg("batch of a newer configuration")
+	if !awaits {
+		delete(r.awaitingConfig, b.ID)
+		return false
+	}
+	r.awaitingConfig[b.ID] = true
+	r.requestsLocked(ctx, b) // read meanwhile
+	return true
+}
+
 // giveUpBatchLocked gives up all open samples of a batch.
 func (r *runner) giveUpBatchLocked(b *batch.Batch, why string) {
 	for i := range b.Samples {
@@ -251,6 +272,11 @@
 			delete(r.requests, id)
 		}
 	}
+	for id := range r.awaitingConfig {
+		if !wanted[id] {
+			delete(r.awaitingConfig, id)
+		}
+	}
 	for key := range r.finished {
 		if !wanted[key.batch] {
 			delete(r.finished, key)
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -57,6 +57,7 @@
 	isolationSuspended map[pool]bool              // the pool's suspects run beside other samples
 	engines            map[string]*engine         // by incarnation
 	requests           map[string][]batch.Request // by ID of an open batch, nil while they are read
+	awaitingConfig     map[string]bool            // by ID of an open batch, it was accepted by a newer configuration
 	ignoredResults     []sampleKey                // of results that had no effect, under ignoredMu
 
 	ignoredMu sync.Mutex // separate from mu, because it is locked under the partition's lock
@@ -119,7 +120,7 @@
 		s: s, partition: p, outbox: newOutbox(s.options.Log, s.blobs, p.number, log), inContact: inContact, log: log,
 		wakeups: make(chan struct{}, 1), runs: map[sampleKey]*run{}, texts: map[sampleKey]*text{}, rewardCalls: map[sampleKey]*rewardCall{}, estimator: batch.NewEstimator(),
 		demandNotBefore: map[string]time.Duration{}, requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]retryState{}, engines: map[string]*engine{},
-		crashes: crashes.NewSampleTracker[sampleKey](), crashChecks: map[string][]brokenRun{}, isolationSuspended: map[pool]bool{},
+		crashes: crashes.NewSampleTracker[sampleKey](), crashChecks: map[string][]brokenRun{}, isolationSuspended: map[pool]bool{}, awaitingConfig: map[string]bool{},
 	}
 }
 
