follow: views that aren't in use pause in full

With the pause of loaded views bounded, a fleet that starts while configurations follow each other didn't become ready: in the model, 985 daemons weren't within 20 s.

Cause: a daemon's configuration view is loaded before its view of the upstreams. All daemons then read each configuration directly and saturate the store, and the pages that the others and the publishers wait for take over a second each.

Change: the bound of the pause holds for views in use only: both topics loaded. A view in use pauses for half of a read's time at least, so that those who publish get through.

--- a/internal/follow/catchup.go
+++ b/internal/follow/catchup.go
@@ -13,17 +13,22 @@
 
 // throttlePause returns the pause of a low-priority view that lacks records.
 //
-// A view that isn't loaded yet answers nobody, and is throttled in full. The records of a loaded
-// one take effect late by the pause, so it is at most what is left of maxLag: the view has lacked
-// records for behindFor, and the next read takes about as long as the last one.
-func throttlePause(loaded bool, readTime, behindFor, maxLag time.Duration) time.Duration {
+// A view that isn't in use answers nobody, and is throttled in full. The records of one in use take
+// effect late by the pause, so it is at most what is left of maxLag: the view has lacked records for
+// behindFor, and the next read takes about as long as the last one. It is at least a part of a read's
+// time: if all daemons read without a pause, those that publish to the others wouldn't get through.
+func throttlePause(inUse bool, readTime, behindFor, maxLag time.Duration) time.Duration {
 	full := throttleFactor * readTime
-	if !loaded {
+	if !inUse {
 		return full
 	}
-	return max(0, min(full, maxLag-behindFor-2*readTime))
+	least := time.Duration(minPauseShare * float64(min(readTime, maxLag)))
+	return max(least, min(full, maxLag-behindFor-2*readTime))
 }
 
+// minPauseShare is the least pause after a read, as a share of the time that the read took.
+const minPauseShare = 0.5
+
 // recordSize is a moving average of the sizes of records. Records of a topic differ much in size, and
 // a page may hold a single one.
 type recordSize struct {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -91,8 +91,10 @@
 	// it soon. What it lacks is then read with pauses, so that the reads of daemons that need
 	// theirs get through.
 	LowPriority func() bool
-	// MaxLag bounds the pauses of a low-priority view once it is loaded: a record that the view is
-	// known to lack is read within about this time.
+	// InUse, if set, reports whether the daemon acts on the view once it is loaded.
+	InUse func() bool
+	// MaxLag bounds the pauses of a low-priority view that is in use: a record that the view is known
+	// to lack is read within about this time.
 	MaxLag time.Duration
 	// Now is a monotonic clock that runs on while the VM is suspended.
 	Now    func() time.Duration
@@ -287,12 +289,13 @@
 // throttlePause returns the pause after the last read if the view is of low priority, and logs it if
 // the view is loaded.
 func (f *Follower) throttlePause() time.Duration {
+	inUse := f.options.InUse == nil || f.options.InUse()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.behindSince == 0 {
 		return 0
 	}
-	length := throttlePause(f.loaded, f.readTime, f.behindForLocked(), f.options.MaxLag)
+	length := throttlePause(f.loaded && inUse, f.readTime, f.behindForLocked(), f.options.MaxLag)
 	if f.loaded && length > 0 {
 		f.options.Logger.Info().Str("topic", f.options.Topic).Int("part", f.options.Partition).Int64("missing", f.partitionEnd-f.next).
 			Dur("behind", f.behindForLocked()).Dur("read_took", f.readTime).Dur("pause", length).Msg("reading of a view paused")
