follow: a fleet's start stays protected: no rescans of new keys, no bound beyond the store's rate

Cause, by the lines of 111 daemons: all 985 had loaded their views with 400 upstreams when 9,800 more registered. Their records supersede nothing, but a rescan was chosen, whose pages of 147 KB take 1.8 s for all daemons: above a call's timeout. The bound of the pause let all of them try again at once.

Change: records of keys that weren't known count as not superseded in the choice of a rescan. The bound of a loaded view's pause holds only while both topics are loaded and all daemons' direct reads, by presence records and known sizes, fit into the budget of direct reads; else the pause is as before and the relay serves.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -91,11 +91,12 @@
 	// it soon. What it lacks is then read with pauses, so that the reads of daemons that need
 	// theirs get through.
 	LowPriority func() bool
-	// InUse, if set, reports whether the daemon acts on the view once it is loaded.
-	InUse func() bool
-	// MaxLag bounds the pauses of a low-priority view that is in use: a record that the view is known
-	// to lack is read within about this time.
+	// MaxLag bounds the pauses of a low-priority view once it is loaded: a record that the view is
+	// known to lack is read within about this time.
 	MaxLag time.Duration
+	// MaxLagApplies, if set, reports whether MaxLag is to be kept now. Otherwise the pauses of a loaded
+	// view are those of a view that isn't loaded.
+	MaxLagApplies func() bool
 	// Now is a monotonic clock that runs on while the VM is suspended.
 	Now    func() time.Duration
 	Logger zerolog.Logger
@@ -121,7 +122,7 @@
 	readWait     time.Duration // how long the read in progress waits for a record
 	readTime     time.Duration // that the last read took for which the store didn't wait
 	behindSince  time.Duration // when the view was found to lack records, 0: it doesn't
-	recordSize   recordSize    // of the records read last
+	recordStats  recordStats   // of a keyed topic
 	keySizes     keySizes      // of a keyed topic
 	lastKey      string        // last key of the last scan that replaced a loaded view, until checkEnd
 	changed      chan struct{} // closed and replaced each time the view was brought up to date
@@ -255,13 +256,13 @@
 // throttlePause returns the pause after the last read if the view is of low priority, and logs it if
 // the view is loaded.
 func (f *Follower) throttlePause() time.Duration {
-	inUse := f.options.InUse == nil || f.options.InUse()
+	bounded := f.options.MaxLagApplies == nil || f.options.MaxLagApplies()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.behindSince == 0 {
 		return 0
 	}
-	length := throttlePause(f.loaded && inUse, f.readTime, f.behindForLocked(), f.options.MaxLag)
+	length := throttlePause(f.loaded && bounded, f.readTime, f.behindForLocked(), f.options.MaxLag)
 	if f.loaded && length > 0 {
 		f.options.Logger.Info().Str("topic", f.options.Topic).Int("part", f.options.Partition).Int64("missing", f.partitionEnd-f.next).
 			Dur("behind", f.behindForLocked()).Dur("read_took", f.readTime).Dur("pause", length).Msg("reading of a view paused")
@@ -273,6 +274,14 @@
 // still of low priority.
 const priorityCheckInterval = 50 * time.Millisecond
 
+// NewestBytes returns the size of the newest records of all keys of a keyed topic, those that the view
+// lacks included, as far as it is known.
+func (f *Follower) NewestBytes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.keySizes.total + int(float64(f.partitionEnd-f.next)*f.recordStats.mean)
+}
+
 // Behind reports whether the view is known to lack records.
 func (f *Follower) Behind() bool {
 	f.mu.Lock()
@@ -384,6 +393,7 @@
 func (f *Follower) apply(from int64, page store.Page) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	superseding := 0 // bytes
 	for i, record := range page.Records {
 		offset := from + int64(i)
 		if offset < f.next {
@@ -391,14 +401,14 @@
 		}
 		f.options.Sink.Record(offset, record)
 		f.next = offset + 1
-		if f.options.Keyed {
-			f.keySizes.apply(record)
+		if f.options.Keyed && f.keySizes.apply(record) {
+			superseding += len(record)
 		}
 		if !f.loaded {
 			f.loadedBytes += len(record)
 		}
 	}
-	f.recordSize.add(page)
+	f.recordStats.add(page, superseding)
 	f.updateEndLocked(page.End)
 }
 
--- a/internal/follow/keyscan.go
+++ b/internal/follow/keyscan.go
@@ -92,5 +92,5 @@
 	if !f.loaded || f.keyScan.started {
 		return true
 	}
-	return backlog{records: f.partitionEnd - f.next, recordBytes: f.recordSize.mean, newestBytes: f.keySizes.total}.rescan()
+	return backlog{records: f.partitionEnd - f.next, stats: f.recordStats, newestBytes: f.keySizes.total}.rescan()
 }
--- a/internal/follow/keysizes.go
+++ b/internal/follow/keysizes.go
@@ -16,11 +16,16 @@
 	return s
 }
 
-// apply takes a record of the topic into account. A malformed one has no key.
-func (s *keySizes) apply(record []byte) {
-	if key, value, err := store.DecodeEntry(record); err == nil {
-		s.set(key, len(value))
+// apply takes a record of the topic into account, and reports whether its key was known. A malformed one
+// has no key.
+func (s *keySizes) apply(record []byte) (known bool) {
+	key, value, err := store.DecodeEntry(record)
+	if err != nil {
+		return false
 	}
+	_, known = s.byKey[key]
+	s.set(key, len(value))
+	return known
 }
 
 // set records the size of a key's newest value, 0 if the key was deleted.
--- a/internal/relay/pace_test.go
+++ b/internal/relay/pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,3 +127,27 @@
 		panic(err) // the key is short
 	}
 }
+
+// Guards against a fleet's start that never ends: daemons that loaded their views while few upstreams were
+// registered read thousands of further entries without the pauses of a view that loads.
+func TestFleetStartsWhileUpstreamsRegister(t *testing.T) {
+	const daemons, upstreams, perAppend = 985, 10_000, 200
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newStartingFleet(daemons, 400)
+		defer f.stop()
+		f.putConfig(1)
+		time.Sleep(1500 * time.Millisecond)
+		var ids []string
+		for i := 400; i < upstreams; i++ {
+			ids = append(ids, fmt.Sprint([]string{"c", "e"}[i%20/19], i))
+		}
+		for chunk := range slices.Chunk(ids, perAppend) {
+			f.registerReady(chunk)
+			time.Sleep(100 * time.Millisecond)
+		}
+		took := f.waitFor(20*time.Second, func() bool { return f.countReady(1) == daemons && f.allRelayed() })
+		t.Logf("relayed after %s; read: configurations %d, upstreams %d, shards %d", took, f.store.BytesRead(configTopic), f.store.BytesRead(serversTopic), f.store.BytesRead(topic))
+		g.Expect(took).To(BeNumerically("<", 15*time.Second))
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,8 @@
 	// Loaded reports whether the topics have been read to their ends since they are followed.
 	// The fleet's view comes from them then.
 	Loaded() bool
+	// ReadBytes returns the size of the topics' newest records, as far as it is known.
+	ReadBytes() int
 	// Snapshot returns the data to publish, false while the topics aren't read to their ends or
 	// the store doesn't answer.
 	Snapshot() (Snapshot, bool)
@@ -253,6 +255,14 @@
 	return max(silentFor, s.ownShard.follower.Age()) + watermark.age()
 }
 
+// DirectReadsFit reports whether all daemons could read the platform's topics directly in time, as far as
+// this one knows. It doesn't depend on a publisher: while a fleet starts there is none yet.
+func (s *Service) DirectReadsFit() bool {
+	watermark, _, _ := s.ownShard.publication()
+	daemons := max(watermark.Daemons, s.ownShard.countDaemons()*s.options.Partitions)
+	return readLoad{daemons: daemons, bytesPerDaemon: s.options.DirectReader.ReadBytes(), bytesPerSecond: s.options.ReadRate}.duration() < directReadBudget
+}
+
 // ConfigBehind reports whether the shard is known to have a newer configuration than the one in
 // force.
 func (s *Service) ConfigBehind() bool {
