--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -118,7 +118,7 @@
 }
 
 // maxNewestEntries is the maximum number of keys in a page of newest records.
-const maxNewestEntries = 200
+const maxNewestEntries = 500
 
 // newest returns a page of the newest records of the keys that sort after a key.
 func (s *Store) newest(topic string, part int, after string) store.NewestPage {
