--- a/internal/relay/pace_test.go
+++ b/internal/relay/pace_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -55,9 +56,15 @@
 	})
 }
 
+// newestEntries is how many keys a page of newest records has, 0: the stand-in's default.
+var newestEntries = flag.Int("newest-entries", 0, "keys in a page of newest records of the stand-in store, 0: its default")
+
 // newStartingFleet starts daemons before some upstreams that are registered already.
 func newStartingFleet(daemons, upstreams int) *testFleet {
 	f := &testFleet{store: metastore.New(testParts), start: time.Now()}
+	if *newestEntries > 0 {
+		f.store.SetNewestEntries(*newestEntries)
+	}
 	f.store.SetRateLimits(metastore.RateLimits{ReadBytesPerSecond: testReadRate, ReadsPerSecond: 16_000, WritesPerSecond: 4_000})
 	var ids []string
 	for i := range upstreams {
