relay: a publisher's count of daemons goes before this daemon's estimate

A daemon whose shard has more readers than the mean takes a fleet of 60 for one of 200 or more, and its loaded views pause as in a fleet that can't read directly in time.

Cause: the estimate by the shard's presence records was used beside the count in the watermark.

Change: it is used only while nothing is published.

Result: the new test failed before.

--- a/internal/relay/pace_test.go
+++ b/internal/relay/pace_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
@@ -135,6 +136,31 @@
 	}
 }
 
+// Guards against a daemon of a small fleet that takes it for a large one, because more daemons than the
+// mean read its shard, and falls behind by the pauses of a large one.
+func TestCountedDaemonsGoBeforeAnEstimate(t *testing.T) {
+	const daemons, crowd, size = 60, 9, 200 << 10 // 0.15 s of the store's rate, 0.54 s by the estimate
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newStartingFleet(1, 0)
+		defer f.stop()
+		f.putConfig(1)
+		if err := f.store.Put(configTopic, "config", fmt.Appendf(nil, "%-*d", size, 2)); err != nil {
+			panic(err) // the key is short
+		}
+		time.Sleep(3 * time.Second)
+		n := f.nodes[0]
+		for i := range crowd {
+			n.service.ownShard.applyLocked(fmt.Sprint(daemonPrefix, "vm-", i), []byte{0})
+		}
+		g.Expect(n.service.DirectReadsFit()).To(BeFalse(), "by the estimate")
+		counted, err := cbor.Marshal(Watermark{Daemons: daemons})
+		g.Expect(err).NotTo(HaveOccurred())
+		n.service.ownShard.applyLocked(watermarkKey, counted)
+		g.Expect(n.service.DirectReadsFit()).To(BeTrue())
+	})
+}
+
 // Guards against a fleet's start that never ends: daemons that loaded their views while few upstreams were
 // registered read thousands of further entries without the pauses of a view that loads.
 func TestFleetStartsWhileUpstreamsRegister(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -256,10 +256,13 @@
 }
 
 // DirectReadsFit reports whether all daemons could read the platform's topics directly in time, as far as
-// this one knows. It doesn't depend on a publisher: while a fleet starts there is none yet.
+// this one knows. While a fleet starts there is no publisher that has counted its daemons yet.
 func (s *Service) DirectReadsFit() bool {
-	watermark, _, _ := s.ownShard.publication()
-	daemons := max(watermark.Daemons, s.ownShard.countDaemons()*s.options.Partitions)
+	watermark, published, _ := s.ownShard.publication()
+	daemons := watermark.Daemons
+	if !published {
+		daemons = s.ownShard.countDaemons() * s.options.Partitions
+	}
 	return readLoad{daemons: daemons, bytesPerDaemon: s.options.DirectReader.ReadBytes(), bytesPerSecond: s.options.ReadRate}.duration() < directReadBudget
 }
 
