--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"single-version": singleVersion,
 	"endless-events": endlessEvents,
+	"route-removed":  routeRemoved,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
