--- a/review/stand/endlessevents.go
+++ b/review/stand/endlessevents.go
@@ -21,8 +21,9 @@
 	// spoilPause between.
 	spoilingServers = 5
 	spoilEvery      = 34
-	spoilFor        = 6500 * time.Millisecond
-	spoilPause      = 3500 * time.Millisecond
+	spoilFor        = 5900 * time.Millisecond
+	spoilPause      = 4100 * time.Millisecond
+	smallMemoryMB   = 164
 	// memoryPolling is between two looks at a daemon's memory, restartPause before a process
 	// that has ended starts again.
 	memoryPolling = 20 * time.Millisecond
@@ -32,26 +33,28 @@
 	machinesWithEnds = 2
 )
 
-// trainers are those of the sheet: a model and the groups of 8 items of its steps.
+// trainers are those of the sheet: a model, the groups of its steps and their size. They wait for
+// 90% of the groups.
 var trainers = []struct {
-	model          string
-	groups, wanted int
-}{{"daka510000", 8, 8}, {"rada7437b5", 10, 9}, {"ravo486f6a", 9, 9}}
+	model                string
+	groups, size, wanted int
+}{{"daka510000", 9, 8, 9}, {"rada7437b5", 20, 4, 18}, {"ravo486f6a", 19, 4, 18}}
 
 // endlessEvents: some servers go on with empty events, without end, behind the last event of
-// one answer in 34, for 6.5 s of every 10 s.
+// one answer in 34, for 5.9 s of every 10 s.
 func endlessEvents(w *world, trouble bool) (bool, error) {
+	w.memoryMB = smallMemoryMB
 	var models []string
 	for _, t := range trainers {
 		models = append(models, t.model)
 	}
 	for i := range 9 {
-		e, err := w.addEngine("huvo11a", models, 30*time.Millisecond, shortLength)
+		e, err := w.addEngine("huvo11a", models, eventTime, shortLength)
 		if err != nil {
 			return false, err
 		}
 		if trouble && i < spoilingServers {
-			e.spoils = spoiling()
+			e.spoils = spoilSome()
 		}
 	}
 	if err := w.configure(rolloutConfig(3, false, models...)); err != nil {
@@ -74,7 +77,7 @@
 		training.Go(func() {
 			for n := 1; time.Now().Before(until); n++ {
 				began := time.Now()
-				s := w.newStep(fmt.Sprintf("e%d%03x", i, n), t.model, n, 1, t.groups, 8, t.wanted)
+				s := w.newStep(fmt.Sprintf("e%d%03x", i, n), t.model, n, 1, t.groups, t.size, t.wanted)
 				s.turn = i + n
 				if s.submit(trainerPath) == nil {
 					s.readUntil(s.first.Add(stepTimeLimit))
@@ -95,7 +98,7 @@
 	watching.Wait()
 	machines := 0
 	for i, d := range w.daemons {
-		w.note("%s: %d processes went over the memory limit", d.name, ends[i])
+		w.note("%s: %d processes went over the memory limit, the largest took %d MB", d.name, ends[i], d.peak>>20)
 		if ends[i] >= endsOfMachine {
 			machines++
 		}
@@ -107,8 +110,8 @@
 	return machines >= machinesWithEnds, nil
 }
 
-// spoiling returns what picks the answers that a server spoils. It is called under the server's lock.
-func spoiling() func() bool {
+// spoilSome returns what picks the answers that a server spoils. It is called under the server's lock.
+func spoilSome() func() bool {
 	began, answers := time.Now(), 0
 	return func() bool {
 		if time.Since(began)%(spoilFor+spoilPause) >= spoilFor {
@@ -148,11 +151,12 @@
 		pid, ended := d.process.Process.Pid, d.ended
 		d.mu.Unlock()
 		used := residentBytes(pid)
-		if used <= daemonMemoryMB<<20 {
+		d.peak = max(d.peak, used)
+		if used <= d.w.memoryMB<<20 {
 			continue
 		}
 		ends++
-		d.w.note("%s takes %d MB, the limit is %d MB: killed, for the %d. time", d.name, used>>20, daemonMemoryMB, ends)
+		d.w.note("%s takes %d MB, the limit is %d MB: killed, for the %d. time", d.name, used>>20, d.w.memoryMB, ends)
 		d.signal(syscall.SIGKILL)
 		<-ended
 		time.Sleep(restartPause)
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"sync"
 	"time"
+	"unicode/utf8"
 )
 
 // engine is a model server as the users' pages describe it, with batches of slots, orders with
@@ -71,11 +72,13 @@
 }
 
 const (
+	eventTime   = 30 * time.Millisecond
 	loadTime    = 900 * time.Millisecond
 	engineSlots = 16
 	engineQueue = 48
 	// firstEventTime is the read of a prompt.
 	firstEventTime = 10 * time.Millisecond
+	wrongByte      = "\xff"
 	stamp          = "3e1b.07.5a2.600.0.c9f2a4d1"
 )
 
@@ -298,6 +301,7 @@
 		run.ended = time.Now()
 		e.mu.Unlock()
 	}()
+	spoiled := e.w.takeSpoiled(item)
 	version := run.version
 	w.Header().Set("X-Dogwoodflow-Server-Stamp", stamp)
 	w.Header().Set("X-Dogwoodflow-Weight-Versions", strconv.FormatInt(version, 10))
@@ -314,7 +318,17 @@
 			version = now
 			fmt.Fprintf(w, "x-dogwoodflow-weight-versions: %d\n", version)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s %d of %d\n\n", n, item, n, e.length(item))
+		field, data := "data", eventData(item, n, e.length(item))
+		switch {
+		case spoiled == spoilData && n == e.length(item):
+			data = data[:len(data)-1] + wrongByte
+		case spoiled == spoilName && n == e.length(item)/2:
+			field = "dat" + wrongByte
+		}
+		if spoiled != spoilNone && (field != "data" || !utf8.ValidString(data)) {
+			e.w.note("%s hands out a wrong byte in event %d of %s", e.name, n, item)
+		}
+		fmt.Fprintf(w, "id: %d\n%s: %s\n\n", n, field, data)
 		e.mu.Lock()
 		run.events = n
 		run.finished = n == e.length(item)
@@ -328,6 +342,18 @@
 	}
 }
 
+// spoiling is the place of a wrong byte in an answer.
+type spoiling int
+
+const (
+	spoilNone spoiling = iota
+	spoilData          // the data of its last event
+	spoilName          // the name of the field with the data of an event in its middle
+)
+
+// eventData is the data of an event of an item.
+func eventData(item string, n, length int) string { return fmt.Sprintf("%s %d of %d", item, n, length) }
+
 // eventsAtOnce are written together by a server that doesn't end its answer.
 const eventsAtOnce = 500
 
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 const (
@@ -22,9 +23,20 @@
 	"single-version": singleVersion,
 	"endless-events": endlessEvents,
 	"route-removed":  routeRemoved,
+	"unreadable":     unreadableResults,
+	"missing-event":  missingEvent,
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
+// timeLimit is for how long a case may take.
+const timeLimit = 118 * time.Second
+
+func main() {
+	time.AfterFunc(timeLimit, func() {
+		fmt.Fprintln(os.Stderr, "review-cases: out of time")
+		os.Exit(exitNotRun)
+	})
+	os.Exit(run(os.Args[1:]))
+}
 
 func run(args []string) int {
 	if len(args) != 2 || cases[args[0]] == nil {
--- a/review/stand/singleversion.go
+++ b/review/stand/singleversion.go
@@ -35,7 +35,7 @@
 func singleVersion(w *world, trouble bool) (bool, error) {
 	const model = "daka510000"
 	for range 5 {
-		if _, err := w.addEngine("huvo11a", []string{model}, 30*time.Millisecond, itemLength); err != nil {
+		if _, err := w.addEngine("huvo11a", []string{model}, eventTime, itemLength); err != nil {
 			return false, err
 		}
 	}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -26,20 +26,20 @@
 
 // Figures of the small deployments' sheets and settings.
 const (
-	partitions     = 12
-	storeAnswer    = 4 * time.Millisecond
-	storeTimeout   = 2 * time.Second
-	heartbeat      = 1200 * time.Millisecond
-	stableWindow   = 3 * time.Second
-	graceTime      = 8 * time.Second
-	routeHost      = "ficu95.example"
-	daemonProgram  = "target/dogwoodflowd"
-	metricsPort    = 9464 // of the deploy file
-	operatorTopic  = "keyed.op"
-	serversTopic   = "keyed.servers"
-	readyTimeout   = 20 * time.Second
-	readyPolling   = 100 * time.Millisecond
-	daemonMemoryMB = 344
+	partitions    = 12
+	storeAnswer   = 4 * time.Millisecond
+	storeTimeout  = 2 * time.Second
+	heartbeat     = 1200 * time.Millisecond
+	stableWindow  = 3 * time.Second
+	graceTime     = 8 * time.Second
+	routeHost     = "ficu95.example"
+	daemonProgram = "target/dogwoodflowd"
+	metricsPort   = 9464 // of the deploy file
+	operatorTopic = "keyed.op"
+	serversTopic  = "keyed.servers"
+	readyTimeout  = 20 * time.Second
+	readyPolling  = 100 * time.Millisecond
+	usualMemoryMB = 344
 )
 
 // world is the platform around the daemons: its store, its servers, the operator.
@@ -54,11 +54,16 @@
 	byAddr  map[string]bool // addresses in use
 	subnet  [2]byte
 
+	memoryMB int64 // of a daemon's machine
+
 	mu      sync.Mutex
 	out     io.Writer
 	started time.Time
 	named   map[string]int64 // newest version by model
 	namedAt map[string]time.Time
+	// spoiledItem is the item whose next answer has a wrong byte, "" for none, and spoiledPlace where.
+	spoiledItem  string
+	spoiledPlace spoiling
 }
 
 func newWorld(out io.Writer) (*world, error) {
@@ -67,7 +72,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &world{store: metastore.New(partitions), dir: dir, ctx: ctx, cancel: cancel, out: out, started: time.Now(),
+	w := &world{store: metastore.New(partitions), memoryMB: usualMemoryMB, dir: dir, ctx: ctx, cancel: cancel, out: out, started: time.Now(),
 		named: map[string]int64{}, namedAt: map[string]time.Time{}, subnet: [2]byte{byte(1 + rand.IntN(250)), byte(rand.IntN(250))}}
 	w.ip = w.address(1)
 	return w, nil
@@ -107,6 +112,7 @@
 	front, ready, metrics string
 	settings              string
 	log                   *os.File
+	peak                  int64 // most memory that a process took, in bytes
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -141,7 +147,7 @@
 		"zone": "semarang", "region": "jawa", "zones": map[string]string{"semarang": "jawa"},
 		"listen": map[string]string{"front": d.front, "ready": d.ready}, "port_range": []int{ports[2], ports[2]}, "seeds": []string{},
 		"bootstrap": true, "in_tolerance": false, "data_dir": nil, "discovery": "platform", "entry": "vip",
-		"limits":       map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": daemonMemoryMB, "max_fds": 8200, "link_mbps": 1000.0, "disk_mb": 0},
+		"limits":       map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": w.memoryMB, "max_fds": 8200, "link_mbps": 1000.0, "disk_mb": 0},
 		"heartbeat_ms": heartbeat.Milliseconds(),
 		"contracts":    []string{"base", "drain", "config", "cost", "recover", "samples", "stream", "engine", "batch", "platform"},
 		"tolerate":     map[string]int{"machines": 1, "zones": 0, "regions": 0},
@@ -208,6 +214,7 @@
 	cmd := exec.Command(daemonProgram, "--metrics-address", d.metrics)
 	cmd.Env = append(os.Environ(), "DOGWOODFLOW_BOOT="+d.settings)
 	cmd.Stdout, cmd.Stderr = d.log, d.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it doesn't outlive this program
 	if err := cmd.Start(); err != nil {
 		return err
 	}
