--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -47,6 +47,8 @@
 	conns    map[net.Conn]bool
 	runs     []*itemRun
 	orders   []orderSeen
+	// reportSpoiled says that a report of this server had a wrong byte.
+	reportSpoiled bool
 }
 
 // itemRun is one run of an item at a server.
@@ -79,7 +81,9 @@
 	// firstEventTime is the read of a prompt.
 	firstEventTime = 10 * time.Millisecond
 	wrongByte      = "\xff"
-	stamp          = "3e1b.07.5a2.600.0.c9f2a4d1"
+	// spoiledDigit turns the first digit of a time of today in Unix ms, 1, into 9.
+	spoiledDigit = 8_000_000_000_000
+	stamp        = "3e1b.07.5a2.600.0.c9f2a4d1"
 )
 
 // addEngine starts a server and its entries in the store.
@@ -193,7 +197,15 @@
 		e.mu.Lock()
 		doc := map[string]any{"stage": "both", "models": e.modelsLocked(), "busy": e.busy, "sequence": e.sequence, "waiting": e.waiting, "running": 0,
 			"kv_used": 0, "kv_total": 99699, "handles": 0, "born": e.born}
+		spoiled := !e.reportSpoiled && e.w.takeReport()
+		e.reportSpoiled = e.reportSpoiled || spoiled
+		if spoiled {
+			doc["born"] = e.born + spoiledDigit
+		}
 		e.mu.Unlock()
+		if spoiled {
+			e.w.note("%s (%s) hands out a wrong byte in its report: born %d in place of %d", e.name, e.id, doc["born"], e.born)
+		}
 		answer(w, http.StatusOK, doc)
 	case "/api/order":
 		e.order(w, r)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,6 +25,7 @@
 	"route-removed":  routeRemoved,
 	"unreadable":     unreadableResults,
 	"missing-event":  missingEvent,
+	"spoiled-report": spoiledReport,
 }
 
 // timeLimit is for how long a case may take.
--- a/review/stand/unreadable.go
+++ b/review/stand/unreadable.go
@@ -89,3 +89,14 @@
 	w.spoiledItem = ""
 	return w.spoiledPlace
 }
+
+// takeReport reports whether a server that hasn't spoiled a report yet is to spoil this one.
+func (w *world) takeReport() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reportsToSpoil == 0 {
+		return false
+	}
+	w.reportsToSpoil--
+	return true
+}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -64,6 +64,8 @@
 	// spoiledItem is the item whose next answer has a wrong byte, "" for none, and spoiledPlace where.
 	spoiledItem  string
 	spoiledPlace spoiling
+	// reportsToSpoil is how many servers still spoil one report each.
+	reportsToSpoil int
 }
 
 func newWorld(out io.Writer) (*world, error) {
