--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -47,6 +47,7 @@
 	conns    map[net.Conn]bool
 	runs     []*itemRun
 	orders   []orderSeen
+	answers  int // given or begun
 	// reportSpoiled says that a report of this server had a wrong byte.
 	reportSpoiled bool
 }
@@ -182,6 +183,9 @@
 
 // ServeHTTP answers as a model server.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	e.answers++
+	e.mu.Unlock()
 	w.Header().Set("X-Dogwoodflow-Instance-Id", e.id)
 	if id := r.Header.Get("X-Dogwoodflow-Attempt-Id"); id != "" {
 		w.Header().Set("X-Dogwoodflow-Attempt-Id", id)
@@ -354,15 +358,6 @@
 	}
 }
 
-// spoiling is the place of a wrong byte in an answer.
-type spoiling int
-
-const (
-	spoilNone spoiling = iota
-	spoilData          // the data of its last event
-	spoilName          // the name of the field with the data of an event in its middle
-)
-
 // eventData is the data of an event of an item.
 func eventData(item string, n, length int) string { return fmt.Sprintf("%s %d of %d", item, n, length) }
 
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -26,6 +26,7 @@
 	"unreadable":     unreadableResults,
 	"missing-event":  missingEvent,
 	"spoiled-report": spoiledReport,
+	"weights-moved":  weightsMoved,
 }
 
 // timeLimit is for how long a case may take.
--- a/review/stand/spoiledreport.go
+++ b/review/stand/spoiledreport.go
@@ -11,6 +11,10 @@
 const (
 	// spoiledReports is how many servers spoil one report each.
 	spoiledReports = 2
+	// spoilSpan is the time in which servers spoil answers, from the start of a step on, namedAfter
+	// when in it the next version is named.
+	spoilSpan  = 5 * time.Second
+	namedAfter = 300 * time.Millisecond
 	// calmTime is from the spoiled reports to the next step: the steady state is long back.
 	calmTime = 8 * time.Second
 )
@@ -22,6 +26,17 @@
 	return 110 + int(h.Sum32()%40)
 }
 
+// answersSoFar is how many answers the servers have given or begun.
+func (w *world) answersSoFar() int {
+	n := 0
+	for _, e := range w.servers {
+		e.mu.Lock()
+		n += e.answers
+		e.mu.Unlock()
+	}
+	return n
+}
+
 // spoiledReport: while a version is loaded, one byte of one report is wrong at two servers, in the
 // time of their start. Later steps need newer versions.
 func spoiledReport(w *world, trouble bool) (bool, error) {
@@ -46,6 +61,12 @@
 	if first.completeGroups() < first.wanted {
 		return false, errors.New("the first step wasn't served")
 	}
+	second := w.newStep("5b02", model, 2, 1, 8, 8, 8)
+	if err := second.submit(trainerPath); err != nil {
+		return false, err
+	}
+	answers := w.answersSoFar()
+	time.Sleep(namedAfter)
 	if trouble {
 		w.mu.Lock()
 		w.reportsToSpoil = spoiledReports
@@ -54,9 +75,16 @@
 	if err := w.name(model, 2); err != nil {
 		return false, err
 	}
-	time.Sleep(calmTime)
-	second := w.newStep("5b02", model, 2, 1, 8, 8, 8)
-	second.readStep()
+	time.Sleep(spoilSpan - namedAfter)
+	w.mu.Lock()
+	spoiled := spoiledReports - w.reportsToSpoil
+	w.reportsToSpoil = 0
+	w.mu.Unlock()
+	if trouble {
+		w.note("%d of the servers' %d answers of %s had a wrong byte", spoiled, w.answersSoFar()-answers, spoilSpan)
+	}
+	second.readUntil(second.first.Add(stepTimeLimit))
+	second.end()
 	time.Sleep(calmTime)
 	if err := w.name(model, 3); err != nil {
 		return false, err
