--- a/internal/batchrun/engines.go
+++ b/internal/batchrun/engines.go
@@ -41,6 +41,9 @@
 	ErrPermanent = errors.New("batchrun: sample can't be completed")
 	// ErrDown means that nothing listens at the engine's address: its process has ended.
 	ErrDown = errors.New("batchrun: engine is down")
+	// ErrMalformed means that the engine's response, up to the point where that showed, isn't a
+	// response to the sample's request. What it has delivered can't be relied on.
+	ErrMalformed = errors.New("batchrun: malformed response of an engine")
 	// ErrStalled means that the engine sent nothing for too long.
 	ErrStalled = errors.New("batchrun: engine sent nothing for too long")
 )
