batchrun: texts in progress take a bounded share of the memory

A run keeps only the events that aren't saved yet. Above 64 KB a run saves without waiting for the checkpoint, in parts that fit into a record and that a decoder takes.

Tests of batch, batchrun, membudget and platform pass.

--- a/internal/batch/blob.go
+++ b/internal/batch/blob.go
@@ -76,6 +76,30 @@
 	return cbor.Marshal(texts)
 }
 
+const (
+	// eventHeadBytes is an upper bound of what an event takes in a blob beside its data, and a
+	// blob beside its events.
+	eventHeadBytes = 9
+	// maxBlobEvents bounds the events of a blob. Decoded ones take 16 bytes each beside their data.
+	maxBlobEvents = 1 << 14
+)
+
+// SplitText divides events into runs whose blobs have at most limit bytes each, and returns the
+// number of events in each. An event that is larger by itself is a run of its own.
+func SplitText(events []Event, limit int) (counts []int) {
+	n, size := 0, eventHeadBytes
+	for _, e := range events {
+		more := eventHeadBytes + len(e.Data)
+		if n > 0 && (size+more > limit || n == maxBlobEvents) {
+			counts = append(counts, n)
+			n, size = 0, eventHeadBytes
+		}
+		n++
+		size += more
+	}
+	return append(counts, n)
+}
+
 // UnpackText decodes a blob of PackText. Error: ErrMalformed.
 func UnpackText(blob []byte) ([]string, error) {
 	var out []string
--- a/internal/batchrun/cluster_test.go
+++ b/internal/batchrun/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
+	"github.com/dogwoodflow/dogwoodflow/internal/membudget"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
@@ -65,9 +66,10 @@
 	// services of the engines
 	services []string
 	vms      []*testVM
-	policy   Policy // of daemons that are started from now on
-	parts    int    // number of partitions of a topic
-	peers    Peers  // connects the daemons, nil if they can't reach each other
+	policy   Policy            // of daemons that are started from now on
+	parts    int               // number of partitions of a topic
+	memory   *membudget.Budget // of daemons that are started from now on, nil: no bound
+	peers    Peers             // connects the daemons, nil if they can't reach each other
 
 	mu        sync.Mutex
 	published map[string]int64 // weights version by model
@@ -83,6 +85,7 @@
 
 // clusterOptions of a testCluster.
 type clusterOptions struct {
+	memory  *membudget.Budget
 	policy  Policy // the zero Policy stands for Ours
 	seed    uint64
 	parts   int // number of partitions of a topic
@@ -99,7 +102,7 @@
 	if o.policy.PlanSamples == nil {
 		o.policy = DefaultPolicy(policy.Set{})
 	}
-	w := &testCluster{t: t, policy: o.policy, parts: o.parts, start: time.Now(), store: metastore.New(o.parts), models: o.models, services: o.services, published: map[string]int64{}}
+	w := &testCluster{t: t, policy: o.policy, memory: o.memory, parts: o.parts, start: time.Now(), store: metastore.New(o.parts), models: o.models, services: o.services, published: map[string]int64{}}
 	if len(w.services) == 0 {
 		w.services = []string{"engines"}
 	}
@@ -138,7 +141,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := New(Options{
 		VM: v.name, Policy: w.policy, Log: v.client, Membership: v.client, Engines: w.engines, Scorer: w.scorer, View: view, Suspects: health.NewSuspects(), Partitions: w.parts,
-		Address: v.name, Peers: w.peers, RecordBytes: 4096, CallBytes: 1 << 20, MemberTTL: 1500 * time.Millisecond, ClaimLease: testLease,
+		Address: v.name, Peers: w.peers, RecordBytes: 4096, CallBytes: 1 << 20, TextMemory: w.memory, MemberTTL: 1500 * time.Millisecond, ClaimLease: testLease,
 		Now: w.now, Logger: zerolog.Nop(),
 	})
 	v.mu.Lock()
--- a/internal/batchrun/fake_engines_test.go
+++ b/internal/batchrun/fake_engines_test.go
@@ -38,6 +38,7 @@
 	lastEvents    map[int]time.Time  // by run, when its last event was made
 	crashAt       map[string]int     // by sample that crashes its engine, the event at which it does
 	crashes       []engineCrash
+	padding       int             // bytes that each event has more
 	onRestart     func(id string) // called after a crashed engine has restarted
 }
 
@@ -171,7 +172,7 @@
 		version := f.engines[u.ID].versions[modelOf(r.ID)]
 		f.lastEvents[run] = time.Now()
 		f.mu.Unlock()
-		emit(batch.Event{Data: fmt.Sprintf("%s:%d:%d", r.ID, n, run), Version: version})
+		emit(batch.Event{Data: fmt.Sprintf("%s:%d:%d%s", r.ID, n, run, strings.Repeat(" ", f.padding)), Version: version})
 	}
 	return nil
 }
@@ -332,7 +333,7 @@
 	}
 	lastRun := 0
 	for i, e := range events {
-		parts := strings.Split(e, ":")
+		parts := strings.Split(strings.TrimRight(e, " "), ":")
 		if len(parts) != 3 || parts[0] != sample || parts[1] != strconv.Itoa(i+1) {
 			f.t.Errorf("sample %s: event %d is %q", sample, i+1, e)
 			return
--- a/internal/batchrun/outbox.go
+++ b/internal/batchrun/outbox.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/membudget"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 
@@ -34,6 +35,7 @@
 type outboxEntry struct {
 	blob   []byte                 // nil for none
 	record func(offset int64) any // takes the blob's offset, which has no meaning without a blob
+	lease  *membudget.Lease       // on the blob's memory, until it is in the log or dropped
 }
 
 // outbox appends an owner's records to its partition, in order. If an append isn't answered it
@@ -58,16 +60,20 @@
 // add queues a record without a blob.
 func (o *outbox) add(record any) { o.enqueue(outboxEntry{record: func(int64) any { return record }}) }
 
-// addText queues a blob with the events' text and a record that refers to it.
-func (o *outbox) addText(events []batch.Event, record func(batch.Segment) any) {
+// addText queues a blob with the events' text and a record that refers to it. lease returns the lease
+// on the memory of a blob of so many bytes, which takes the place of the events.
+func (o *outbox) addText(events []batch.Event, lease func(blobBytes int64) *membudget.Lease, record func(batch.Segment) any) {
 	blob, err := batch.PackText(events)
+	held := lease(int64(len(blob)))
 	if err != nil {
+		held.Release()
 		o.logger.Error().Err(err).Int("part", o.part).Msg("failed to encode a text; its record is dropped")
 		return
 	}
 	runs := batch.VersionRuns(events)
-	o.enqueue(outboxEntry{blob: blob, record: func(offset int64) any {
-		return record(batch.Segment{Offset: offset, Events: len(events), Versions: runs})
+	n := len(events)
+	o.enqueue(outboxEntry{blob: blob, lease: held, record: func(offset int64) any {
+		return record(batch.Segment{Offset: offset, Events: n, Versions: runs})
 	}})
 }
 
@@ -123,10 +129,25 @@
 			continue
 		}
 		o.appendEntries(ctx, entries)
+		releaseLeases(entries)
 		o.markAppended()
 	}
 }
 
+func releaseLeases(entries []outboxEntry) {
+	for _, e := range entries {
+		e.lease.Release()
+	}
+}
+
+// discard drops the queued entries. It is called when run has returned.
+func (o *outbox) discard() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	releaseLeases(o.queue)
+	o.queue = nil
+}
+
 // appendEntries appends the entries' blobs, and then the records that refer to them.
 func (o *outbox) appendEntries(ctx context.Context, entries []outboxEntry) {
 	var blobs [][]byte
--- a/internal/batchrun/reconcile.go
+++ b/internal/batchrun/reconcile.go
@@ -171,7 +171,7 @@
 		w.active = w.active || stage == batch.Generating
 		switch {
 		case stage == batch.Ready:
-			r.completeLocked(key, r.textLocked(key, s), s.Score)
+			r.completeLocked(key, r.textLocked(key, s), r.runs[key], s.Score)
 		case expired:
 			r.cancelSampleLocked(key, s)
 			r.giveUpLocked(key, s.ID, "retention time exceeded")
--- a/internal/batchrun/reward_call.go
+++ b/internal/batchrun/reward_call.go
@@ -140,7 +140,7 @@
 	rewardFailures.Add(int64(v.Failures))
 	if t := r.texts[key]; v.Score != "" && t != nil {
 		textToResultTime.Observe(now - x.textCompleteAt)
-		r.completeLocked(key, t, v.Score)
+		r.completeLocked(key, t, r.runs[key], v.Score)
 		delete(r.texts, key)
 		return
 	}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/crashes"
+	"github.com/dogwoodflow/dogwoodflow/internal/membudget"
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
@@ -69,26 +70,6 @@
 	index int
 }
 
-// text is what this owner has of a sample's text: a base, which it took from the log, and
-// the events that follow.
-type text struct {
-	baseEvents  int                // number of events in the base
-	baseWriter  string             // writer of the base's last segment
-	writer      string             // ID of this owner's part of the text
-	versions    []batch.VersionRun // weights versions of the base
-	events      []batch.Event      // after the base
-	savedEvents int                // how many of events are in the log or the outbox
-	complete    bool               // no event follows
-}
-
-// eventCount returns the number of events received so far, including the base.
-func (t *text) eventCount() int { return t.baseEvents + len(t.events) }
-
-// nextLink returns where in the sample's text the unsaved events belong.
-func (t *text) nextLink() batch.TextPosition {
-	return batch.TextPosition{Events: t.baseEvents + t.savedEvents, Writer: t.writer, BaseWriter: t.baseWriter, BaseEvents: t.baseEvents}
-}
-
 // retryState is how a sample may be started again after a run of it failed.
 type retryState struct {
 	notBefore   time.Duration
@@ -112,6 +93,9 @@
 	trial          bool          // alone on its engine, see crashes.Samples
 	startEvents    int           // number of events received before this run
 	lastEventAt    time.Duration // when the last event arrived, or startedAt
+	// lease is on the memory of the text's unsaved events, nil while there are none. Used by
+	// textMemory.
+	lease *membudget.Lease
 }
 
 func newRunner(s *Service, p *partition, inContact func() bool) *runner {
@@ -149,6 +133,7 @@
 	r.outbox.flush(ctx)
 	r.cancel()
 	r.loops.Wait()
+	r.outbox.discard()
 	if r.releaseUpstreams != nil {
 		r.releaseUpstreams()
 	}
@@ -210,37 +195,48 @@
 
 // checkpointLocked saves the new events of all running samples.
 func (r *runner) checkpointLocked() {
-	for key, x := range r.runs {
-		r.saveProgressLocked(key, x.text)
+	for _, x := range r.runs {
+		r.saveProgressLocked(x)
 	}
 }
 
-// saveProgressLocked queues a record with the events of a text that aren't saved yet.
-func (r *runner) saveProgressLocked(key sampleKey, t *text) {
-	if t.savedEvents < len(t.events) {
-		r.queueTextLocked(t, func(l batch.TextPosition, s batch.Segment) any {
-			return batch.Progress{Batch: key.batch, Item: key.index, Position: l, Segment: s}
+// saveProgressLocked queues records with the events of a run's text that aren't saved yet.
+func (r *runner) saveProgressLocked(x *run) {
+	if len(x.text.events) > 0 {
+		r.queueTextLocked(x.key, x.text, x, func(l batch.TextPosition, s batch.Segment) any {
+			return batch.Progress{Batch: x.key.batch, Item: x.key.index, Position: l, Segment: s}
 		})
 	}
 }
 
-// saveCompleteTextLocked queues the end of a text that is scored next.
-func (r *runner) saveCompleteTextLocked(key sampleKey, t *text) {
-	t.complete = true
-	r.queueTextLocked(t, func(l batch.TextPosition, s batch.Segment) any {
-		return batch.Progress{Batch: key.batch, Item: key.index, Position: l, Segment: s, TextComplete: true}
+// saveCompleteTextLocked queues the end of a run's text that is scored next.
+func (r *runner) saveCompleteTextLocked(x *run) {
+	x.text.complete = true
+	r.queueTextLocked(x.key, x.text, x, func(l batch.TextPosition, s batch.Segment) any {
+		return batch.Progress{Batch: x.key.batch, Item: x.key.index, Position: l, Segment: s, TextComplete: true}
 	})
 }
 
-// queueTextLocked queues a record with the events that aren't saved yet.
-func (r *runner) queueTextLocked(t *text, record func(batch.TextPosition, batch.Segment) any) {
-	link := t.nextLink()
-	if t.savedEvents == len(t.events) {
-		r.outbox.add(record(link, batch.Segment{Offset: noBlob}))
+// queueTextLocked queues a record with the events of a text that aren't saved yet. x is the run that
+// holds their memory, nil if there are none. What doesn't fit into one record goes before, in
+// records of progress.
+func (r *runner) queueTextLocked(key sampleKey, t *text, x *run, record func(batch.TextPosition, batch.Segment) any) {
+	if len(t.events) == 0 {
+		r.outbox.add(record(t.link(), batch.Segment{Offset: noBlob}))
 		return
 	}
-	r.outbox.addText(t.events[t.savedEvents:len(t.events):len(t.events)], func(s batch.Segment) any { return record(link, s) })
-	t.savedEvents = len(t.events)
+	parts := batch.SplitText(t.events, r.s.options.RecordBytes)
+	for i, n := range parts {
+		link, before := t.link(), t.unsavedBytes
+		events := t.takeUnsaved(n)
+		segment := func(s batch.Segment) any {
+			return batch.Progress{Batch: key.batch, Item: key.index, Position: link, Segment: s}
+		}
+		if i == len(parts)-1 {
+			segment = func(s batch.Segment) any { return record(link, s) }
+		}
+		r.outbox.addText(events, func(blob int64) *membudget.Lease { return r.s.texts.move(x, before-t.unsavedBytes, blob) }, segment)
+	}
 }
 
 // textLocked returns a sample's text so far: the longer of this owner's and the log's.
@@ -250,8 +246,8 @@
 		return t
 	}
 	t = &text{baseEvents: s.Text.Events, baseWriter: s.Text.Writer, writer: uuid.NewString()}
-	for _, segment := range s.Text.Segments {
-		t.versions = append(t.versions, segment.Versions...)
+	if len(s.Text.Segments) > 0 && len(s.Text.Segments[0].Versions) > 0 {
+		t.firstVersion = s.Text.Segments[0].Versions[0].Version
 	}
 	r.texts[key] = t
 	return t
@@ -289,11 +285,11 @@
 )
 
 // completeLocked queues a sample's result with the rest of its text, and the score of its
-// reward call if it has one.
-func (r *runner) completeLocked(key sampleKey, t *text, score string) {
+// reward call if it has one. x is the run that holds the rest, nil if all is saved.
+func (r *runner) completeLocked(key sampleKey, t *text, x *run, score string) {
 	r.finished[key] = true
 	samplesCompleted.Add(1)
-	r.queueTextLocked(t, func(l batch.TextPosition, s batch.Segment) any {
+	r.queueTextLocked(key, t, x, func(l batch.TextPosition, s batch.Segment) any {
 		return batch.Result{Batch: key.batch, Item: key.index, State: batch.Completed, Position: l, Segment: s, Score: score}
 	})
 }
--- a/internal/batchrun/sample_run.go
+++ b/internal/batchrun/sample_run.go
@@ -28,6 +28,12 @@
 	engineRefusedDelay = 150 * time.Millisecond
 	// retryDelay is the wait before a sample whose run broke off may start again.
 	retryDelay = 10 * time.Millisecond
+	// noRoomDelay is the same after a run that found no room in memory. A checkpoint or two later
+	// the texts of the others are in the log.
+	noRoomDelay = 2 * checkpointInterval
+	// maxUnsavedBytes is what a run's events may take in memory before they are saved without
+	// waiting for the next checkpoint.
+	maxUnsavedBytes = 64 << 10
 	// failedDelay is the same after the engine reported that the sample failed.
 	failedDelay = 100 * time.Millisecond
 )
@@ -137,8 +143,15 @@
 		r.engineLocked(x.incarnation).observeGap(now-x.lastEventAt, now)
 	}
 	x.lastEventAt = now
-	x.text.events = append(x.text.events, e)
+	if !r.s.texts.grow(x, eventBytes(e)) {
+		x.cancel(errNoRoom)
+		return
+	}
+	x.text.add(e)
 	r.endTrialIfPassedLocked(x)
+	if x.text.unsavedBytes >= maxUnsavedBytes {
+		r.saveProgressLocked(x)
+	}
 }
 
 // onRunEnded is called when a run has ended. err is nil if the text is complete. The text goes
@@ -149,6 +162,7 @@
 	defer r.mu.Unlock()
 	defer r.wake()
 	delete(r.runs, x.key)
+	defer r.s.texts.release(x)
 	e := r.engineLocked(x.incarnation)
 	e.running--
 	e.trial = e.trial && !x.trial
@@ -160,14 +174,14 @@
 			r.estimator.Observe(x.expectedTokens, x.text.eventCount(), now-x.startedAt)
 		}
 		if x.hasReward {
-			r.saveCompleteTextLocked(x.key, x.text) // the next reconcile pass starts the reward call
+			r.saveCompleteTextLocked(x) // the next reconcile pass starts the reward call
 			return
 		}
-		r.completeLocked(x.key, x.text, "")
+		r.completeLocked(x.key, x.text, x, "")
 		delete(r.texts, x.key)
 		return
 	}
-	r.saveProgressLocked(x.key, x.text)
+	r.saveProgressLocked(x)
 	r.handleRunErrorLocked(x, e, err, now)
 }
 
@@ -187,6 +201,8 @@
 		retry.notBefore = now + failedDelay
 	case errors.Is(err, ErrRefused):
 		e.fullUntil = now + engineRefusedDelay
+	case errors.Is(err, errNoRoom):
+		retry = retryState{notBefore: now + noRoomDelay}
 	case errors.Is(err, errMoved):
 		retry.notBefore = 0
 	case errors.Is(err, errLogAhead):
@@ -223,12 +239,3 @@
 	line.Str("batch", x.key.batch).Str("sample", x.sampleID).Str("upstream", x.incarnation).Int("after", x.startEvents).
 		Int("events", x.text.eventCount()).Dur("took", now-x.startedAt).Dur("since_event", now-x.lastEventAt).Msg("sample run ended")
 }
-
-// hasOtherVersion reports whether the text has events of another weights version. It looks at
-// the first event only: the versions of a text whose batch allows one don't differ.
-func (t *text) hasOtherVersion(version int64) bool {
-	if len(t.versions) > 0 {
-		return t.versions[0].Version != version
-	}
-	return len(t.events) > 0 && t.events[0].Version != version
-}
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
 	"github.com/dogwoodflow/dogwoodflow/internal/health"
 	"github.com/dogwoodflow/dogwoodflow/internal/loads"
+	"github.com/dogwoodflow/dogwoodflow/internal/membudget"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/pause"
@@ -50,13 +51,14 @@
 	Upstreams   Upstreams        // nil if View always has every upstream
 	Suspects    *health.Suspects // shared with all other senders to upstreams
 	Policy      Policy
-	Small       bool          // this VM owns partitions only while no larger one does
-	Partitions  int           // number of partitions of a topic
-	RecordBytes int           // size limit of a record
-	CallBytes   int           // size limit of an append
-	MemberTTL   time.Duration // silence after which an owner's partitions are reassigned
-	ClaimLease  time.Duration // within which an engine must not get orders of two VMs
-	Address     string        // ip:port where other daemons' Peers reach this one, "" for none
+	Small       bool              // this VM owns partitions only while no larger one does
+	Partitions  int               // number of partitions of a topic
+	RecordBytes int               // size limit of a record
+	CallBytes   int               // size limit of an append
+	TextMemory  *membudget.Budget // for texts until they are in the log, nil: no bound
+	MemberTTL   time.Duration     // silence after which an owner's partitions are reassigned
+	ClaimLease  time.Duration     // within which an engine must not get orders of two VMs
+	Address     string            // ip:port where other daemons' Peers reach this one, "" for none
 	Peers       Peers
 	Now         func() time.Duration // a clock that keeps running while the VM is suspended
 	Logger      zerolog.Logger
@@ -77,6 +79,7 @@
 	options         Options
 	partitions      []*partition
 	blobs           *blobCache
+	texts           *textMemory
 	loader          *loader
 	modelPartitions *modelPartitions
 	owner           *owner
@@ -86,7 +89,7 @@
 
 // New returns a Service that hasn't read anything yet.
 func New(o Options) *Service {
-	s := &Service{options: o, blobs: newBlobCache(o.Log, o.Partitions)}
+	s := &Service{options: o, blobs: newBlobCache(o.Log, o.Partitions), texts: newTextMemory(o.TextMemory)}
 	for n := range o.Partitions {
 		s.partitions = append(s.partitions, newPartition(n, o))
 	}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -112,6 +112,20 @@
 	l.budget.giveBack(n)
 }
 
+// Split returns a lease on n of the bytes held, which the first lease no longer holds.
+func (l *Lease) Split(n int64) *Lease {
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.released || n > l.held {
+		return nil
+	}
+	l.held -= n
+	return &Lease{budget: l.budget, held: n}
+}
+
 // Release gives back all bytes. Further calls do nothing.
 func (l *Lease) Release() {
 	if l == nil {
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -50,6 +50,21 @@
 	g.Expect(lease.Grow(math.MaxInt64)).To(BeFalse(), "the sum overflows")
 }
 
+// Guards against bytes that are counted twice, or stay, when a part of a lease changes hands.
+func TestSplit(t *testing.T) {
+	g := NewWithT(t)
+	b := New(100)
+	lease, _ := b.Acquire(80)
+	part := lease.Split(30)
+	g.Expect(b.Held()).To(BeEquivalentTo(80))
+	g.Expect(lease.Split(51)).To(BeNil())
+	lease.Release()
+	g.Expect(b.Held()).To(BeEquivalentTo(30))
+	g.Expect(lease.Split(1)).To(BeNil())
+	part.Release()
+	g.Expect(b.Held()).To(BeZero())
+}
+
 // Guards against a body whose buffer is larger than what the lease holds, against bytes that
 // stay in the lease after an error, and against bodies that are cut off or not cut off.
 func TestReadAll(t *testing.T) {
