batchrun: nothing of a run that proved malformed is listed or resumed behind

Each event went into the text at once, checkpoints and the run's end stored it also when the run had just proved malformed, and a run that resumes behind the true end brings no event and counted as complete.

A rule for malformed, broken off, moved and lost runs alike: - A run that proves malformed gives back what it added, in the log too: a record Retracted takes the part out of the kept text, out of texts that continue it, and out of a later batch that has reused it.

--- a/internal/batch/chains.go
+++ b/internal/batch/chains.go
@@ -1,6 +1,10 @@
 package batch
 
-import "slices"
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
 
 // segmentChains holds all texts that owners wrote for a sample, as chains of segments that may
 // branch. Two owners may run a sample for a moment: one that is cut off from the log and the
@@ -30,13 +34,8 @@
 // chains or was added before. inherited is the text that the sample inherited from an earlier
 // batch; only the first call uses it.
 func (c *segmentChains) add(inherited Text, link TextPosition, segment Segment) *chainNode {
-	if c.ends == nil {
-		c.ends = map[textEnd]*chainNode{{inherited.Writer, inherited.Events}: {inherited: inherited, events: inherited.Events, writer: inherited.Writer}}
-	}
-	previous := c.ends[textEnd{link.Writer, link.Events}]
-	if previous == nil && link.Events == link.BaseEvents {
-		previous = c.ends[textEnd{link.BaseWriter, link.BaseEvents}]
-	}
+	c.begin(inherited)
+	previous := c.find(link)
 	if previous == nil {
 		return nil
 	}
@@ -49,6 +48,84 @@
 	return node
 }
 
+// begin adds the first node unless there is one.
+func (c *segmentChains) begin(inherited Text) {
+	if c.ends == nil {
+		c.ends = map[textEnd]*chainNode{{inherited.Writer, inherited.Events}: {inherited: inherited, events: inherited.Events, writer: inherited.Writer}}
+	}
+}
+
+// find returns the node at a position, nil if no chain ends there.
+func (c *segmentChains) find(link TextPosition) *chainNode {
+	if n := c.ends[textEnd{link.Writer, link.Events}]; n != nil {
+		return n
+	}
+	if link.Events == link.BaseEvents {
+		return c.ends[textEnd{link.BaseWriter, link.BaseEvents}]
+	}
+	return nil
+}
+
+// retract removes the part behind the first kept events of the chain that ends at a position, and
+// all that continues this part. It returns the segments removed; what is inherited and longer than
+// kept is cut at the end of a segment. inherited is as in add.
+func (c *segmentChains) retract(inherited Text, end TextPosition, kept int) (removed []Segment) {
+	c.begin(inherited)
+	part := map[*chainNode]bool{}
+	left := inherited
+	for n := c.find(end); n != nil && n.events > kept; n = n.previous {
+		part[n] = true
+		if n.previous == nil {
+			left = n.inherited
+		}
+	}
+	for key, last := range c.ends {
+		if segments := last.segmentsFrom(part); len(segments) > 0 {
+			delete(c.ends, key)
+			removed = append(removed, segments...)
+		}
+	}
+	if len(c.ends) == 0 {
+		c.ends = nil
+		c.begin(left.firstEvents(kept))
+	}
+	return removed
+}
+
+// segmentsFrom returns the segments from a node of part on up to this node, none if no node of part
+// comes before it.
+func (n *chainNode) segmentsFrom(part map[*chainNode]bool) (out []Segment) {
+	var passed []Segment
+	for ; n != nil; n = n.previous {
+		passed = append(passed, n.segment)
+		passed = append(passed, n.inherited.Segments...)
+		if part[n] {
+			out = passed
+		}
+	}
+	return out
+}
+
+// longest returns the end of the longest chain. Of several as long it is the same at all daemons.
+func (c *segmentChains) longest() *chainNode {
+	return slices.MaxFunc(slices.Collect(maps.Values(c.ends)), func(a, b *chainNode) int {
+		return cmp.Or(cmp.Compare(a.events, b.events), cmp.Compare(b.writer, a.writer))
+	})
+}
+
+// firstEvents returns the text's whole segments within its first n events.
+func (t Text) firstEvents(n int) Text {
+	out := Text{}
+	for _, s := range t.Segments {
+		if out.Events+s.Events > n {
+			break
+		}
+		out.Segments = append(out.Segments, s)
+		out.Events += s.Events
+	}
+	return out
+}
+
 // text returns the text that ends with this node.
 func (n *chainNode) text() Text {
 	out := Text{Events: n.events, Writer: n.writer}
--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -17,7 +17,8 @@
 //   - a listed sample keeps its place in the list and its content;
 //   - the kept text of a sample is one chain of segments, each of which was generated as a
 //     continuation of the ones before; it is the longest chain until one is complete, and
-//     that one from then on;
+//     that one from then on, unless a part of it is retracted;
+//   - no kept text has a segment that was retracted before the sample was listed;
 //   - a score belongs to the text that it is listed with: the reward call began
 //     after that text's last event.
 type Fold struct {
@@ -164,6 +165,8 @@
 		return f.applyFailed(r)
 	case Ended:
 		return f.applyEnded(r)
+	case Retracted:
+		return f.applyRetracted(r)
 	}
 	return nil
 }
@@ -263,6 +266,47 @@
 	return b
 }
 
+// applyRetracted takes back a part of an open sample's text, also where a later batch has reused it.
+func (f *Fold) applyRetracted(r Retracted) *Batch {
+	b, s := f.sample(r.Batch, r.Item)
+	if s == nil || s.State != Open {
+		return nil
+	}
+	removed := s.chains.retract(s.Text, r.End, r.Kept)
+	if len(removed) == 0 {
+		return nil
+	}
+	if s.chains.ends[textEnd{s.Text.Writer, s.Text.Events}] == nil {
+		s.setText(s.chains.longest().text())
+	}
+	if ref, ok := f.latest[s.ID]; ok && ref.batch != b {
+		ref.batch.Samples[ref.index].dropReused(removed)
+	}
+	return b
+}
+
+// setText replaces a text of which a part was retracted.
+func (s *Sample) setText(t Text) {
+	s.Text, s.TextComplete, s.Score = t, false, ""
+}
+
+// dropReused takes segments that were retracted in an earlier batch out of an open sample's text,
+// together with all that follows them.
+func (s *Sample) dropReused(retracted []Segment) {
+	if s.State != Open {
+		return
+	}
+	kept := 0
+	for _, segment := range s.Text.Segments {
+		if slices.ContainsFunc(retracted, func(r Segment) bool { return r.Events > 0 && r.Offset == segment.Offset }) {
+			s.chains = segmentChains{}
+			s.setText(s.Text.firstEvents(kept))
+			return
+		}
+		kept += segment.Events
+	}
+}
+
 // applyCompletion adds the text's last segment, or sets the score of a complete text. It
 // returns false, and changes nothing, if the segment continues none of the sample's texts or
 // the score isn't one of the kept text.
--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -437,3 +437,87 @@
 		g.Expect(f.Get(Key(c.customer, "second")).Samples[0].Text.Events).To(Equal(c.events), "customer %s", c.customer)
 	}
 }
+
+// retractionFold returns a fold with a batch of one sample, to which writer a has saved events 1 to 5
+// and 6 to 9, and whose text writer b has resumed behind event 9.
+func retractionFold() *Fold {
+	f := NewFold()
+	f.Apply(Accepted{Batch: "b", Parts: 1, Header: &Header{Model: "m"}, Items: []Item{{ID: "s"}}}, 0)
+	progress := func(offset int64, events int, at TextPosition) {
+		f.Apply(Progress{Batch: "b", Position: at, Segment: Segment{Offset: offset, Events: events, Versions: []VersionRun{{1, events}}}}, 0)
+	}
+	progress(10, 5, TextPosition{Writer: "a"})
+	progress(11, 4, TextPosition{Writer: "a", Events: 5})
+	progress(12, 2, TextPosition{Writer: "b", Events: 9, BaseWriter: "a", BaseEvents: 9})
+	return f
+}
+
+// Guards against bytes of a response that proved malformed after a checkpoint: they must be neither
+// listed nor resumed behind, by whichever owner.
+func TestRetractedTextCountsNoMore(t *testing.T) {
+	endOfA := TextPosition{Writer: "a", Events: 9}
+	for _, c := range []struct {
+		name     string
+		end      TextPosition
+		kept     int
+		segments []int64 // offsets of the text's blobs
+	}{
+		{"the last part and what continues it", endOfA, 5, []int64{10}},
+		{"the whole text", endOfA, 0, nil},
+		{"what continues it", TextPosition{Writer: "b", Events: 11}, 9, []int64{10, 11}},
+		{"a part by the position of a writer that has saved nothing", TextPosition{Writer: "c", Events: 11, BaseWriter: "b", BaseEvents: 11}, 5, []int64{10}},
+		{"a text that isn't in the log", TextPosition{Writer: "d", Events: 4}, 0, []int64{10, 11, 12}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := retractionFold()
+			f.Apply(Retracted{Batch: "b", End: c.end, Kept: c.kept}, 0)
+			s := &f.Get("b").Samples[0]
+			var offsets []int64
+			for _, segment := range s.Text.Segments {
+				offsets = append(offsets, segment.Offset)
+			}
+			g.Expect(offsets).To(Equal(c.segments))
+			// A new text from there on is complete by itself.
+			at := TextPosition{Writer: "e", Events: s.Text.Events, BaseWriter: s.Text.Writer, BaseEvents: s.Text.Events}
+			f.Apply(Result{Batch: "b", State: Completed, Position: at, Segment: Segment{Offset: 20, Events: 3}}, 0)
+			g.Expect(s.State).To(Equal(Completed))
+			g.Expect(s.Text.Segments).To(HaveLen(len(c.segments) + 1))
+		})
+	}
+}
+
+// Guards against a result whose text continues a retracted one.
+func TestResultBehindARetractedTextIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	f := retractionFold()
+	f.Apply(Retracted{Batch: "b", End: TextPosition{Writer: "a", Events: 9}, Kept: 5}, 0)
+	f.Apply(Result{Batch: "b", State: Completed, Position: TextPosition{Writer: "b", Events: 11, BaseWriter: "a", BaseEvents: 9}, Segment: Segment{Offset: 20, Events: 1}}, 0)
+	g.Expect(f.Get("b").Samples[0].State).To(Equal(Open))
+}
+
+// Guards against a retracted text that lives on in a later batch, which has taken it over, or as the
+// complete text of a sample that waits for its score.
+func TestRetractionReachesReusedAndCompleteTexts(t *testing.T) {
+	g := NewWithT(t)
+	f := retractionFold()
+	f.Apply(Progress{Batch: "b", Position: TextPosition{Writer: "b", Events: 11, BaseWriter: "a", BaseEvents: 9}, Segment: Segment{Offset: -1}, TextComplete: true}, 0)
+	f.Apply(Accepted{Batch: "later", Parts: 1, Header: &Header{Model: "m"}, Items: []Item{{ID: "s"}}}, 0)
+	first, later := &f.Get("b").Samples[0], &f.Get("later").Samples[0]
+	g.Expect(first.TextComplete).To(BeTrue())
+	g.Expect(later.Text.Events).To(Equal(11))
+	f.Apply(Retracted{Batch: "b", End: TextPosition{Writer: "a", Events: 9}, Kept: 5}, 0)
+	for _, s := range []*Sample{first, later} {
+		g.Expect(s.TextComplete).To(BeFalse())
+		g.Expect(s.Text.Events).To(Equal(5))
+	}
+}
+
+// Guards against a listed result that changes.
+func TestRetractionLeavesListedTextsAlone(t *testing.T) {
+	g := NewWithT(t)
+	f := retractionFold()
+	f.Apply(Result{Batch: "b", State: Completed, Position: TextPosition{Writer: "b", Events: 11, BaseWriter: "a", BaseEvents: 9}, Segment: Segment{Offset: 20, Events: 1}}, 0)
+	f.Apply(Retracted{Batch: "b", End: TextPosition{Writer: "a", Events: 9}, Kept: 5}, 0)
+	g.Expect(f.Get("b").Samples[0].Text.Events).To(Equal(12))
+}
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -31,6 +31,7 @@
 	kindFailed
 	kindEnded
 	kindLoaded
+	kindRetracted
 )
 
 // Accepted is one part of the record of an accepted batch, which is split since the size of a
@@ -160,6 +161,16 @@
 	TextComplete bool `cbor:"5,keyasint,omitempty"`
 }
 
+// Retracted takes back the last part of a sample's text, which came from a response that proved
+// malformed or was disproved by a later one, and all that was generated as its continuation. The
+// text of a listed sample stays.
+type Retracted struct {
+	Batch string       `cbor:"1,keyasint"`
+	Item  int          `cbor:"2,keyasint"` // index of the sample in the batch
+	End   TextPosition `cbor:"3,keyasint"` // end of the text
+	Kept  int          `cbor:"4,keyasint"` // number of its events that stay
+}
+
 // State says whether a sample has a result, and which.
 type State int
 
@@ -235,6 +246,8 @@
 		return kindEnded, nil
 	case Loaded:
 		return kindLoaded, nil
+	case Retracted:
+		return kindRetracted, nil
 	}
 	return 0, fmt.Errorf("batch: %T is not a record type", record)
 }
@@ -257,6 +270,8 @@
 		return decode[Ended](data[1:])
 	case kindLoaded:
 		return decode[Loaded](data[1:])
+	case kindRetracted:
+		return decode[Retracted](data[1:])
 	}
 	return nil, fmt.Errorf("%w: kind %d", ErrMalformed, data[0])
 }
--- a/internal/batchrun/fake_engines_test.go
+++ b/internal/batchrun/fake_engines_test.go
@@ -38,8 +38,26 @@
 	lastEvents    map[int]time.Time  // by run, when its last event was made
 	crashAt       map[string]int     // by sample that crashes its engine, the event at which it does
 	crashes       []engineCrash
-	padding       int             // bytes that each event has more
-	onRestart     func(id string) // called after a crashed engine has restarted
+	spoiled       map[string]spoiledRun // by sample, how its next run ends
+	refused       map[string]bool       // samples that engines refuse unless their next run is spoiled
+	padding       int                   // bytes that each event has more
+	onRestart     func(id string)       // called after a crashed engine has restarted
+}
+
+// spoiledRun is a run that goes on behind the sample's last event.
+type spoiledRun struct {
+	extra int           // events too many
+	hang  time.Duration // after them
+	err   error         // at the end
+}
+
+// takeSpoiled returns how a run of a sample goes on behind its end. A sample's run is spoiled once.
+func (f *fakeEngines) takeSpoiled(sample string) (spoiledRun, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.spoiled[sample]
+	delete(f.spoiled, sample)
+	return s, ok
 }
 
 // engineCrash is a crash of an engine's process.
@@ -80,7 +98,7 @@
 
 func newFakeEngines(t *testing.T, seed uint64, n int, models []string) *fakeEngines {
 	f := &fakeEngines{t: t, start: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*fakeEngine{},
-		runs: map[int]fakeRun{}, lastOrders: map[string]receivedOrder{}, failures: map[string]int{}, lastEvents: map[int]time.Time{}, eventInterval: eventInterval, slowdown: map[string]float64{}, crashAt: map[string]int{}, onRestart: func(string) {}}
+		runs: map[int]fakeRun{}, lastOrders: map[string]receivedOrder{}, failures: map[string]int{}, lastEvents: map[int]time.Time{}, eventInterval: eventInterval, slowdown: map[string]float64{}, crashAt: map[string]int{}, spoiled: map[string]spoiledRun{}, refused: map[string]bool{}, onRestart: func(string) {}}
 	for i := range n {
 		e := &fakeEngine{started: 1, versions: map[string]int64{}, exited: make(chan struct{})}
 		for _, m := range models {
@@ -127,7 +145,7 @@
 	default:
 	}
 	switch {
-	case e.busy || f.random.Float64() < f.refuseRate:
+	case e.busy || f.random.Float64() < f.refuseRate || f.refused[r.ID] && f.spoiled[r.ID] == spoiledRun{}:
 		return 0, ErrRefused
 	case f.failures[r.ID] > 0:
 		f.failures[r.ID]--
@@ -150,6 +168,7 @@
 	}
 	exited, done := f.trackRun(u.ID)
 	defer done()
+	spoiled, isSpoiled := f.takeSpoiled(r.ID)
 	for n := r.ReceivedEvents + 1; n <= sampleLength(r.ID); n++ {
 		select {
 		case <-ctx.Done():
@@ -174,7 +193,18 @@
 		f.mu.Unlock()
 		emit(batch.Event{Data: fmt.Sprintf("%s:%d:%d%s", r.ID, n, run, strings.Repeat(" ", f.padding)), Version: version})
 	}
-	return nil
+	if !isSpoiled {
+		return nil
+	}
+	for n := range spoiled.extra {
+		emit(batch.Event{Data: fmt.Sprint("foreign", n), Version: 1})
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(spoiled.hang):
+		return spoiled.err
+	}
 }
 
 // trackRun counts a run as in progress until done is called. exited is closed when the
--- a/internal/batchrun/reconcile.go
+++ b/internal/batchrun/reconcile.go
@@ -200,7 +200,7 @@
 // cancelIfBehindLocked cancels a run that is behind the log's text, so that it resumes from
 // there. This happens when the previous owner's last text arrives after the run started.
 func (r *runner) cancelIfBehindLocked(x *run, s *batch.Sample) {
-	if s.Text.Events >= x.text.eventCount()+minLogLead {
+	if x.text.isBehind(s.Text.Events - minLogLead + 1) {
 		x.cancel(errLogAhead)
 	}
 }
@@ -234,8 +234,8 @@
 	key := sampleKey{b.ID, i}
 	retry := r.retries[key]
 	events := s.Text.Events
-	if t := r.texts[key]; t != nil {
-		events = max(events, t.eventCount())
+	if t := r.texts[key]; t != nil && !t.isBehind(events) {
+		events = t.eventCount()
 	}
 	return batch.WaitingSample{
 		Batch: b.ID, Index: i, Group: s.Group, MinVersion: b.MinVersion,
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -91,7 +91,9 @@
 	startedAt      time.Duration
 	cancel         context.CancelCauseFunc
 	trial          bool          // alone on its engine, see crashes.Samples
-	startEvents    int           // number of events received before this run
+	startEvents    int           // number of events in the text before this run, all saved
+	startWriter    string        // of the last segment before this run
+	receivedEvents int           // of the text, including those before this run
 	lastEventAt    time.Duration // when the last event arrived, or startedAt
 	// lease is on the memory of the text's unsaved events, nil while there are none. Used by
 	// textMemory.
@@ -200,10 +202,15 @@
 	}
 }
 
-// saveProgressLocked queues records with the events of a run's text that aren't saved yet.
+// heldBack is how many events at the end of an unfinished text aren't saved. The next run is asked
+// for them again: if it has none there, the text was longer than the sample's, and is wrong.
+const heldBack = 1
+
+// saveProgressLocked queues records with the events of a run's text that aren't saved yet, but for
+// those held back.
 func (r *runner) saveProgressLocked(x *run) {
-	if len(x.text.events) > 0 {
-		r.queueTextLocked(x.key, x.text, x, func(l batch.TextPosition, s batch.Segment) any {
+	if n := len(x.text.events) - heldBack; n > 0 {
+		r.queueTextLocked(x.key, x.text, x, n, func(l batch.TextPosition, s batch.Segment) any {
 			return batch.Progress{Batch: x.key.batch, Item: x.key.index, Position: l, Segment: s}
 		})
 	}
@@ -212,20 +219,20 @@
 // saveCompleteTextLocked queues the end of a run's text that is scored next.
 func (r *runner) saveCompleteTextLocked(x *run) {
 	x.text.complete = true
-	r.queueTextLocked(x.key, x.text, x, func(l batch.TextPosition, s batch.Segment) any {
+	r.queueTextLocked(x.key, x.text, x, len(x.text.events), func(l batch.TextPosition, s batch.Segment) any {
 		return batch.Progress{Batch: x.key.batch, Item: x.key.index, Position: l, Segment: s, TextComplete: true}
 	})
 }
 
-// queueTextLocked queues a record with the events of a text that aren't saved yet. x is the run that
-// holds their memory, nil if there are none. What doesn't fit into one record goes before, in
-// records of progress.
-func (r *runner) queueTextLocked(key sampleKey, t *text, x *run, record func(batch.TextPosition, batch.Segment) any) {
-	if len(t.events) == 0 {
+// queueTextLocked queues a record with the first n events of a text that aren't saved yet. x is the
+// run that holds their memory, nil if there are none. What doesn't fit into one record goes before,
+// in records of progress.
+func (r *runner) queueTextLocked(key sampleKey, t *text, x *run, n int, record func(batch.TextPosition, batch.Segment) any) {
+	if n == 0 {
 		r.outbox.add(record(t.link(), batch.Segment{Offset: noBlob}))
 		return
 	}
-	parts := batch.SplitText(t.events, r.s.options.RecordBytes)
+	parts := batch.SplitText(t.events[:n], r.s.options.RecordBytes)
 	for i, n := range parts {
 		link, before := t.link(), t.unsavedBytes
 		events := t.takeUnsaved(n)
@@ -239,10 +246,28 @@
 	}
 }
 
+// retractLocked takes back what a run's text has behind its first kept events, in the log too.
+func (r *runner) retractLocked(x *run, kept int, why error) {
+	t := x.text
+	t.dropUnsaved()
+	if t.position() == kept {
+		return // nothing of it was saved
+	}
+	textsRetracted.Add(1)
+	r.log.Warn().Str("batch", x.key.batch).Str("sample", x.sampleID).Str("upstream", x.incarnation).Int("events", t.position()).Int("kept", kept).
+		Err(why).Msg("text retracted")
+	r.outbox.add(batch.Retracted{Batch: x.key.batch, Item: x.key.index, End: t.link(), Kept: kept})
+	next := &text{writer: uuid.NewString(), supersedesLog: true}
+	if kept > 0 {
+		next.baseEvents, next.baseWriter, next.firstVersion = kept, x.startWriter, t.firstVersion
+	}
+	r.texts[x.key] = next
+}
+
 // textLocked returns a sample's text so far: the longer of this owner's and the log's.
 func (r *runner) textLocked(key sampleKey, s *batch.Sample) *text {
 	t := r.texts[key]
-	if t != nil && t.eventCount() >= s.Text.Events {
+	if t != nil && !t.isBehind(s.Text.Events) {
 		return t
 	}
 	t = &text{baseEvents: s.Text.Events, baseWriter: s.Text.Writer, writer: uuid.NewString()}
@@ -280,6 +305,7 @@
 	samplesCompleted = metrics.Counter("samples_completed")
 	samplesGivenUp   = metrics.Counter("samples_given_up")
 	samplesResumed   = metrics.Counter("samples_resumed")
+	textsRetracted   = metrics.Counter("sample_texts_retracted")
 	sampleRunsBroken = metrics.Counter("sample_runs_broken")
 	sampleRunTime    = metrics.Latency("sample_run_ms")
 )
@@ -289,7 +315,7 @@
 func (r *runner) completeLocked(key sampleKey, t *text, x *run, score string) {
 	r.finished[key] = true
 	samplesCompleted.Add(1)
-	r.queueTextLocked(key, t, x, func(l batch.TextPosition, s batch.Segment) any {
+	r.queueTextLocked(key, t, x, len(t.events), func(l batch.TextPosition, s batch.Segment) any {
 		return batch.Result{Batch: key.batch, Item: key.index, State: batch.Completed, Position: l, Segment: s, Score: score}
 	})
 }
--- a/internal/batchrun/sample_run.go
+++ b/internal/batchrun/sample_run.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 )
@@ -22,6 +23,14 @@
 	errVersionsMixed = errors.New("weights version changed within a sample that allows only one")
 )
 
+// Errors of runs whose responses are complete.
+var (
+	errNoEvents      = errors.New("response has no event")
+	errTextDisproved = errors.New("engine has no event where another one delivered one")
+)
+
+var runsMalformed = metrics.Counter("sample_runs_malformed")
+
 const (
 	// engineRefusedDelay is how long an engine that is full or loading gets no sample, and how
 	// long a sample waits that was cancelled because its engine's weights were too old.
@@ -99,16 +108,16 @@
 	r.partition.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
 	now := r.s.options.Now()
-	x := &run{ctx: ctx, key: key, sampleID: s.ID, upstream: u, incarnation: u.Incarnation(), pool: p, hasReward: s.RewardCallID != "", expectedTokens: s.ExpectedTokens, text: t, startedAt: now, cancel: cancel, startEvents: t.eventCount(), lastEventAt: now}
+	x := &run{ctx: ctx, key: key, sampleID: s.ID, upstream: u, incarnation: u.Incarnation(), pool: p, hasReward: s.RewardCallID != "", expectedTokens: s.ExpectedTokens, text: t, startedAt: now, cancel: cancel, startEvents: t.position(), startWriter: t.end(), receivedEvents: t.position(), lastEventAt: now}
 	r.runs[key] = x
 	r.engineLocked(u.Incarnation()).running++
-	request := SampleRun{ID: s.ID, Host: head.Host, Customer: head.Customer, Request: requests[w.Index], ReceivedEvents: t.eventCount(), NewConn: r.retries[key].failed}
+	request := SampleRun{ID: s.ID, Host: head.Host, Customer: head.Customer, Request: requests[w.Index], ReceivedEvents: x.startEvents, NewConn: r.retries[key].failed}
 	if request.ReceivedEvents > 0 {
 		samplesResumed.Add(1)
 	}
 	r.tasks.Go(func() {
 		err := r.s.options.Engines.Run(ctx, u, request, func(e batch.Event) { r.onEvent(x, head, e) })
-		if cause := context.Cause(ctx); cause != nil {
+		if cause := context.Cause(ctx); cause != nil && !errors.Is(err, ErrMalformed) {
 			err = cause // even if the stream is complete: onEvent has dropped events since
 		}
 		cancel(nil)
@@ -125,7 +134,7 @@
 	if r.stopping || x.ctx.Err() != nil {
 		return
 	}
-	first := x.text.eventCount() == x.startEvents
+	first := x.receivedEvents == x.startEvents
 	if first {
 		r.s.options.View.UpdateUpstreams(func(reg *registry.Registry, _ time.Duration) {
 			reg.RecordServed(x.upstream.ID, x.upstream.Started, x.pool.model, e.Version)
@@ -148,6 +157,7 @@
 		return
 	}
 	x.text.add(e)
+	x.receivedEvents++
 	r.endTrialIfPassedLocked(x)
 	if x.text.unsavedBytes >= maxUnsavedBytes {
 		r.saveProgressLocked(x)
@@ -166,12 +176,15 @@
 	e := r.engineLocked(x.incarnation)
 	e.running--
 	e.trial = e.trial && !x.trial
+	if err == nil {
+		err = x.checkComplete()
+	}
 	r.logRunEnd(x, err, now)
 	sampleRunTime.Observe(now - x.startedAt)
 	if err == nil {
 		r.s.options.Suspects.Succeeded(x.incarnation)
 		if x.startEvents == 0 {
-			r.estimator.Observe(x.expectedTokens, x.text.eventCount(), now-x.startedAt)
+			r.estimator.Observe(x.expectedTokens, x.receivedEvents, now-x.startedAt)
 		}
 		if x.hasReward {
 			r.saveCompleteTextLocked(x) // the next reconcile pass starts the reward call
@@ -181,10 +194,37 @@
 		delete(r.texts, x.key)
 		return
 	}
-	r.saveProgressLocked(x)
+	r.keepTextLocked(x, err)
 	r.handleRunErrorLocked(x, e, err, now)
 }
 
+// checkComplete checks a run whose response is complete. A resumed run is asked for an event that
+// an earlier one has delivered, so both can't be right if it has none.
+func (x *run) checkComplete() error {
+	switch {
+	case x.receivedEvents > x.startEvents:
+		return nil
+	case x.startEvents > 0:
+		return errTextDisproved
+	default:
+		return errors.Join(ErrMalformed, errNoEvents)
+	}
+}
+
+// keepTextLocked saves what may be resumed of the text of a run that ended without a result: all of
+// it but for the events held back, unless the run or a later one proved it wrong.
+func (r *runner) keepTextLocked(x *run, err error) {
+	switch {
+	case errors.Is(err, ErrMalformed):
+		r.retractLocked(x, x.startEvents, err)
+	case errors.Is(err, errTextDisproved):
+		r.retractLocked(x, 0, err)
+	default:
+		r.saveProgressLocked(x)
+		x.text.dropUnsaved()
+	}
+}
+
 // handleRunErrorLocked decides when and where a sample is retried after a run without a result,
 // and what that means for the run's engine e.
 func (r *runner) handleRunErrorLocked(x *run, e *engine, err error, now time.Duration) {
@@ -213,9 +253,17 @@
 		retry.notBefore = now + engineRefusedDelay
 	case errors.Is(err, errVersionsMixed):
 		delete(r.texts, x.key)
+	case errors.Is(err, errTextDisproved):
+		retry = retryState{notBefore: now + retryDelay} // the engine isn't at fault
+	case errors.Is(err, ErrMalformed):
+		runsMalformed.Add(1)
+		e.gap, e.unloadedGap = gapAverage{}, gapAverage{}
+		if r.s.options.Policy.Enabled(policy.Suspicion) {
+			r.s.options.Suspects.Failed(x.incarnation, now)
+		}
 	default:
 		sampleRunsBroken.Add(1)
-		if x.text.eventCount() > x.startEvents {
+		if x.receivedEvents > x.startEvents {
 			r.s.options.Suspects.Succeeded(x.incarnation) // it did until the run broke off
 		}
 		if r.s.options.Policy.Enabled(policy.Suspicion) {
@@ -237,5 +285,5 @@
 		line = r.log.Warn().Err(err)
 	}
 	line.Str("batch", x.key.batch).Str("sample", x.sampleID).Str("upstream", x.incarnation).Int("after", x.startEvents).
-		Int("events", x.text.eventCount()).Dur("took", now-x.startedAt).Dur("since_event", now-x.lastEventAt).Msg("sample run ended")
+		Int("events", x.receivedEvents).Dur("took", now-x.startedAt).Dur("since_event", now-x.lastEventAt).Msg("sample run ended")
 }
--- a/internal/batchrun/text.go
+++ b/internal/batchrun/text.go
@@ -17,6 +17,8 @@
 	unsavedBytes int64         // that events take
 	firstVersion int64         // weights version of the text's first event, 0 while it has none
 	complete     bool          // no event follows
+	// supersedesLog says that the text in the log, if it is longer, was retracted by this owner.
+	supersedesLog bool
 }
 
 // eventOverheadBytes is what an event takes beside its data: its place in a slice that has grown,
@@ -56,6 +58,27 @@
 	return taken
 }
 
+// dropUnsaved drops the events that aren't saved.
+func (t *text) dropUnsaved() {
+	t.events, t.unsavedBytes = nil, 0
+	if t.position() == 0 {
+		t.firstVersion = 0
+	}
+}
+
+// end returns the writer of the last saved segment.
+func (t *text) end() string {
+	if t.savedEvents > 0 {
+		return t.writer
+	}
+	return t.baseWriter
+}
+
+// isBehind reports whether the log has a longer text to resume from.
+func (t *text) isBehind(loggedEvents int) bool {
+	return !t.supersedesLog && loggedEvents > t.eventCount()
+}
+
 // hasOtherVersion reports whether the text has events of another weights version. It looks at
 // the first event only: the versions of a text whose batch allows one don't differ.
 func (t *text) hasOtherVersion(version int64) bool {
--- a/internal/batchrun/trial.go
+++ b/internal/batchrun/trial.go
@@ -37,7 +37,7 @@
 // crashed. All runs that break there during the check share its result.
 func (r *runner) checkCrashLocked(x *run) {
 	broken, checking := r.crashChecks[x.incarnation]
-	r.crashChecks[x.incarnation] = append(broken, brokenRun{x.key, x.sampleID, x.text.eventCount(), x.trial})
+	r.crashChecks[x.incarnation] = append(broken, brokenRun{x.key, x.sampleID, x.receivedEvents, x.trial})
 	if checking {
 		return
 	}
