logline: a line that quotes bytes of others is bounded

Found while walking what is kept because of bytes from elsewhere: the queue holds 2,048 lines, "about 300 bytes each", but a line may quote what an upstream sent, up to 64 KB of an event or a header and four times that when escaped. With a slow reader of the log that is 512 MB.

A line of over 4 KB is replaced by one that states its length and its beginning; a full queue takes 8 MB at most. TestLongLinesAreShortened failed before (the lines were written whole).

--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -3,6 +3,7 @@
 package logline
 
 import (
+	"encoding/json"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -13,8 +14,12 @@
 
 const (
 	// queueLines is the capacity of the queue. At about 300 bytes per line, a full queue
-	// takes less than 1 MB.
+	// takes less than 1 MB, and 8 MB at maxLineBytes.
 	queueLines = 2048
+	// maxLineBytes is the longest line that is written whole. Lines may quote bytes of others.
+	maxLineBytes = 4 << 10
+	// shortenedBytes is how much of a longer line is written, before it is quoted.
+	shortenedBytes = 1 << 10
 	// linesPerSecond limits the volume under load. Up to burstLines are accepted at once, as
 	// when a batch of samples starts.
 	linesPerSecond = 400
@@ -53,14 +58,32 @@
 		dropped.Add(1)
 		return len(line), nil
 	}
+	queued := append([]byte(nil), line[:min(len(line), maxLineBytes)]...)
+	if len(line) > maxLineBytes {
+		queued = shorten(line)
+	}
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.lines <- queued:
 	default:
 		dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// shorten returns a line about a line that is too long, with the beginning of that one.
+func shorten(line []byte) []byte {
+	out, err := json.Marshal(struct {
+		Level   string `json:"level"`
+		Bytes   int    `json:"bytes"`
+		Begin   string `json:"begin"`
+		Message string `json:"message"`
+	}{"warn", len(line), string(line[:shortenedBytes]), "log line too long"})
+	if err != nil {
+		return []byte{} // a string can always be encoded; nil would end run
+	}
+	return append(out, '\n')
+}
+
 // allow takes a token and reports whether there was one.
 func (w *Writer) allow() bool {
 	w.mu.Lock()
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,3 +75,29 @@
 		g.Expect(lines+int(dropped.Value()-before)).To(Equal(10_000), "dropped lines are counted")
 	})
 }
+
+// Guards against a queue of lines that quote what upstreams send, up to 64 KB each: 2,048 of them are
+// more than a small VM has.
+func TestLongLinesAreShortened(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		out := &blockingBuffer{}
+		w := New(out)
+		for _, line := range []string{strings.Repeat("x", maxLineBytes), strings.Repeat("\xff", 256<<10), strings.Repeat("\"", 64<<10)} {
+			_, err := w.Write([]byte(line))
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		w.Close()
+		whole, rest := out.data.String()[:maxLineBytes], out.data.Bytes()[maxLineBytes:]
+		g.Expect(whole).To(Equal(strings.Repeat("x", maxLineBytes)))
+		for _, size := range []int{256 << 10, 64 << 10} {
+			line, after, found := bytes.Cut(rest, []byte("\n"))
+			g.Expect(found).To(BeTrue())
+			g.Expect(len(line)).To(BeNumerically("<=", 2*maxLineBytes))
+			var doc struct{ Bytes int }
+			g.Expect(json.Unmarshal(line, &doc)).To(Succeed())
+			g.Expect(doc.Bytes).To(Equal(size))
+			rest = after
+		}
+	})
+}
