batchrun: a page of results holds no more texts than it needs

Found in the walk: a read of results took the texts of up to 128 samples into memory, 1 MB each at worst, before it filled a page of 900 KB, for each reader at once and before a lease was asked for.

Blobs for a page are read up to twice its size, always those of the first sample; what they take, three times over while the page is made, is leased from the callers' budget.

--- a/internal/batchrun/blobs.go
+++ b/internal/batchrun/blobs.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -101,9 +103,17 @@
 	return found
 }
 
+// errEnoughBlobs is returned when the blobs found reach a limit of bytes and some are missing.
+var errEnoughBlobs = errors.New("batchrun: blobs exceed the size of a page")
+
 // get returns blobs of a partition by offset: those in known, and the others from the cache or
 // the log. With an error it returns the blobs that it has found.
 func (b *blobCache) get(ctx context.Context, part int, offsets []int64, known map[int64][]byte) (map[int64][]byte, error) {
+	return b.getUpTo(ctx, part, offsets, known, math.MaxInt)
+}
+
+// getUpTo is get with a limit of bytes, from which on no further blobs are read.
+func (b *blobCache) getUpTo(ctx context.Context, part int, offsets []int64, known map[int64][]byte, limit int) (map[int64][]byte, error) {
 	found := map[int64][]byte{}
 	maps.Copy(found, known)
 	missing := slices.DeleteFunc(slices.Clone(offsets), func(offset int64) bool { _, ok := known[offset]; return ok })
@@ -122,6 +132,9 @@
 	missing = b.copyCached(part, missing, found)
 	slices.Sort(missing)
 	for len(missing) > 0 {
+		if bytesOf(found) >= limit {
+			return found, errEnoughBlobs
+		}
 		var err error
 		if missing, err = b.fetch(ctx, part, missing, found); err != nil {
 			return found, err
@@ -130,6 +143,13 @@
 	return found, nil
 }
 
+func bytesOf(blobs map[int64][]byte) (n int) {
+	for _, data := range blobs {
+		n += len(data)
+	}
+	return n
+}
+
 // fetch reads a partition's blobs from the first missing one on, and adds the missing ones
 // among them to found. It returns the offsets of those that are still missing.
 func (b *blobCache) fetch(ctx context.Context, part int, missing []int64, found map[int64][]byte) ([]int64, error) {
--- a/internal/batchrun/results.go
+++ b/internal/batchrun/results.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/membudget"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 )
 
@@ -33,6 +35,12 @@
 	maxPageBytes = 900 << 10
 	// maxPageResults bounds the results in one page, and so the blobs that are read for it.
 	maxPageResults = 128
+	// maxPageBlobBytes bounds the blobs that are read for a page. Blobs are read in the order of
+	// the log, so some may be of results that don't fit into it.
+	maxPageBlobBytes = 2 * maxPageBytes
+	// pageCopies is how often a text is in memory while its page is made: in its blobs, decoded
+	// and joined.
+	pageCopies = 3
 )
 
 // maxUnconfirmedAge is the age of a view above which it is brought up to date before the answer
@@ -181,7 +189,15 @@
 // readPage returns the results of a listing with their texts, which it reads from the blobs. If
 // some blobs can't be read it returns the results before the first of them.
 func (s *Service) readPage(ctx context.Context, l Listing, after int) (Page, error) {
-	blobs, readErr := s.blobs.get(ctx, l.Partition, textOffsets(l.Samples), l.Blobs)
+	blobs, readErr := s.pageBlobs(ctx, l)
+	var lease *membudget.Lease
+	if len(blobs) > 0 {
+		var ok bool
+		if lease, ok = s.options.ReaderMemory.Acquire(int64(bytesOf(blobs)) * pageCopies); !ok {
+			return Page{}, errors.Join(ErrUnsure, membudget.ErrNoRoom)
+		}
+	}
+	defer lease.Release()
 	page := Page{Total: l.Total, Next: after}
 	size := 0
 	for i := range l.Samples {
@@ -202,6 +218,23 @@
 	return page, nil
 }
 
+// pageBlobs returns the blobs of a listing's texts, as many as a page may need. With an error some
+// are missing, but not those of the first sample unless they can't be read.
+func (s *Service) pageBlobs(ctx context.Context, l Listing) (map[int64][]byte, error) {
+	blobs, err := s.blobs.getUpTo(ctx, l.Partition, textOffsets(l.Samples), l.Blobs, maxPageBlobBytes)
+	if !errors.Is(err, errEnoughBlobs) {
+		return blobs, err
+	}
+	first := textOffsets(l.Samples[:1])
+	if slices.ContainsFunc(first, func(offset int64) bool { return blobs[offset] == nil }) {
+		var firstErr error
+		if blobs, firstErr = s.blobs.get(ctx, l.Partition, first, l.Blobs); firstErr != nil {
+			return blobs, firstErr
+		}
+	}
+	return blobs, err
+}
+
 // textOffsets returns the offsets of the blobs that hold the texts of completed samples.
 func textOffsets(listed []batch.Sample) []int64 {
 	var out []int64
--- a/internal/batchrun/results_test.go
+++ b/internal/batchrun/results_test.go
@@ -167,3 +167,35 @@
 		g.Expect(err).To(MatchError(ErrUnsure))
 	})
 }
+
+// Guards against a read that takes all texts of a batch into memory for a page that holds few of them.
+func TestPageHoldsNoMoreBlobsThanItNeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newTestCluster(t, 4, 2, 3, "m0")
+		w.engines.padding = 20 << 10
+		defer w.stop()
+		time.Sleep(5 * time.Second)
+		items := w.submitBatch(g, "m0", "x", 6, 4, 1) // some 10 MB of text
+		time.Sleep(10 * time.Second)
+		results := 0
+		for range items {
+			s := w.ownerOf(g, "m0").daemon()
+			l, err := LocalHandler{s}.List(context.Background(), "b", results, 0)
+			g.Expect(err).NotTo(HaveOccurred())
+			blobs, _ := s.pageBlobs(context.Background(), l) // some may be missing
+			g.Expect(bytesOf(blobs)).To(BeNumerically("<=", maxPageBlobBytes+largeFetchBytes))
+			page, err := s.Results(context.Background(), "b", results, 0)
+			g.Expect(err).NotTo(HaveOccurred())
+			for _, r := range page.Results {
+				w.engines.checkText(r.ID, r.Text)
+			}
+			results += len(page.Results)
+			if results == len(items) {
+				return
+			}
+			g.Expect(page.Results).NotTo(BeEmpty())
+		}
+		g.Expect(results).To(Equal(len(items)))
+	})
+}
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -56,12 +56,14 @@
 	RecordBytes int               // size limit of a record
 	CallBytes   int               // size limit of an append
 	TextMemory  *membudget.Budget // for texts until they are in the log, nil: no bound
-	MemberTTL   time.Duration     // silence after which an owner's partitions are reassigned
-	ClaimLease  time.Duration     // within which an engine must not get orders of two VMs
-	Address     string            // ip:port where other daemons' Peers reach this one, "" for none
-	Peers       Peers
-	Now         func() time.Duration // a clock that keeps running while the VM is suspended
-	Logger      zerolog.Logger
+	// ReaderMemory is for the texts of results that are read, nil: no bound.
+	ReaderMemory *membudget.Budget
+	MemberTTL    time.Duration // silence after which an owner's partitions are reassigned
+	ClaimLease   time.Duration // within which an engine must not get orders of two VMs
+	Address      string        // ip:port where other daemons' Peers reach this one, "" for none
+	Peers        Peers
+	Now          func() time.Duration // a clock that keeps running while the VM is suspended
+	Logger       zerolog.Logger
 }
 
 // Upstreams lets a Service request that View has every upstream, not only those that calls
