batch, platform: a text that can't be decoded takes no others with it

Cause: the adapter took the byte, the encoder of texts wrote it, and the decoder's defaults reject it; the error of one text failed its page as one that another try may help.

Tests of batch, batchrun and platform pass.

--- a/internal/batch/blob.go
+++ b/internal/batch/blob.go
@@ -49,7 +49,7 @@
 // UnpackRequests decodes a blob of PackRequests. Error: ErrMalformed.
 func UnpackRequests(blob []byte) ([]Request, error) {
 	var out []Request
-	if err := cbor.Unmarshal(blob, &out); err != nil {
+	if err := decoder.Unmarshal(blob, &out); err != nil {
 		return nil, fmt.Errorf("%w: requests: %w", ErrMalformed, err)
 	}
 	return out, nil
@@ -103,7 +103,7 @@
 // UnpackText decodes a blob of PackText. Error: ErrMalformed.
 func UnpackText(blob []byte) ([]string, error) {
 	var out []string
-	if err := cbor.Unmarshal(blob, &out); err != nil {
+	if err := decoder.Unmarshal(blob, &out); err != nil {
 		return nil, fmt.Errorf("%w: text: %w", ErrMalformed, err)
 	}
 	return out, nil
--- a/internal/batch/blob_test.go
+++ b/internal/batch/blob_test.go
@@ -41,3 +41,36 @@
 		})
 	}
 }
+
+// Guards against records and blobs that can be written and not be read: one byte that isn't UTF-8, or
+// more events than a decoder takes by default, made all results of a batch unreadable.
+func TestWhatIsWrittenCanBeRead(t *testing.T) {
+	g := NewWithT(t)
+	const invalid = "a\xff\x80b"
+	for _, events := range [][]Event{{{Data: invalid}}, make([]Event, 200_000)} {
+		blob, err := PackText(events)
+		g.Expect(err).NotTo(HaveOccurred())
+		texts, err := UnpackText(blob)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(texts).To(HaveLen(len(events)))
+		g.Expect(texts[0]).To(Equal(events[0].Data))
+	}
+	for _, record := range []any{
+		Accepted{Batch: invalid, Parts: 1, Header: &Header{Host: invalid, Model: invalid}, Items: make([]Item, 200_000)},
+		Result{Batch: invalid, Score: invalid, Position: TextPosition{Writer: invalid}},
+		Failed{Batch: invalid, AttemptID: invalid},
+		Ended{Batch: invalid},
+		Loaded{Engine: invalid, Model: invalid},
+		Retracted{Batch: invalid},
+	} {
+		data, err := Encode(record)
+		g.Expect(err).NotTo(HaveOccurred())
+		read, err := Decode(data)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(read).To(Equal(record))
+	}
+	requests := []Request{{Path: invalid, Header: map[string]string{invalid: invalid}, Body: []byte(invalid)}}
+	blobs, _, err := PackRequests(requests, 4096)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(UnpackRequests(blobs[0])).To(Equal(requests))
+}
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -276,9 +276,25 @@
 	return nil, fmt.Errorf("%w: kind %d", ErrMalformed, data[0])
 }
 
+// decoder reads whatever the encoder writes. The encoder takes any string and any number of
+// elements; the library's default decoder rejects invalid UTF-8 and arrays above 131,072 elements,
+// and a record that was stored and can't be read is lost at every daemon.
+var decoder = newDecoder()
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
+// maxElements is above what a record of the store can hold.
+const maxElements = 1 << 24
+
 func decode[T any](data []byte) (any, error) {
 	var out T
-	if err := cbor.Unmarshal(data, &out); err != nil {
+	if err := decoder.Unmarshal(data, &out); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	return out, nil
--- a/internal/batchrun/results.go
+++ b/internal/batchrun/results.go
@@ -10,6 +10,7 @@
 
 	"github.com/dogwoodflow/dogwoodflow/internal/batch"
 	"github.com/dogwoodflow/dogwoodflow/internal/membudget"
+	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 )
 
@@ -202,6 +203,9 @@
 	size := 0
 	for i := range l.Samples {
 		r, err := newResult(&l.Samples[i], blobs)
+		if errors.Is(err, batch.ErrMalformed) {
+			r, err = s.unreadableResult(l, i, err), nil
+		}
 		if err != nil && readErr != nil && len(page.Results) > 0 {
 			break
 		}
@@ -249,8 +253,21 @@
 	return out
 }
 
-// newResult returns the result of a sample. blobs holds the blobs of its text by offset. Error:
-// batch.ErrMalformed.
+var resultsUnreadable = metrics.Counter("results_unreadable")
+
+// unreadableResult returns the result of a sample whose stored text can't be decoded by any daemon. It
+// counts as given up, so that the results behind it can be read.
+func (s *Service) unreadableResult(l Listing, i int, why error) Result {
+	resultsUnreadable.Add(1)
+	s.options.Logger.Error().Int("part", l.Partition).Str("sample", l.Samples[i].ID).Err(why).Msg("text of a result can't be decoded")
+	return Result{ID: l.Samples[i].ID, State: batch.GivenUp}
+}
+
+// errNoBlob means that a blob of a text wasn't read.
+var errNoBlob = errors.New("batchrun: blob not read")
+
+// newResult returns the result of a sample. blobs holds the blobs of its text by offset. Errors:
+// errNoBlob, batch.ErrMalformed.
 func newResult(s *batch.Sample, blobs map[int64][]byte) (Result, error) {
 	r := Result{ID: s.ID, State: s.State}
 	if s.State != batch.Completed {
@@ -258,7 +275,11 @@
 	}
 	var texts []string
 	for _, segment := range s.Text.Segments {
-		events, err := batch.UnpackText(blobs[segment.Offset])
+		blob, ok := blobs[segment.Offset]
+		if !ok {
+			return Result{}, errNoBlob
+		}
+		events, err := batch.UnpackText(blob)
 		if err != nil {
 			return Result{}, err
 		}
--- a/internal/batchrun/results_test.go
+++ b/internal/batchrun/results_test.go
@@ -199,3 +199,18 @@
 		g.Expect(results).To(Equal(len(items)))
 	})
 }
+
+// Guards against one stored text that can't be decoded which takes all results of its page with it.
+func TestUnreadableTextLeavesTheOtherResultsReadable(t *testing.T) {
+	g := NewWithT(t)
+	good, err := batch.PackText([]batch.Event{{Data: "x"}})
+	g.Expect(err).NotTo(HaveOccurred())
+	sample := func(id string, offset int64) batch.Sample {
+		return batch.Sample{Item: batch.Item{ID: id}, State: batch.Completed, Text: batch.Text{Segments: []batch.Segment{{Offset: offset, Events: 1}}}}
+	}
+	s := &Service{blobs: newBlobCache(nil, 1)}
+	page, err := s.readPage(context.Background(), Listing{Total: 3, Samples: []batch.Sample{sample("a", 1), sample("b", 2), sample("c", 3)},
+		Blobs: map[int64][]byte{1: good, 2: []byte("spoiled"), 3: good}}, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(page).To(Equal(Page{Total: 3, Next: 3, Results: []Result{{ID: "a", State: batch.Completed, Text: "x"}, {ID: "b", State: batch.GivenUp}, {ID: "c", State: batch.Completed, Text: "x"}}}))
+}
