batchrun: a text whose weights version is gone is given up

Cause: after a run that was cancelled for mixed versions the owner dropped its own text only; textLocked took the saved part from the log again. Now the text is retracted, in the log too, and the sample starts anew. The planner prefers an engine that serves the text's version.

--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -129,6 +129,16 @@
 	return t
 }
 
+// FirstVersion returns the weights version of the text's first event, 0 if it has none.
+func (t Text) FirstVersion() int64 {
+	for _, segment := range t.Segments {
+		if len(segment.Versions) > 0 {
+			return segment.Versions[0].Version
+		}
+	}
+	return 0
+}
+
 // VersionsAllowed reports whether a result of the batch may contain text by the weights
 // versions that generated this one.
 func (t Text) VersionsAllowed(head Header) bool {
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -52,6 +52,9 @@
 	NotBefore   time.Duration // earliest start after a failed run
 	AvoidEngine string        // ID of the engine on which it failed last, "" if none
 	Events      int           // number of events that are generated already
+	// TextVersion is the weights version of these events if the batch allows only one, otherwise 0.
+	// On an engine with another version the sample starts anew.
+	TextVersion int64
 }
 
 // Placement assigns a waiting sample to an engine.
@@ -143,6 +146,9 @@
 	if (a.ID == w.AvoidEngine) != (b.ID == w.AvoidEngine) {
 		return b.ID == w.AvoidEngine
 	}
+	if w.TextVersion != 0 && (a.Version == w.TextVersion) != (b.Version == w.TextVersion) {
+		return a.Version == w.TextVersion
+	}
 	if scarceOnA := a.Version >= scarceVersion; w.MinVersion < scarceVersion && scarceOnA != (b.Version >= scarceVersion) {
 		return !scarceOnA
 	}
--- a/internal/batch/plan_test.go
+++ b/internal/batch/plan_test.go
@@ -26,6 +26,8 @@
 		{"the engine on which the sample failed last if it is the only one", []WaitingSample{{Index: 1, AvoidEngine: "e1", MinVersion: 2}}, []string{"1e1"}},
 		{"an engine with scarce weights is reserved for the step that needs them", []WaitingSample{{Index: 1, MinVersion: 1}, {Index: 2, MinVersion: 2, Due: time.Minute}}, []string{"1e2", "2e1"}},
 		{"an engine with scarce weights for other samples if no other has a free slot", []WaitingSample{{Index: 1, MinVersion: 1}, {Index: 2, MinVersion: 1}, {Index: 3, MinVersion: 2, Due: time.Minute}}, []string{"1e2", "2e1", "3e1"}},
+		{"the engine that can continue a text of one weights version", []WaitingSample{{Index: 1, TextVersion: 1}}, []string{"1e2"}},
+		{"another engine if none can continue a text of one weights version", []WaitingSample{{Index: 1, TextVersion: 9}}, []string{"1e1"}},
 		{"no sample before its earliest start", []WaitingSample{{Index: 1, NotBefore: time.Minute}}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/batchrun/reconcile.go
+++ b/internal/batchrun/reconcile.go
@@ -233,14 +233,17 @@
 	s := &b.Samples[i]
 	key := sampleKey{b.ID, i}
 	retry := r.retries[key]
-	events := s.Text.Events
+	events, version := s.Text.Events, s.Text.FirstVersion()
 	if t := r.texts[key]; t != nil && !t.isBehind(events) {
-		events = t.eventCount()
+		events, version = t.eventCount(), t.firstVersion
+	}
+	if !b.SingleVersion {
+		version = 0
 	}
 	return batch.WaitingSample{
 		Batch: b.ID, Index: i, Group: s.Group, MinVersion: b.MinVersion,
 		Remaining: r.estimator.Remaining(s.ExpectedTokens, events), Due: b.AcceptedAt + time.Duration(b.TargetMS)*time.Millisecond,
-		NotBefore: retry.notBefore, AvoidEngine: retry.avoidEngine, Events: events,
+		NotBefore: retry.notBefore, AvoidEngine: retry.avoidEngine, Events: events, TextVersion: version,
 	}
 }
 
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -270,10 +270,7 @@
 	if t != nil && !t.isBehind(s.Text.Events) {
 		return t
 	}
-	t = &text{baseEvents: s.Text.Events, baseWriter: s.Text.Writer, writer: uuid.NewString()}
-	if len(s.Text.Segments) > 0 && len(s.Text.Segments[0].Versions) > 0 {
-		t.firstVersion = s.Text.Segments[0].Versions[0].Version
-	}
+	t = &text{baseEvents: s.Text.Events, baseWriter: s.Text.Writer, firstVersion: s.Text.FirstVersion(), writer: uuid.NewString()}
 	r.texts[key] = t
 	return t
 }
--- a/internal/batchrun/sample_run.go
+++ b/internal/batchrun/sample_run.go
@@ -217,7 +217,7 @@
 	switch {
 	case errors.Is(err, ErrMalformed):
 		r.retractLocked(x, x.startEvents, err)
-	case errors.Is(err, errTextDisproved):
+	case errors.Is(err, errTextDisproved), errors.Is(err, errVersionsMixed):
 		r.retractLocked(x, 0, err)
 	default:
 		r.saveProgressLocked(x)
@@ -251,9 +251,7 @@
 		retry.avoidEngine = "" // the engine isn't at fault
 	case errors.Is(err, errWeightsTooOld):
 		retry.notBefore = now + engineRefusedDelay
-	case errors.Is(err, errVersionsMixed):
-		delete(r.texts, x.key)
-	case errors.Is(err, errTextDisproved):
+	case errors.Is(err, errVersionsMixed), errors.Is(err, errTextDisproved):
 		retry = retryState{notBefore: now + retryDelay} // the engine isn't at fault
 	case errors.Is(err, ErrMalformed):
 		runsMalformed.Add(1)
--- a/internal/batchrun/spoiled_run_test.go
+++ b/internal/batchrun/spoiled_run_test.go
@@ -89,6 +89,34 @@
 	})
 }
 
+// Guards against samples of a batch that allows one weights version which are resumed behind the text
+// of a version that no engine serves any more, and cancelled at their first event, for ever.
+func TestTextOfAVersionThatIsGoneIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newTestCluster(t, 7, 2, 3, "m0")
+		defer w.stop()
+		time.Sleep(5 * time.Second)
+		head, items, requests := newBatch("m0", "x", 2, 4, 1)
+		head.SingleVersion = true
+		g.Expect(w.vms[0].daemon().Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+		time.Sleep(600 * time.Millisecond) // a checkpoint has saved text of version 1
+		for _, id := range w.engines.ids() {
+			w.engines.restart(id, "m0", 2)
+			w.registerEngine(id)
+		}
+		w.moveAll("m0")
+		time.Sleep(10 * time.Second)
+		checkAllCompleted(g, w, len(items))
+		page, err := w.vms[0].daemon().Results(context.Background(), "b", 0, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, r := range page.Results {
+			g.Expect(r.Versions).To(HaveLen(1))
+		}
+		g.Expect(len(w.engines.runs)).To(BeNumerically("<=", 3*len(items)))
+	})
+}
+
 // checkAllCompleted checks that all samples of the batch "b" have their own text.
 func checkAllCompleted(g Gomega, w *testCluster, n int) {
 	for _, v := range w.vms {
