--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -51,6 +51,26 @@
 type newestStart struct {
 	startedMS int64         // Unix ms
 	removedAt time.Duration // when the entry of the ID was removed, 0: it has one
+	// earlierMS is the start time of the last entries in a row that name an earlier start, and
+	// earlierEntries is their number.
+	earlierMS      int64
+	earlierEntries int
+}
+
+// maxEarlierEntries is how many entries in a row of an earlier start show that the newest known start
+// is wrong. A process that has ended leaves one entry at most that arrives late.
+const maxEarlierEntries = 3
+
+// isSuperseded reports whether an entry is of an earlier start than the newest known one.
+func (s *newestStart) isSuperseded(started int64) bool {
+	if started >= s.startedMS {
+		return false
+	}
+	if started != s.earlierMS {
+		s.earlierMS, s.earlierEntries = started, 0
+	}
+	s.earlierEntries++
+	return s.earlierEntries < maxEarlierEntries
 }
 
 // removedStart is an ID whose entry was removed.
@@ -119,16 +139,18 @@
 }
 
 // Put registers an upstream or updates it with a new entry. It reports false, and changes
-// nothing, if the entry is of an earlier start than the newest known one.
+// nothing, if the entry is of an earlier start than the newest known one. Several such entries in a
+// row replace that one: a wrong start time would otherwise hide the upstream for good.
 //
 // Within one incarnation weight versions only increase, so an older entry does not undo a
 // load that is known already. The entry of a new incarnation replaces all versions.
 func (r *Registry) Put(u Upstream) bool {
-	newest := r.starts[u.ID].startedMS
+	newest := r.starts[u.ID]
 	if u.Started == 0 {
-		u.Started = newest
+		u.Started = newest.startedMS
 	}
-	if u.Started < newest {
+	if newest.isSuperseded(u.Started) {
+		r.starts[u.ID] = newest
 		return false
 	}
 	delete(r.pendingRemovals, u.ID)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -161,3 +161,22 @@
 	g.Expect(ids(r)).To(Equal([]string{"u1", "u3"}))
 	g.Expect(list).To(HaveLen(2), "a list that was returned before is not modified")
 }
+
+// Guards against an upstream that is hidden for good by one wrong digit of a start time: its own entries
+// would all count as those of an earlier process.
+func TestEntriesInARowTakeBackAWrongStart(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	g.Expect(r.Put(Upstream{ID: "a", Started: 100})).To(BeTrue())
+	g.Expect(r.RecordRestart("a", 900, nil)).To(BeTrue())
+	g.Expect(r.Put(Upstream{ID: "a", Started: 100})).To(BeFalse())
+	g.Expect(r.Put(Upstream{ID: "a", Started: 900})).To(BeTrue(), "the newest start's entries begin the count anew")
+	g.Expect(r.Put(Upstream{ID: "a", Started: 100})).To(BeFalse())
+	g.Expect(r.Put(Upstream{ID: "a", Started: 99})).To(BeFalse())
+	g.Expect(r.Put(Upstream{ID: "a", Started: 100, Leaving: true})).To(BeFalse())
+	g.Expect(r.Put(Upstream{ID: "a", Started: 100, Leaving: true})).To(BeFalse())
+	g.Expect(r.Put(Upstream{ID: "a", Started: 100, Leaving: true})).To(BeTrue())
+	u, _ := r.Get("a")
+	g.Expect(u.Started).To(BeEquivalentTo(100))
+	g.Expect(u.Leaving).To(BeTrue())
+}
