platform: calls on a known batch are the batch's after its route was removed

Cause: such a call was left to any route that covers its path. The other route covers it before the removal too, when the call is the batch's, and results have to come again for as long as they are kept: so a call on a batch that the caller's customer has is the batch's, and any other the route's.

--- a/internal/batchrun/forward.go
+++ b/internal/batchrun/forward.go
@@ -59,6 +59,16 @@
 	callsFollowedLocally = metrics.Counter("batch_calls_followed_here")
 )
 
+// Has reports whether a batch is known here or at its owner. It is false also if that isn't sure.
+func (s *Service) Has(ctx context.Context, id string) bool {
+	_, release, err := s.locate(ctx, id)
+	if err != nil {
+		return false
+	}
+	release()
+	return true
+}
+
 // Results returns a batch's results from position after on. If there are none it waits for the
 // first one. Errors: ErrNotFound, ErrUnsure.
 func (s *Service) Results(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
