batchrun: groups of a batch go to their route's services by weight

Cause: the owner took the first service of the list. Each group now goes to a service chosen by weight and a hash of batch and group, the same at all owners.

--- a/internal/batchrun/pool_test.go
+++ b/internal/batchrun/pool_test.go
@@ -55,6 +55,57 @@
 	})
 }
 
+// Guards against batch routes with several services of which only the first one gets samples, whatever
+// the weights, also after the operator has moved them.
+func TestSamplesFollowTheWeightsOfTheirRoute(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		weights  [2]int
+		min, max int // groups of 64 at the first service
+	}{
+		{"all at the first", [2]int{100, 0}, 64, 64},
+		{"all moved to the second", [2]int{0, 100}, 0, 0},
+		{"half each", [2]int{50, 50}, 20, 44},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				w := newTestClusterWithOptions(t, clusterOptions{seed: 1, parts: 4, vms: 2, engines: 6, models: []string{"m0"}, services: []string{"engines", "others"}})
+				defer w.stop()
+				services := slices.Collect(maps.Values(w.config(2).Services))
+				route := routes.Route{Host: testHost, PathPrefix: testPath, Kind: routes.Batch, Services: []routes.WeightedService{{Service: "engines", Weight: c.weights[0]}, {Service: "others", Weight: c.weights[1]}}}
+				for _, v := range w.vms {
+					v.daemon().options.View.SetConfig(routes.New(2, []routes.Route{route}, services, routes.Limits{}, nil))
+				}
+				time.Sleep(2 * time.Second)
+				items := w.submitBatch(g, "m0", "x", 64, 2, 1)
+				time.Sleep(12 * time.Second)
+				g.Expect(results(g, w.vms[1])).To(HaveLen(len(items)))
+				groupOf, first := map[string]string{}, map[string]bool{}
+				for _, item := range items {
+					groupOf[item.ID] = item.Group
+				}
+				w.engines.mu.Lock()
+				defer w.engines.mu.Unlock()
+				for _, run := range w.engines.runs {
+					atFirst := w.serviceOf(run.engine) == "engines"
+					group := groupOf[run.sample]
+					before, seen := first[group]
+					g.Expect(!seen || before == atFirst).To(BeTrue(), "group %s runs at two services", group)
+					first[group] = atFirst
+				}
+				n := 0
+				for _, atFirst := range first {
+					if atFirst {
+						n++
+					}
+				}
+				g.Expect(n).To(And(BeNumerically(">=", c.min), BeNumerically("<=", c.max)))
+			})
+		})
+	}
+}
+
 // Guards against samples that wait beside idle engines because another batch of their model goes to a
 // service that has none.
 func TestSamplesRunWhileAnotherServiceOfTheirModelHasNoEngine(t *testing.T) {
--- a/internal/batchrun/reconcile.go
+++ b/internal/batchrun/reconcile.go
@@ -100,14 +100,7 @@
 			r.giveUpBatchLocked(b, "no batch route matches the batch any more")
 			continue
 		}
-		p := pool{route.Services[0].Service, b.Model}
-		w := work[p]
-		if w == nil {
-			w = &poolWork{}
-			work[p] = w
-		}
-		w.singleVersion = w.singleVersion || b.SingleVersion
-		r.reconcileBatchLocked(ctx, config, b, w, now)
+		r.reconcileBatchLocked(ctx, config, b, func(s *batch.Sample) *poolWork { return workOf(work, route, b, s) }, now)
 	}
 	r.dropUnwantedLocked(wanted)
 	nextMinVersions := map[string]int64{} // by model, whose weights versions are common to all services
@@ -119,6 +112,23 @@
 	}
 }
 
+// workOf returns the work of a sample's pool. The samples of a group go to one service of their
+// route, which reads their common prompt once.
+func workOf(work map[pool]*poolWork, route routes.Route, b *batch.Batch, s *batch.Sample) *poolWork {
+	group := s.Group
+	if group == "" {
+		group = s.ID
+	}
+	p := pool{route.PickFor(b.ID, group), b.Model}
+	w := work[p]
+	if w == nil {
+		w = &poolWork{}
+		work[p] = w
+	}
+	w.singleVersion = w.singleVersion || b.SingleVersion
+	return w
+}
+
 // awaitsConfigLocked reports whether a batch was accepted by a newer configuration than the one known
 // here. That one may lack the batch's route, or send its samples elsewhere.
 func (r *runner) awaitsConfigLocked(ctx context.Context, b *batch.Batch, config *routes.Config) bool {
@@ -156,8 +166,8 @@
 const retentionMargin = time.Second
 
 // reconcileBatchLocked does what each sample of an open batch needs next, and adds the
-// samples that could start to w.
-func (r *runner) reconcileBatchLocked(ctx context.Context, config *routes.Config, b *batch.Batch, w *poolWork, now time.Duration) {
+// samples that could start to the work of their pools.
+func (r *runner) reconcileBatchLocked(ctx context.Context, config *routes.Config, b *batch.Batch, work func(*batch.Sample) *poolWork, now time.Duration) {
 	ready := r.requestsLocked(ctx, b) != nil
 	expired := now-b.ReadAt > time.Duration(b.RetentionMS)*time.Millisecond+retentionMargin
 	for i := range b.Samples {
@@ -167,7 +177,7 @@
 			r.cancelSampleLocked(key, s)
 			continue
 		}
-		stage := r.stageLocked(key, s)
+		stage, w := r.stageLocked(key, s), work(s)
 		w.active = w.active || stage == batch.Generating
 		switch {
 		case stage == batch.Ready:
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/customers"
+	"github.com/dogwoodflow/dogwoodflow/internal/spread"
 )
 
 // Kind says how the requests of a route are run, and how often they may run.
@@ -126,6 +127,16 @@
 // Routes returns all routes in the order of the configuration document.
 func (c *Config) Routes() []Route { return c.routes }
 
+// PickFor selects the service for what is named by a key with a probability proportional to its
+// weight. It is the same one at all daemons and as long as the weights are.
+func (r Route) PickFor(key ...string) string {
+	if len(r.Services) == 1 {
+		return r.Services[0].Service
+	}
+	const bits = 53 // of a float64's mantissa
+	return r.Pick(float64(spread.Hash(key...)>>(64-bits)) / (1 << bits))
+}
+
 // Pick selects the service for a request with a probability proportional to its weight.
 // random is a number from the uniform distribution over [0, 1).
 func (r Route) Pick(random float64) string {
