gateway, platform: a stream behind its end doesn't look complete

The same cause on callers' streams: events behind the end of a response were forwarded, and after the response proved malformed the stream was resumed behind them; the next upstream has no event there, and the stream ended as complete with foreign events.

What was forwarded can't be taken back. A response with more events than its request allows output tokens ends its caller's stream at once, without its end. After any other malformed response the stream is resumed as before, but counts as complete only if the next upstream has an event behind those of the malformed one.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -53,6 +53,10 @@
 	Write(e Event) error
 }
 
+// ErrTooManyEvents is the cause of a failure of Events.Next if a response has more events than its
+// request allows.
+var ErrTooManyEvents = errors.New("response has more events than its request allows")
+
 // ErrStreamAborted is returned if a stream cannot be completed after its header was sent.
 // The caller's connection must then be closed, so that the stream does not look complete.
 var ErrStreamAborted = errors.New("stream aborted")
@@ -84,7 +88,7 @@
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	s := &activeStream{
-		g: g, route: route, call: call, writer: writer, service: service, tried: map[string]bool{},
+		g: g, route: route, call: call, writer: writer, service: service, tried: map[string]bool{}, startedAfter: after,
 		streamState: streamState{rule: sendRule(route, route.Resumable), lastEventID: after},
 	}
 	result := s.run(ctx)
@@ -102,6 +106,8 @@
 	service string          // chosen for this call
 	tried   map[string]bool // incarnations of the upstreams that it was sent to
 	noRoom  bool            // an answer found no room
+	// startedAfter is the last event that the caller had before this call.
+	startedAfter int
 	streamState
 }
 
@@ -165,6 +171,12 @@
 	s.g.observeLoad(s.call, u, &stream.Response)
 	stream.Load = nil
 	err = s.forwardEvents(stream, events)
+	if err == nil && s.unconfirmed {
+		err = &exchange.Failure{Kind: exchange.Malformed, Sent: true, Err: errUnconfirmedEnd}
+		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, 0) // this upstream isn't at fault
+		s.logFailure(u, err)
+		return nil, abortStream
+	}
 	if err == nil {
 		// Until the upstream's end: how fast the caller reads says nothing about the run time.
 		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, events.duration(startedAt))
@@ -232,12 +244,28 @@
 	}
 }
 
+// errUnconfirmedEnd means that an upstream ends a stream behind events that came from a response
+// which proved malformed. They may not belong to the stream, and the caller has them.
+var errUnconfirmedEnd = errors.New("stream ends behind events of a malformed response")
+
 var errEventOrder = errors.New("event missing or duplicated")
 
-// handleFailure processes a send without a response, or with an incomplete one.
-func (s *activeStream) handleFailure(u registry.Upstream, err error) streamAction {
+func (s *activeStream) logFailure(u registry.Upstream, err error) {
 	s.g.log.Warn().Str("request", s.call.ID).Str("upstream", u.Incarnation()).Int("send", s.sends.Total).Int("after", s.lastEventID).
 		Dur("left", time.Until(s.call.Deadline)).Err(err).Msg("stream failed")
+}
+
+// handleFailure processes a send without a response, or with an incomplete one.
+func (s *activeStream) handleFailure(u registry.Upstream, err error) streamAction {
+	s.logFailure(u, err)
+	if errors.Is(err, ErrTooManyEvents) {
+		// Some of the events forwarded may lie behind the end, and can't be taken back.
+		return s.finalAction()
+	}
+	var f *exchange.Failure
+	if errors.As(err, &f) && f.Kind == exchange.Malformed && s.headerSent && s.lastEventID > s.startedAfter {
+		s.unconfirmed = true
+	}
 	if answerFoundNoRoom(err) {
 		s.noRoom = true
 		return s.finalAction()
--- a/internal/gateway/stream_state.go
+++ b/internal/gateway/stream_state.go
@@ -13,6 +13,9 @@
 	headerSent    bool  // the caller has the response header
 	lastEventID   int   // ID of the last event forwarded to the caller, 0: none
 	weightVersion int64 // model weight version that produced that event, 0: unknown
+	// unconfirmed is set while the last events forwarded are those of a response that proved
+	// malformed, and no other upstream has produced an event after them.
+	unconfirmed bool
 }
 
 // streamAction is what to do after a send.
@@ -51,6 +54,7 @@
 
 // recordEvent notes an event that was forwarded to the caller.
 func (s *streamState) recordEvent(e Event) {
+	s.unconfirmed = false
 	s.lastEventID = e.ID
 	if e.Version != 0 {
 		s.weightVersion = e.Version
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -32,6 +32,8 @@
 	breakAfter  int   // the stream breaks after this event, 0: never, -1: before the first
 	hangAfter   int   // the stream hangs after this event, 0: never
 	skip        int   // this event is left out, 0: none
+	extra       int   // events behind the last one, then the response proves malformed
+	tooMany     bool  // by their number
 	version     int64 // model weight version; it status calls that require another one
 	unreachable bool
 	load        *loadreport.Report // with its response, nil: none
@@ -93,7 +95,13 @@
 	case e.behaviour.hangAfter > 0 && e.last >= e.behaviour.hangAfter:
 		<-e.ctx.Done()
 		return Event{}, &exchange.Failure{Kind: exchange.Cancelled, Sent: true, Err: e.ctx.Err()}
-	case e.last >= streamLength:
+	case e.behaviour.extra > 0 && e.last >= streamLength+e.behaviour.extra:
+		failure := &exchange.Failure{Kind: exchange.Malformed, Sent: true, Err: errors.New("test")}
+		if e.behaviour.tooMany {
+			failure.Err = ErrTooManyEvents
+		}
+		return Event{}, failure
+	case e.behaviour.extra == 0 && e.last >= streamLength:
 		return Event{}, io.EOF
 	}
 	if !e.begun {
@@ -170,6 +178,8 @@
 		{"status 500, not resumable", false, []streamBehaviour{{status: 500}, healthy}, "", "500", 1},
 		{"status 500, resumable", true, []streamBehaviour{{status: 500}, healthy}, "u1:1 u1:2 u1:3 u1:4", "whole", 2},
 		{"status 422 is final", true, []streamBehaviour{{status: 422}, healthy}, "", "422", 1},
+		{"foreign events behind the end, then malformed", true, []streamBehaviour{{extra: 1, version: 5}, healthy}, "u0:1 u0:2 u0:3 u0:4 u0:5", "aborted", 2},
+		{"more events than the request allows", true, []streamBehaviour{{extra: 1, tooMany: true, version: 5}, healthy}, "u0:1 u0:2 u0:3 u0:4 u0:5", "aborted", 1},
 		{"no upstream", false, nil, "", "503", 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
