batchrun: requests of open batches take a bounded share of the memory

Found in the walk: an owner keeps the requests of all open batches, up to 2 MB each (an append), and however many a trainer has open.

--- a/internal/batchrun/cluster_test.go
+++ b/internal/batchrun/cluster_test.go
@@ -69,7 +69,9 @@
 	policy   Policy            // of daemons that are started from now on
 	parts    int               // number of partitions of a topic
 	memory   *membudget.Budget // of daemons that are started from now on, nil: no bound
-	peers    Peers             // connects the daemons, nil if they can't reach each other
+	// requestMemory is that of Options, of daemons that are started from now on.
+	requestMemory *membudget.Budget
+	peers         Peers // connects the daemons, nil if they can't reach each other
 
 	mu        sync.Mutex
 	published map[string]int64 // weights version by model
@@ -85,14 +87,16 @@
 
 // clusterOptions of a testCluster.
 type clusterOptions struct {
-	memory  *membudget.Budget
-	policy  Policy // the zero Policy stands for Ours
-	seed    uint64
-	parts   int // number of partitions of a topic
-	vms     int
-	engines int
-	models  []string
-	peers   *clusterPeers // nil if the daemons can't reach each other
+	memory *membudget.Budget
+	// requestMemory is that of Options.
+	requestMemory *membudget.Budget
+	policy        Policy // the zero Policy stands for Ours
+	seed          uint64
+	parts         int // number of partitions of a topic
+	vms           int
+	engines       int
+	models        []string
+	peers         *clusterPeers // nil if the daemons can't reach each other
 	// services that the engines are divided among in turn, one "engines" by default. All serve all
 	// models. A second one gets the batches below splitPath.
 	services []string
@@ -102,7 +106,7 @@
 	if o.policy.PlanSamples == nil {
 		o.policy = DefaultPolicy(policy.Set{})
 	}
-	w := &testCluster{t: t, policy: o.policy, memory: o.memory, parts: o.parts, start: time.Now(), store: metastore.New(o.parts), models: o.models, services: o.services, published: map[string]int64{}}
+	w := &testCluster{t: t, policy: o.policy, memory: o.memory, requestMemory: o.requestMemory, parts: o.parts, start: time.Now(), store: metastore.New(o.parts), models: o.models, services: o.services, published: map[string]int64{}}
 	if len(w.services) == 0 {
 		w.services = []string{"engines"}
 	}
@@ -141,7 +145,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := New(Options{
 		VM: v.name, Policy: w.policy, Log: v.client, Membership: v.client, Engines: w.engines, Scorer: w.scorer, View: view, Suspects: health.NewSuspects(), Partitions: w.parts,
-		Address: v.name, Peers: w.peers, RecordBytes: 4096, CallBytes: 1 << 20, TextMemory: w.memory, MemberTTL: 1500 * time.Millisecond, ClaimLease: testLease,
+		Address: v.name, Peers: w.peers, RecordBytes: 4096, CallBytes: 1 << 20, TextMemory: w.memory, RequestMemory: w.requestMemory, MemberTTL: 1500 * time.Millisecond, ClaimLease: testLease,
 		Now: w.now, Logger: zerolog.Nop(),
 	})
 	v.mu.Lock()
--- a/internal/batchrun/fake_engines_test.go
+++ b/internal/batchrun/fake_engines_test.go
@@ -40,6 +40,7 @@
 	crashes       []engineCrash
 	spoiled       map[string]spoiledRun // by sample, how its next run ends
 	refused       map[string]bool       // samples that engines refuse unless their next run is spoiled
+	bodies        int                   // bytes that each request's body has more
 	padding       int                   // bytes that each event has more
 	onRestart     func(id string)       // called after a crashed engine has restarted
 }
@@ -159,7 +160,7 @@
 // Run streams the events of a sample that the caller hasn't received. Each event names the
 // sample, its own number and the run.
 func (f *fakeEngines) Run(ctx context.Context, u registry.Upstream, r SampleRun, emit func(batch.Event)) error {
-	if r.Path != "/run/"+r.ID || string(r.Body) != "body of "+r.ID || r.Header["H"] != r.ID {
+	if r.Path != "/run/"+r.ID || string(r.Body[:len(r.Body)-f.bodies]) != "body of "+r.ID || r.Header["H"] != r.ID {
 		f.t.Errorf("sample %s has the request %+v", r.ID, r.Request)
 	}
 	run, err := f.beginRun(u, r)
--- a/internal/batchrun/reconcile.go
+++ b/internal/batchrun/reconcile.go
@@ -282,7 +282,7 @@
 	}
 	for id := range r.requests {
 		if !wanted[id] {
-			delete(r.requests, id)
+			r.dropRequestsLocked(id)
 		}
 	}
 	for id := range r.awaitingConfig {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -54,12 +54,12 @@
 	finished           map[sampleKey]bool // their result is in the outbox
 	retries            map[sampleKey]retryState
 	crashes            *crashes.SampleTracker[sampleKey]
-	crashChecks        map[string][]brokenRun     // by incarnation being checked, the runs that broke there
-	isolationSuspended map[pool]bool              // the pool's suspects run beside other samples
-	engines            map[string]*engine         // by incarnation
-	requests           map[string][]batch.Request // by ID of an open batch, nil while they are read
-	awaitingConfig     map[string]bool            // by ID of an open batch, it was accepted by a newer configuration
-	ignoredResults     []sampleKey                // of results that had no effect, under ignoredMu
+	crashChecks        map[string][]brokenRun   // by incarnation being checked, the runs that broke there
+	isolationSuspended map[pool]bool            // the pool's suspects run beside other samples
+	engines            map[string]*engine       // by incarnation
+	requests           map[string]batchRequests // by ID of an open batch
+	awaitingConfig     map[string]bool          // by ID of an open batch, it was accepted by a newer configuration
+	ignoredResults     []sampleKey              // of results that had no effect, under ignoredMu
 
 	ignoredMu sync.Mutex // separate from mu, because it is locked under the partition's lock
 }
@@ -105,7 +105,7 @@
 	return &runner{
 		s: s, partition: p, outbox: newOutbox(s.options.Log, s.blobs, p.number, log), inContact: inContact, log: log,
 		wakeups: make(chan struct{}, 1), runs: map[sampleKey]*run{}, texts: map[sampleKey]*text{}, rewardCalls: map[sampleKey]*rewardCall{}, estimator: batch.NewEstimator(),
-		demandNotBefore: map[string]time.Duration{}, requests: map[string][]batch.Request{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]retryState{}, engines: map[string]*engine{},
+		demandNotBefore: map[string]time.Duration{}, requests: map[string]batchRequests{}, finished: map[sampleKey]bool{}, retries: map[sampleKey]retryState{}, engines: map[string]*engine{},
 		crashes: crashes.NewSampleTracker[sampleKey](), crashChecks: map[string][]brokenRun{}, isolationSuspended: map[pool]bool{}, awaitingConfig: map[string]bool{},
 	}
 }
@@ -136,6 +136,11 @@
 	r.cancel()
 	r.loops.Wait()
 	r.outbox.discard()
+	r.mu.Lock()
+	for id := range r.requests {
+		r.dropRequestsLocked(id)
+	}
+	r.mu.Unlock()
 	if r.releaseUpstreams != nil {
 		r.releaseUpstreams()
 	}
--- a/internal/batchrun/sample_run.go
+++ b/internal/batchrun/sample_run.go
@@ -97,7 +97,7 @@
 	key := sampleKey{w.Batch, w.Index}
 	r.partition.mu.Lock()
 	b := r.partition.state.Get(w.Batch)
-	requests := r.requests[w.Batch]
+	requests := r.requests[w.Batch].list
 	if b == nil || requests == nil {
 		r.partition.mu.Unlock()
 		return
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -56,6 +56,9 @@
 	RecordBytes int               // size limit of a record
 	CallBytes   int               // size limit of an append
 	TextMemory  *membudget.Budget // for texts until they are in the log, nil: no bound
+	// RequestMemory is for the requests of the open batches of owned partitions, nil: no bound. It
+	// must have room for those of the largest batch.
+	RequestMemory *membudget.Budget
 	// ReaderMemory is for the texts of results that are read, nil: no bound.
 	ReaderMemory *membudget.Budget
 	MemberTTL    time.Duration // silence after which an owner's partitions are reassigned
