upstream: a completion ends at its largest length

The same cause on the product's own interface: an engine that goes on with tokens, or with events without any, behind the largest length that its request states was read for as long as it sent, and its text kept.

A response above its largest length, less what it resumes, or with over 64 events without text, is malformed.

--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -71,7 +71,7 @@
 	stream := strings.Repeat(event("tok ", 7), b.N) + "data: [DONE]\n\n"
 	b.ReportAllocs()
 	b.ResetTimer()
-	if err := newChunkStream(strings.NewReader(stream), "r1", 1<<10).read(func(Chunk) error { return nil }); err != nil {
+	if err := newChunkStream(strings.NewReader(stream), GenerateRequest{ID: "r1"}, 1<<10).read(func(Chunk) error { return nil }); err != nil {
 		b.Fatal(err)
 	}
 }
--- a/internal/upstream/generate.go
+++ b/internal/upstream/generate.go
@@ -38,7 +38,7 @@
 	if err := k.checkStreamHeader(resp); err != nil {
 		return err
 	}
-	return k.readStream(resp, onChunk)
+	return k.readStream(resp, r, onChunk)
 }
 
 func generatePath(r GenerateRequest) string {
@@ -86,8 +86,8 @@
 // readStream passes the chunks of the response to onChunk. After the end marker it reads the
 // end of the response, so that the connection can be reused; if more data follows instead, the
 // connection is closed.
-func (k *call) readStream(resp *exchange.Response, onChunk func(Chunk) error) error {
-	s := newChunkStream(resp, k.requestID, k.client.options.MaxEventBytes)
+func (k *call) readStream(resp *exchange.Response, r GenerateRequest, onChunk func(Chunk) error) error {
+	s := newChunkStream(resp, r, k.client.options.MaxEventBytes)
 	s.merger.disabled = k.client.mergingDisabled
 	leaving := reportsLeaving(resp.Header)
 	// An engine may send the header at once and then queue the request, so the first chunk
--- a/internal/upstream/sse_test.go
+++ b/internal/upstream/sse_test.go
@@ -62,7 +62,7 @@
 		want, valid := readNaively(stream)
 		for _, reader := range []io.Reader{strings.NewReader(stream), iotest.OneByteReader(strings.NewReader(stream))} {
 			const maxEventBytes = 1 << 10
-			s := newChunkStream(reader, "r1", maxEventBytes)
+			s := newChunkStream(reader, GenerateRequest{ID: "r1"}, maxEventBytes)
 			var got Chunk
 			err := s.read(func(c Chunk) error {
 				if c.Version == 0 && c.Text != "" || !utf8.ValidString(c.Text) {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
@@ -21,10 +22,36 @@
 	requestID ident.RequestID
 	events    *eventReader
 	merger    merger
+	maxTokens int // of the rest of the completion, 0: no limit
+	tokens    int // received; an event with text has one at least
+	bare      int // events received that have neither text nor tokens
 }
 
-func newChunkStream(body io.Reader, id ident.RequestID, maxEventBytes int) *chunkStream {
-	return &chunkStream{requestID: id, events: newEventReader(body, maxEventBytes)}
+// maxBareEvents is above the number of events without text or tokens of any response: the first and
+// the last one may be such.
+const maxBareEvents = 64
+
+func newChunkStream(body io.Reader, r GenerateRequest, maxEventBytes int) *chunkStream {
+	s := &chunkStream{requestID: r.ID, events: newEventReader(body, maxEventBytes)}
+	if r.MaxTokens > 0 {
+		s.maxTokens = max(1, r.MaxTokens-r.ResumeTokens)
+	}
+	return s
+}
+
+// checkLength counts a chunk. A response that goes on behind the completion's largest length isn't
+// the request's.
+func (s *chunkStream) checkLength(c Chunk) error {
+	switch {
+	case c.Tokens == 0 && c.Text == "":
+		s.bare++
+	default:
+		s.tokens += max(1, c.Tokens)
+	}
+	if s.maxTokens > 0 && (s.tokens > s.maxTokens || s.bare > maxBareEvents) {
+		return &malformedError{fmt.Errorf("over %d tokens or %d events without any", s.maxTokens, maxBareEvents)}
+	}
+	return nil
 }
 
 // read calls emit for the chunks up to the end marker. Chunks that have already been received
@@ -58,6 +85,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.checkLength(chunk); err != nil {
+		return err
+	}
 	if err := s.emitChunk(s.merger.add(chunk), emit); err != nil {
 		return err
 	}
