limits: the same results on every processor

On arm64 the compiler fuses a product with a sum, which rounds once instead of twice; the golden file comes from amd64.

Conversions keep the two places from being fused. The golden file and the test are unchanged: failed 300 of 300 before, passes now.

--- a/internal/limits/drain.go
+++ b/internal/limits/drain.go
@@ -20,7 +20,9 @@
 
 func (a *movingAverage) add(value float64) {
 	a.count++
-	a.mean += max(minAverageWeight, 1/float64(a.count)) * (value - a.mean)
+	// The conversions here and below keep the product from being fused with the sum, which some
+	// processors do: the same calls would otherwise give other results there.
+	a.mean += float64(max(minAverageWeight, 1/float64(a.count)) * (value - a.mean))
 }
 
 func (a *movingAverage) known() bool { return a.count >= minServiceTimes && a.mean > 0 }
@@ -85,7 +87,7 @@
 	}
 	// Without this bound, a long queue of a lower level would cause all entries of this
 	// level to be refused on arrival, and its turns would remain unused.
-	ahead = min(ahead, float64(max(1, f.level.startsLeft)-1)+sameLevel*maxStartsPerTurn)
+	ahead = min(ahead, float64(max(1, f.level.startsLeft)-1)+float64(sameLevel*maxStartsPerTurn))
 	if c == routing.ClassRollout {
 		ahead += float64(q.classQueues[routing.ClassProduction].length)
 	}
