batchrun, platform: reads of results tell their stage, time and bytes

The line 'results not given' had a joined error only: whether the batch wasn't found, its owner didn't list it, its texts weren't read in time or there was no room couldn't be told apart. It has the stage, the time of each part, the calls to the store and the bytes that these returned and that were used; a counter for each stage, a histogram of the time beyond the reader's wait, and a line for a slow read that succeeded. 'explain' counts the failed reads of a batch by stage.

--- a/internal/batchrun/blobs.go
+++ b/internal/batchrun/blobs.go
@@ -109,11 +109,12 @@
 // get returns blobs of a partition by offset: those in known, and the others from the cache or
 // the log. With an error it returns the blobs that it has found.
 func (b *blobCache) get(ctx context.Context, part int, offsets []int64, known map[int64][]byte) (map[int64][]byte, error) {
-	return b.getUpTo(ctx, part, offsets, known, math.MaxInt)
+	return b.getUpTo(ctx, part, offsets, known, math.MaxInt, &fetchStats{})
 }
 
-// getUpTo is get with a limit of bytes, from which on no further blobs are read.
-func (b *blobCache) getUpTo(ctx context.Context, part int, offsets []int64, known map[int64][]byte, limit int) (map[int64][]byte, error) {
+// getUpTo is get with a limit of bytes, from which on no further blobs are read. It counts its reads
+// in stats.
+func (b *blobCache) getUpTo(ctx context.Context, part int, offsets []int64, known map[int64][]byte, limit int, stats *fetchStats) (map[int64][]byte, error) {
 	found := map[int64][]byte{}
 	maps.Copy(found, known)
 	missing := slices.DeleteFunc(slices.Clone(offsets), func(offset int64) bool { _, ok := known[offset]; return ok })
@@ -136,7 +137,7 @@
 			return found, errEnoughBlobs
 		}
 		var err error
-		if missing, err = b.fetch(ctx, part, missing, found); err != nil {
+		if missing, err = b.fetch(ctx, part, missing, found, stats); err != nil {
 			return found, err
 		}
 	}
@@ -152,12 +153,13 @@
 
 // fetch reads a partition's blobs from the first missing one on, and adds the missing ones
 // among them to found. It returns the offsets of those that are still missing.
-func (b *blobCache) fetch(ctx context.Context, part int, missing []int64, found map[int64][]byte) ([]int64, error) {
+func (b *blobCache) fetch(ctx context.Context, part int, missing []int64, found map[int64][]byte, stats *fetchStats) ([]int64, error) {
 	limit := largeFetchBytes
 	if len(missing) <= smallFetchBlobs {
 		limit = smallFetchBytes
 	}
 	first := missing[0]
+	stats.reads++
 	page, err := b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: first, MaxBytes: limit})
 	if err != nil {
 		return nil, err
@@ -166,6 +168,7 @@
 		return nil, fmt.Errorf("%w: no blob at offset %d of partition %d", store.ErrUnknown, first, part)
 	}
 	blobReads.Add(1)
+	stats.readBytes += page.Bytes()
 	for i, data := range page.Records {
 		offset := first + int64(i)
 		blobBytesRead.Add(int64(len(data)))
--- a/internal/batchrun/forward.go
+++ b/internal/batchrun/forward.go
@@ -70,11 +70,31 @@
 }
 
 // Results returns a batch's results from position after on. If there are none it waits for the
-// first one. Errors: ErrNotFound, ErrUnsure.
+// first one. Errors: ErrNotFound, ErrUnsure, wrapped in a *ReadError.
 func (s *Service) Results(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
+	began := s.options.Now()
+	stats := ReadStats{Stage: StageSearch, Partition: -1}
+	page, err := s.readResults(ctx, id, after, wait, &stats)
+	took := s.options.Now() - began
+	readTime.Observe(max(0, took-wait))
+	if err != nil {
+		readsFailed[stats.Stage].Add(1)
+		return Page{}, &ReadError{ReadStats: stats, Err: err}
+	}
+	if took-wait > slowRead {
+		s.options.Logger.Info().Str("batch", id).Int("after", after).Int("part", stats.Partition).Dur("took", took).Dur("wait", wait).Dur("listing", stats.Listing).
+			Dur("texts", stats.Texts).Int("reads", stats.Reads).Int("read_bytes", stats.ReadBytes).Int("used_bytes", stats.UsedBytes).Msg("results read slowly")
+	}
+	return page, nil
+}
+
+// readResults is Results without measuring.
+func (s *Service) readResults(ctx context.Context, id string, after int, wait time.Duration, stats *ReadStats) (Page, error) {
 	var listing Listing
-	until := s.options.Now() + wait
+	began := s.options.Now()
+	until := began + wait
 	err := s.callHandler(ctx, id, func(h batchHandler) error {
+		stats.Stage = StageListing
 		var err error
 		listing, err = h.List(ctx, id, after, max(0, until-s.options.Now()))
 		return err
@@ -82,10 +102,11 @@
 	if errors.Is(err, ErrUnreachable) {
 		err = errors.Join(ErrUnsure, err)
 	}
+	stats.Listing = s.options.Now() - began
 	if err != nil {
 		return Page{}, err
 	}
-	return s.readPage(ctx, listing, after)
+	return s.readPage(ctx, listing, after, stats)
 }
 
 // Body returns the request body of a sample. id is the batch's ID. Errors: ErrNotFound,
--- a/internal/batchrun/results.go
+++ b/internal/batchrun/results.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -189,12 +190,17 @@
 
 // readPage returns the results of a listing with their texts, which it reads from the blobs. If
 // some blobs can't be read it returns the results before the first of them.
-func (s *Service) readPage(ctx context.Context, l Listing, after int) (Page, error) {
-	blobs, readErr := s.pageBlobs(ctx, l)
+func (s *Service) readPage(ctx context.Context, l Listing, after int, stats *ReadStats) (Page, error) {
+	began := time.Now()
+	stats.Stage, stats.Partition = StageTexts, l.Partition
+	var fetched fetchStats
+	blobs, readErr := s.pageBlobs(ctx, l, &fetched)
+	stats.Texts, stats.Reads, stats.ReadBytes, stats.UsedBytes = time.Since(began), fetched.reads, fetched.readBytes, bytesOf(blobs)
 	var lease *membudget.Lease
 	if len(blobs) > 0 {
 		var ok bool
 		if lease, ok = s.options.ReaderMemory.Acquire(int64(bytesOf(blobs)) * pageCopies); !ok {
+			stats.Stage = StageMemory
 			return Page{}, errors.Join(ErrUnsure, membudget.ErrNoRoom)
 		}
 	}
@@ -224,15 +230,15 @@
 
 // pageBlobs returns the blobs of a listing's texts, as many as a page may need. With an error some
 // are missing, but not those of the first sample unless they can't be read.
-func (s *Service) pageBlobs(ctx context.Context, l Listing) (map[int64][]byte, error) {
-	blobs, err := s.blobs.getUpTo(ctx, l.Partition, textOffsets(l.Samples), l.Blobs, maxPageBlobBytes)
+func (s *Service) pageBlobs(ctx context.Context, l Listing, stats *fetchStats) (map[int64][]byte, error) {
+	blobs, err := s.blobs.getUpTo(ctx, l.Partition, textOffsets(l.Samples), l.Blobs, maxPageBlobBytes, stats)
 	if !errors.Is(err, errEnoughBlobs) {
 		return blobs, err
 	}
 	first := textOffsets(l.Samples[:1])
 	if slices.ContainsFunc(first, func(offset int64) bool { return blobs[offset] == nil }) {
 		var firstErr error
-		if blobs, firstErr = s.blobs.get(ctx, l.Partition, first, l.Blobs); firstErr != nil {
+		if blobs, firstErr = s.blobs.getUpTo(ctx, l.Partition, first, l.Blobs, math.MaxInt, stats); firstErr != nil {
 			return blobs, firstErr
 		}
 	}
--- a/internal/batchrun/results_test.go
+++ b/internal/batchrun/results_test.go
@@ -159,11 +159,11 @@
 		}
 		s.blobs = newBlobCache(s.options.Log, w.parts)
 		w.vms[0].client.SetFaults(metastore.Faults{Unreachable: true})
-		page, err := s.readPage(ctx, l, 0)
+		page, err := s.readPage(ctx, l, 0, &ReadStats{})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(page.Results).To(HaveLen(1))
 		g.Expect(page.Next).To(Equal(1))
-		_, err = s.readPage(ctx, Listing{Partition: l.Partition, Total: 2, Samples: l.Samples[1:]}, 1)
+		_, err = s.readPage(ctx, Listing{Partition: l.Partition, Total: 2, Samples: l.Samples[1:]}, 1, &ReadStats{})
 		g.Expect(err).To(MatchError(ErrUnsure))
 	})
 }
@@ -183,7 +183,7 @@
 			s := w.ownerOf(g, "m0").daemon()
 			l, err := LocalHandler{s}.List(context.Background(), "b", results, 0)
 			g.Expect(err).NotTo(HaveOccurred())
-			blobs, _ := s.pageBlobs(context.Background(), l) // some may be missing
+			blobs, _ := s.pageBlobs(context.Background(), l, &fetchStats{}) // some may be missing
 			g.Expect(bytesOf(blobs)).To(BeNumerically("<=", maxPageBlobBytes+largeFetchBytes))
 			page, err := s.Results(context.Background(), "b", results, 0)
 			g.Expect(err).NotTo(HaveOccurred())
@@ -210,7 +210,7 @@
 	}
 	s := &Service{blobs: newBlobCache(nil, 1)}
 	page, err := s.readPage(context.Background(), Listing{Total: 3, Samples: []batch.Sample{sample("a", 1), sample("b", 2), sample("c", 3)},
-		Blobs: map[int64][]byte{1: good, 2: []byte("spoiled"), 3: good}}, 0)
+		Blobs: map[int64][]byte{1: good, 2: []byte("spoiled"), 3: good}}, 0, &ReadStats{})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(page).To(Equal(Page{Total: 3, Next: 3, Results: []Result{{ID: "a", State: batch.Completed, Text: "x"}, {ID: "b", State: batch.GivenUp}, {ID: "c", State: batch.Completed, Text: "x"}}}))
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -167,6 +167,8 @@
 			if why := l.Text("error"); why != "" {
 				reasons[firstLine(why)]++
 			}
+		case "results not given":
+			reasons["reading results, stage "+l.Text("stage")+": "+firstLine(l.Text("error"))]++
 		case "store contact changed":
 			if inContact, _ := l.Fields["up"].(bool); !inContact {
 				contactLosses++
