batchrun: a failing test of results whose texts lie far apart in the log

A page of a batch whose samples were carried over spans 9 MB of the texts' log for 1.7 MB of text. Four readers on one VM with 60 Mbit/s: 'position 0 of 160: 0 results in 1.2s: context deadline exceeded, blob not read', on the first call and each further one.

--- /dev/null
+++ b/internal/batchrun/scattered_texts_test.go
@@ -0,0 +1,174 @@
+package batchrun
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/batch"
+	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
+	"github.com/dogwoodflow/dogwoodflow/internal/store"
+)
+
+const (
+	smallLinkBytes = 7_500_000 // per second, 60 Mbit/s
+	// readerPatience is for how long a reader that asks for no wait stays.
+	readerPatience = 1500 * time.Millisecond
+	blobEvents     = 8
+	eventDataBytes = 360
+)
+
+// slowLink is a log behind the link of a small VM, which all reads share.
+type slowLink struct {
+	store.Log
+	mu   sync.Mutex
+	free time.Time // when the link has sent what was read
+}
+
+func (l *slowLink) Read(ctx context.Context, topic string, part int, from store.ReadOptions) (store.Page, error) {
+	page, err := l.Log.Read(ctx, topic, part, from)
+	if err != nil {
+		return page, err
+	}
+	l.mu.Lock()
+	l.free = later(l.free, time.Now()).Add(time.Duration(page.Bytes()) * time.Second / smallLinkBytes)
+	sent := time.NewTimer(time.Until(l.free))
+	l.mu.Unlock()
+	defer sent.Stop()
+	select {
+	case <-sent.C:
+		return page, nil
+	case <-ctx.Done():
+		return store.Page{}, fmt.Errorf("%w: %w", store.ErrUnknown, ctx.Err())
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// textLog is a partition of texts: blob i of text t holds its next blobEvents events.
+type textLog struct {
+	g      *WithT
+	client *metastore.Client
+	texts  map[string]*batch.Text
+}
+
+func newTextLog(g *WithT) *textLog {
+	client := metastore.NewClient(metastore.New(1), callTimeout)
+	client.SetFaults(metastore.Faults{Latency: storeLatency})
+	return &textLog{g: g, client: client, texts: map[string]*batch.Text{}}
+}
+
+// write appends the next segment of each text, in this order.
+func (l *textLog) write(ids ...string) {
+	var blobs [][]byte
+	for _, id := range ids {
+		events := make([]batch.Event, blobEvents)
+		for i := range events {
+			events[i] = batch.Event{Data: id + strings.Repeat("x", eventDataBytes), Version: 1}
+		}
+		blob, err := batch.PackText(events)
+		l.g.Expect(err).NotTo(HaveOccurred())
+		blobs = append(blobs, blob)
+	}
+	offset, err := l.client.Append(context.Background(), textTopic, 0, blobs)
+	l.g.Expect(err).NotTo(HaveOccurred())
+	for i, id := range ids {
+		if l.texts[id] == nil {
+			l.texts[id] = &batch.Text{}
+		}
+		text := l.texts[id]
+		text.Segments = append(text.Segments, batch.Segment{Offset: offset + int64(i), Events: blobEvents})
+		text.Events += blobEvents
+	}
+}
+
+// names returns the names of the samples of a batch.
+func names(of string, n int) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprint(of, "-", i))
+	}
+	return out
+}
+
+// listing lists completed samples from a position on, as the owner of their partition does.
+func (l *textLog) listing(ids []string, after int) Listing {
+	out := Listing{Total: len(ids)}
+	for _, id := range ids[after:min(len(ids), after+maxPageResults)] {
+		out.Samples = append(out.Samples, batch.Sample{Item: batch.Item{ID: id}, State: batch.Completed, Text: *l.texts[id]})
+	}
+	return out
+}
+
+// writeScattered writes a batch of 160 samples, 64 of which have the first half of their text between
+// those of the batch before. Each step of the day writes the segments of all samples of two batches.
+func (l *textLog) writeScattered() (ids []string) {
+	carried, fresh, others := names("carried", 64), names("fresh", 96), names("other", 160)
+	for range 6 {
+		l.write(others...)
+		l.write(carried...)
+		l.write(others...)
+	}
+	for range 3 {
+		l.write(others...)
+		l.write(fresh...)
+		l.write(carried...)
+	}
+	return append(fresh, carried...)
+}
+
+func newReader(l *textLog) *Service {
+	return &Service{options: Options{Logger: zerolog.Nop()}, blobs: newBlobCache(&slowLink{Log: l.client}, 1)}
+}
+
+// readAll reads all results from the start, each page within readerPatience.
+func (l *textLog) readAll(s *Service, ids []string) error {
+	const maxCalls = 20
+	after := 0
+	for range maxCalls {
+		began := time.Now()
+		page, err := s.readPage(context.Background(), l.listing(ids, after), after, &ReadStats{})
+		if took := time.Since(began); err != nil || took > readerPatience || len(page.Results) == 0 {
+			return fmt.Errorf("position %d of %d: %d results in %s: %w", after, len(ids), len(page.Results), took, err)
+		}
+		for _, r := range page.Results {
+			if want := l.texts[r.ID].Events*(len(r.ID)+eventDataBytes+1) - 1; len(r.Text) != want {
+				return fmt.Errorf("%s has a text of %d bytes, %d expected", r.ID, len(r.Text), want)
+			}
+		}
+		if after = page.Next; after == len(ids) {
+			return nil
+		}
+	}
+	return fmt.Errorf("position %d of %d after %d calls", after, len(ids), maxCalls)
+}
+
+// Guards against results that no small VM can read in time, because the segments of their texts lie
+// far apart in the log.
+func TestScatteredTextsAreReadInTime(t *testing.T) {
+	for _, readers := range []int{1, 4} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			l := newTextLog(g)
+			ids := l.writeScattered()
+			s := newReader(l)
+			var group errgroup.Group
+			for range readers {
+				group.Go(func() error { return l.readAll(s, ids) })
+			}
+			g.Expect(group.Wait()).To(Succeed(), "%d readers", readers)
+		})
+	}
+}
