batchrun: texts are read in the order of need, and not what lies between them

Cause: a read's cost was the length of log between the first and the last segment of up to 128 results, not their size. Segments lie among those of all other texts; interrupted and carried-over samples span up to 6 MB. Blobs were read in the log's order, 1 MB a call, so the first result could come last; at the timeout all was given up, and the cache held what lay between. The reader went to another daemon, which began anew. With 40 such readers the store's shared rate went into bytes that nobody used: 507 of 591 calls failed, 478 of them with blobs in hand.

Change: blobs are read in the order of the results; reads cover blobs that lie closer than another call costs, begin with the most urgent one, and have 16 to 256 KB; two are under way for a call and four for a daemon; after 0.5 s what is whole is returned. A blob that exceeds a read's limit is read again without one. So each try makes progress.

Ruled out: the batch wasn't found (search and listing took 5 to 25 ms), the wait for the slot (0.2 ms in the median), a spoiled text (no such line), keys and routes (no 401 or 404).

--- /dev/null
+++ b/internal/batchrun/blob_reads.go
@@ -0,0 +1,63 @@
+package batchrun
+
+import "slices"
+
+const (
+	// maxGapBytes bounds the unwanted bytes between two blobs that are read in one call: on the link
+	// of the smallest VM they take about as long as another call.
+	maxGapBytes = 64 << 10
+	// A read asks for minFetchBytes to maxFetchBytes. What a read that fails has transferred is lost.
+	minFetchBytes = 16 << 10
+	maxFetchBytes = 256 << 10
+	// fetchMargin is by how much a read exceeds the estimated size of its range.
+	fetchMargin = 1.5
+	// initialBlobBytes is the estimate of a blob's size before any was read.
+	initialBlobBytes = 4 << 10
+	// blobBytesWeight is the weight of a read in the average size of the blobs.
+	blobBytesWeight = 0.5
+)
+
+// blobRange is a part of the log that is read in one call: its wanted blobs lie close together.
+type blobRange struct{ first, last int64 } // offsets of its first and last wanted blob
+
+// blobs returns the number of blobs in the range.
+func (r blobRange) blobs() int64 { return r.last - r.first + 1 }
+
+// fetchBytes returns how many bytes to request for the range.
+func (r blobRange) fetchBytes(blobBytes float64) int {
+	return min(max(int(fetchMargin*blobBytes*float64(r.blobs())), minFetchBytes), maxFetchBytes)
+}
+
+// planReads divides blobs, given by their offsets in the order of their urgency, into ranges in the
+// same order. Each begins with its most urgent blob, which is read even if the others turn out too
+// large. blobBytes is the estimated size of a blob of the log.
+//
+// The segments of a text lie among those of all others that were generated at the same time. If a
+// page were read in the log's order and whole, it would take as long as everything between its first
+// and its last segment.
+func planReads(wanted []int64, blobBytes float64) []blobRange {
+	sorted := slices.Compact(slices.Sorted(slices.Values(wanted)))
+	covered := make([]bool, len(sorted))
+	var ranges []blobRange
+	for _, offset := range wanted {
+		i, _ := slices.BinarySearch(sorted, offset)
+		if covered[i] {
+			continue
+		}
+		r := blobRange{first: offset, last: offset}
+		for ; i < len(sorted) && !covered[i] && r.reaches(sorted[i], blobBytes); i++ {
+			covered[i], r.last = true, sorted[i]
+		}
+		ranges = append(ranges, r)
+	}
+	return ranges
+}
+
+// reaches reports whether one call may read the range and a blob behind it.
+func (r blobRange) reaches(offset int64, blobBytes float64) bool {
+	if offset == r.first {
+		return true
+	}
+	gap := float64(offset-r.last-1) * blobBytes
+	return gap <= maxGapBytes && float64(offset-r.first+1)*blobBytes*fetchMargin <= maxFetchBytes
+}
--- a/internal/batchrun/blobs.go
+++ b/internal/batchrun/blobs.go
@@ -5,11 +5,12 @@
 	"errors"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 )
@@ -22,11 +23,11 @@
 	maxCacheBytes = 2 << 20
 	// fetchTimeout bounds the time in which missing blobs are read from the log.
 	fetchTimeout = 1200 * time.Millisecond
-	// A read for at most smallFetchBlobs blobs requests smallFetchBytes, one for more of them
-	// largeFetchBytes: a read returns everything after the first blob, up to its limit.
-	smallFetchBlobs = 4
-	smallFetchBytes = 256 << 10
-	largeFetchBytes = 1 << 20
+	// callReads and maxReads bound the reads that are under way at a time, for one call and for all.
+	// With more, the blobs that each call needs first would share the link with those that it
+	// needs last.
+	callReads = 2
+	maxReads  = 4
 )
 
 var (
@@ -43,23 +44,18 @@
 // blobCache reads blobs of requests and texts from the log, and caches those that were read or
 // written last. It is safe for concurrent use.
 type blobCache struct {
-	log store.Log
-	// fetchSlots allows one read at a time, by partition. Its blobs are often those that the
-	// callers waiting for the slot need.
-	fetchSlots []chan struct{}
+	log   store.Log
+	reads chan struct{} // holds an element for each read that is under way
 
-	mu    sync.Mutex
-	byKey map[blobKey][]byte
-	order []blobKey // oldest first
-	size  int       // of the cached blobs in bytes
+	mu        sync.Mutex
+	byKey     map[blobKey][]byte
+	order     []blobKey // oldest first
+	size      int       // of the cached blobs in bytes
+	blobBytes []float64 // average size of a blob, by partition
 }
 
 func newBlobCache(log store.Log, parts int) *blobCache {
-	b := &blobCache{log: log, byKey: map[blobKey][]byte{}}
-	for range parts {
-		b.fetchSlots = append(b.fetchSlots, make(chan struct{}, 1))
-	}
-	return b
+	return &blobCache{log: log, byKey: map[blobKey][]byte{}, reads: make(chan struct{}, maxReads), blobBytes: slices.Repeat([]float64{initialBlobBytes}, parts)}
 }
 
 // put caches a blob. The oldest ones are dropped if the cache becomes too large.
@@ -103,79 +99,161 @@
 	return found
 }
 
-// errEnoughBlobs is returned when the blobs found reach a limit of bytes and some are missing.
-var errEnoughBlobs = errors.New("batchrun: blobs exceed the size of a page")
+// errEnoughBlobs is returned when a fetchLimit is reached and some blobs are missing.
+var errEnoughBlobs = errors.New("batchrun: limit of a page reached")
+
+// fetchLimit bounds what is read in one call. It doesn't apply to the first blobs, without which there
+// is nothing to return. The zero value sets no bound.
+type fetchLimit struct {
+	first int           // number of these blobs
+	bytes int           // of the blobs found
+	time  time.Duration // since the call began, from which on nothing further is read
+}
 
 // get returns blobs of a partition by offset: those in known, and the others from the cache or
 // the log. With an error it returns the blobs that it has found.
 func (b *blobCache) get(ctx context.Context, part int, offsets []int64, known map[int64][]byte) (map[int64][]byte, error) {
-	return b.getUpTo(ctx, part, offsets, known, math.MaxInt, &fetchStats{})
+	return b.getUpTo(ctx, part, offsets, known, fetchLimit{}, &fetchStats{})
 }
 
-// getUpTo is get with a limit of bytes, from which on no further blobs are read. It counts its reads
-// in stats.
-func (b *blobCache) getUpTo(ctx context.Context, part int, offsets []int64, known map[int64][]byte, limit int, stats *fetchStats) (map[int64][]byte, error) {
+// getUpTo is get with a limit. The offsets are in the order in which the blobs are needed. It counts
+// its reads in stats.
+func (b *blobCache) getUpTo(ctx context.Context, part int, offsets []int64, known map[int64][]byte, limit fetchLimit, stats *fetchStats) (map[int64][]byte, error) {
 	found := map[int64][]byte{}
 	maps.Copy(found, known)
-	missing := slices.DeleteFunc(slices.Clone(offsets), func(offset int64) bool { _, ok := known[offset]; return ok })
-	missing = b.copyCached(part, missing, found)
-	if len(missing) == 0 {
-		return found, nil
-	}
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	select {
-	case b.fetchSlots[part] <- struct{}{}:
-		defer func() { <-b.fetchSlots[part] }()
-	case <-ctx.Done():
-		return found, ctx.Err()
+	for {
+		b.copyCached(part, missingOf(offsets, found), found)
+		wanted := limit.cut(offsets, found)
+		missing := missingOf(wanted, found)
+		switch {
+		case len(missing) == 0 && len(wanted) == len(offsets):
+			return found, nil
+		case len(missing) == 0 || limit.expired(time.Since(began)) && len(missingOf(offsets[:limit.first], found)) == 0:
+			return only(wanted, found), errEnoughBlobs
+		}
+		ranges := planReads(missing, b.averageBytes(part))
+		if err := b.fetchAll(ctx, part, ranges[:min(len(ranges), callReads)], missing, found, stats); err != nil {
+			return only(wanted, found), err
+		}
 	}
-	missing = b.copyCached(part, missing, found)
-	slices.Sort(missing)
-	for len(missing) > 0 {
-		if bytesOf(found) >= limit {
-			return found, errEnoughBlobs
+}
+
+// missingOf returns the offsets whose blobs aren't in found.
+func missingOf(offsets []int64, found map[int64][]byte) []int64 {
+	return slices.DeleteFunc(slices.Clone(offsets), func(offset int64) bool { _, ok := found[offset]; return ok })
+}
+
+// only returns those of the blobs found that are wanted.
+func only(wanted []int64, found map[int64][]byte) map[int64][]byte {
+	out := map[int64][]byte{}
+	for _, offset := range wanted {
+		if data, ok := found[offset]; ok {
+			out[offset] = data
 		}
-		var err error
-		if missing, err = b.fetch(ctx, part, missing, found, stats); err != nil {
-			return found, err
+	}
+	return out
+}
+
+// cut returns the offsets that are needed until the limit of bytes is reached.
+func (l fetchLimit) cut(offsets []int64, found map[int64][]byte) []int64 {
+	size := 0
+	for i, offset := range offsets {
+		if l.bytes > 0 && size >= l.bytes && i >= l.first {
+			return offsets[:i]
 		}
+		size += len(found[offset])
 	}
-	return found, nil
+	return offsets
 }
 
-func bytesOf(blobs map[int64][]byte) (n int) {
-	for _, data := range blobs {
-		n += len(data)
+// expired reports whether the time has passed within which blobs are read.
+func (l fetchLimit) expired(elapsed time.Duration) bool { return l.time > 0 && elapsed >= l.time }
+
+// averageBytes returns the average size of a partition's blobs.
+func (b *blobCache) averageBytes(part int) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.blobBytes[part]
+}
+
+// addToAverage takes the blobs of a read into account.
+func (b *blobCache) addToAverage(part int, blobs [][]byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	size := store.Page{Records: blobs}.Bytes()
+	b.blobBytes[part] += blobBytesWeight * (float64(size)/float64(len(blobs)) - b.blobBytes[part])
+}
+
+// fetchAll reads ranges concurrently and adds the missing blobs among them to found. A range may be
+// read in part.
+func (b *blobCache) fetchAll(ctx context.Context, part int, ranges []blobRange, missing []int64, found map[int64][]byte, stats *fetchStats) error {
+	var group errgroup.Group
+	pages := make([][][]byte, len(ranges))
+	for i, r := range ranges {
+		group.Go(func() (err error) {
+			pages[i], err = b.fetch(ctx, part, r)
+			return err
+		})
 	}
-	return n
+	err := group.Wait()
+	for i, page := range pages {
+		if len(page) > 0 {
+			stats.reads++
+		}
+		for n, data := range page {
+			stats.readBytes += len(data)
+			if offset := ranges[i].first + int64(n); slices.Contains(missing, offset) {
+				found[offset] = data
+			}
+		}
+	}
+	return err
 }
 
-// fetch reads a partition's blobs from the first missing one on, and adds the missing ones
-// among them to found. It returns the offsets of those that are still missing.
-func (b *blobCache) fetch(ctx context.Context, part int, missing []int64, found map[int64][]byte, stats *fetchStats) ([]int64, error) {
-	limit := largeFetchBytes
-	if len(missing) <= smallFetchBlobs {
-		limit = smallFetchBytes
+// fetch reads a range and returns its first blobs, none if all of it has been cached since. At least
+// one is read otherwise.
+func (b *blobCache) fetch(ctx context.Context, part int, r blobRange) ([][]byte, error) {
+	select {
+	case b.reads <- struct{}{}:
+		defer func() { <-b.reads }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if b.isCached(part, r) {
+		return nil, nil
+	}
+	page, err := b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first, MaxBytes: r.fetchBytes(b.averageBytes(part))})
+	if err == nil && len(page.Records) == 0 && page.End > r.first {
+		page, err = b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first}) // the blob exceeds the limit
 	}
-	first := missing[0]
-	stats.reads++
-	page, err := b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: first, MaxBytes: limit})
 	if err != nil {
 		return nil, err
 	}
 	if len(page.Records) == 0 {
-		return nil, fmt.Errorf("%w: no blob at offset %d of partition %d", store.ErrUnknown, first, part)
+		return nil, fmt.Errorf("%w: no blob at offset %d of partition %d", store.ErrUnknown, r.first, part)
 	}
 	blobReads.Add(1)
-	stats.readBytes += page.Bytes()
+	blobBytesRead.Add(int64(page.Bytes()))
+	b.addToAverage(part, page.Records)
 	for i, data := range page.Records {
-		offset := first + int64(i)
-		blobBytesRead.Add(int64(len(data)))
-		b.put(part, offset, data)
-		if slices.Contains(missing, offset) {
-			found[offset] = data
-		}
+		b.put(part, r.first+int64(i), data)
+	}
+	return page.Records, nil
+}
+
+// isCached reports whether the ends of a range are cached: another call has read it.
+func (b *blobCache) isCached(part int, r blobRange) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.byKey[blobKey{part, r.first}] != nil && b.byKey[blobKey{part, r.last}] != nil
+}
+
+func bytesOf(blobs map[int64][]byte) (n int) {
+	for _, data := range blobs {
+		n += len(data)
 	}
-	return slices.DeleteFunc(missing, func(offset int64) bool { _, ok := found[offset]; return ok }), nil
+	return n
 }
--- a/internal/batchrun/results.go
+++ b/internal/batchrun/results.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
-	"slices"
 	"strings"
 	"time"
 
@@ -37,9 +35,12 @@
 	maxPageBytes = 900 << 10
 	// maxPageResults bounds the results in one page, and so the blobs that are read for it.
 	maxPageResults = 128
-	// maxPageBlobBytes bounds the blobs that are read for a page. Blobs are read in the order of
-	// the log, so some may be of results that don't fit into it.
+	// maxPageBlobBytes bounds the blobs that are read for a page. Some may be of results that don't fit
+	// into it.
 	maxPageBlobBytes = 2 * maxPageBytes
+	// pageReadTime is for how long a page's texts are read if some results can be returned by then. The
+	// reader asks for the others next.
+	pageReadTime = 500 * time.Millisecond
 	// pageCopies is how often a text is in memory while its page is made: in its blobs, decoded
 	// and joined.
 	pageCopies = 3
@@ -231,18 +232,8 @@
 // pageBlobs returns the blobs of a listing's texts, as many as a page may need. With an error some
 // are missing, but not those of the first sample unless they can't be read.
 func (s *Service) pageBlobs(ctx context.Context, l Listing, stats *fetchStats) (map[int64][]byte, error) {
-	blobs, err := s.blobs.getUpTo(ctx, l.Partition, textOffsets(l.Samples), l.Blobs, maxPageBlobBytes, stats)
-	if !errors.Is(err, errEnoughBlobs) {
-		return blobs, err
-	}
-	first := textOffsets(l.Samples[:1])
-	if slices.ContainsFunc(first, func(offset int64) bool { return blobs[offset] == nil }) {
-		var firstErr error
-		if blobs, firstErr = s.blobs.getUpTo(ctx, l.Partition, first, l.Blobs, math.MaxInt, stats); firstErr != nil {
-			return blobs, firstErr
-		}
-	}
-	return blobs, err
+	limit := fetchLimit{first: len(textOffsets(l.Samples[:min(1, len(l.Samples))])), bytes: maxPageBlobBytes, time: pageReadTime}
+	return s.blobs.getUpTo(ctx, l.Partition, textOffsets(l.Samples), l.Blobs, limit, stats)
 }
 
 // textOffsets returns the offsets of the blobs that hold the texts of completed samples.
--- a/internal/batchrun/results_test.go
+++ b/internal/batchrun/results_test.go
@@ -184,7 +184,7 @@
 			l, err := LocalHandler{s}.List(context.Background(), "b", results, 0)
 			g.Expect(err).NotTo(HaveOccurred())
 			blobs, _ := s.pageBlobs(context.Background(), l, &fetchStats{}) // some may be missing
-			g.Expect(bytesOf(blobs)).To(BeNumerically("<=", maxPageBlobBytes+largeFetchBytes))
+			g.Expect(bytesOf(blobs)).To(BeNumerically("<=", maxPageBlobBytes+callReads*maxFetchBytes))
 			page, err := s.Results(context.Background(), "b", results, 0)
 			g.Expect(err).NotTo(HaveOccurred())
 			for _, r := range page.Results {
