batchrun: refused reads of texts are retried

A page takes some 10 reads and more since it no longer reads what lies between the texts. One refusal by the store (429 above the fleet's rate of reads, 503) failed the whole page with 503 if its first result wasn't whole, and the reader began anew at another daemon, which adds to the reads.

Change: a refused read is retried after a backoff with jitter, within the time for reading a page. After three refusals in a row without a blob in between the call fails: a store that turns this VM away may serve others.

--- a/internal/batchrun/blobs.go
+++ b/internal/batchrun/blobs.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
+	"github.com/dogwoodflow/dogwoodflow/internal/retry"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
 )
 
@@ -28,8 +31,15 @@
 	// needs last.
 	callReads = 2
 	maxReads  = 4
+	// maxReadRefusals is the number of refusals in a row after which a call fails. If the store refuses
+	// all reads of this VM, the caller had better ask another one.
+	maxReadRefusals = 3
 )
 
+// readRefusalBackoff is the wait after reads that the store refused, which it does when the fleet
+// makes too many of them in a second.
+var readRefusalBackoff = retry.Backoff{Initial: 60 * time.Millisecond, Max: 120 * time.Millisecond}
+
 var (
 	blobReads     = metrics.Counter("blob_reads")
 	blobBytesRead = metrics.Counter("blob_bytes_read")
@@ -116,12 +126,13 @@
 	return b.getUpTo(ctx, part, offsets, known, fetchLimit{}, &fetchStats{})
 }
 
-// getUpTo is get with a limit. The offsets are in the order in which the blobs are needed. It counts
-// its reads in stats.
+// getUpTo is get with a limit. The offsets are in the order in which the blobs are needed. Refused reads
+// are retried. It counts its reads in stats.
 func (b *blobCache) getUpTo(ctx context.Context, part int, offsets []int64, known map[int64][]byte, limit fetchLimit, stats *fetchStats) (map[int64][]byte, error) {
 	found := map[int64][]byte{}
 	maps.Copy(found, known)
 	began := time.Now()
+	var refusals readRefusals
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	for {
@@ -135,12 +146,30 @@
 			return only(wanted, found), errEnoughBlobs
 		}
 		ranges := planReads(missing, b.averageBytes(part))
-		if err := b.fetchAll(ctx, part, ranges[:min(len(ranges), callReads)], missing, found, stats); err != nil {
+		before := len(found)
+		err := b.fetchAll(ctx, part, ranges[:min(len(ranges), callReads)], missing, found, stats)
+		if err != nil && !refusals.retry(ctx, err, len(found) > before) {
 			return only(wanted, found), err
 		}
 	}
 }
 
+// readRefusals is the number of refused reads in a row of one call.
+type readRefusals int
+
+// retry waits before the next read and reports whether there is one after a failed read. progress
+// says that blobs were found since the last one.
+func (r *readRefusals) retry(ctx context.Context, err error, progress bool) bool {
+	if !errors.Is(err, store.ErrNotDone) {
+		return false
+	}
+	if progress {
+		*r = 0
+	}
+	*r++
+	return *r < maxReadRefusals && pause.For(ctx, readRefusalBackoff.Delay(int(*r), rand.Float64()))
+}
+
 // missingOf returns the offsets whose blobs aren't in found.
 func missingOf(offsets []int64, found map[int64][]byte) []int64 {
 	return slices.DeleteFunc(slices.Clone(offsets), func(offset int64) bool { _, ok := found[offset]; return ok })
--- a/internal/batchrun/scattered_texts_test.go
+++ b/internal/batchrun/scattered_texts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -172,3 +173,45 @@
 		})
 	}
 }
+
+// refusingLog refuses each read but every allowed-th one.
+type refusingLog struct {
+	store.Log
+	allowed int
+	reads   atomic.Int64
+}
+
+func (l *refusingLog) Read(ctx context.Context, topic string, part int, from store.ReadOptions) (store.Page, error) {
+	if l.reads.Add(1)%int64(l.allowed) != 0 {
+		return store.Page{}, fmt.Errorf("%w: injected refusal", store.ErrNotDone)
+	}
+	return l.Log.Read(ctx, topic, part, from)
+}
+
+// Guards against a page that fails because the store refused one of its many reads, as it does when
+// the fleet exceeds its rate of reads.
+func TestRefusedReadsOfTextsAreRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		l := newTextLog(g)
+		ids := l.writeScattered()
+		s := newReader(l)
+		s.blobs.log = &refusingLog{Log: s.blobs.log, allowed: 3}
+		g.Expect(l.readAll(s, ids)).To(Succeed())
+	})
+}
+
+// Guards against a reader that is kept waiting by a store that refuses all reads of this VM: another
+// one may read the page.
+func TestReadsOfTextsThatAreAllRefusedFailSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		l := newTextLog(g)
+		ids := l.writeScattered()
+		l.client.SetFaults(metastore.Faults{Refuse: true})
+		began := time.Now()
+		_, err := newReader(l).readPage(context.Background(), l.listing(ids, 0), 0, &ReadStats{})
+		g.Expect(err).To(MatchError(ErrUnsure))
+		g.Expect(time.Since(began)).To(BeNumerically("<=", readerPatience/3))
+	})
+}
