batchrun: reads of texts are smaller while the store takes long for them

Change: the limit on a read's bytes halves, down to 16 KB, after a read that took more than 100 ms, and doubles, up to 256 KB, after one that took less than half of that. A daemon begins with 64 KB. Refusals don't count: they take no transfer.

Measured: TestTextsAreReadInTimeByManyReaders (80 readers on 61 VMs, 160 on 122) failed before ('position 96 of 160: 0 results in 1.2s', 3 of 3) and passes, 15 of 15.

--- a/internal/batchrun/blob_reads.go
+++ b/internal/batchrun/blob_reads.go
@@ -1,14 +1,21 @@
 package batchrun
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxGapBytes bounds the unwanted bytes between two blobs that are read in one call: on the link
 	// of the smallest VM they take about as long as another call.
 	maxGapBytes = 64 << 10
 	// A read asks for minFetchBytes to maxFetchBytes. What a read that fails has transferred is lost.
-	minFetchBytes = 16 << 10
-	maxFetchBytes = 256 << 10
+	minFetchBytes     = 16 << 10
+	maxFetchBytes     = 256 << 10
+	initialFetchBytes = 64 << 10
+	// slowFetch is the time of a read from which the next ones are smaller. Several reads, one after
+	// the other, must end within fetchTimeout.
+	slowFetch = 100 * time.Millisecond
 	// fetchMargin is by how much a read exceeds the estimated size of its range.
 	fetchMargin = 1.5
 	// initialBlobBytes is the estimate of a blob's size before any was read.
@@ -23,19 +30,19 @@
 // blobs returns the number of blobs in the range.
 func (r blobRange) blobs() int64 { return r.last - r.first + 1 }
 
-// fetchBytes returns how many bytes to request for the range.
-func (r blobRange) fetchBytes(blobBytes float64) int {
-	return min(max(int(fetchMargin*blobBytes*float64(r.blobs())), minFetchBytes), maxFetchBytes)
+// fetchBytes returns how many bytes to request for the range, at most limit.
+func (r blobRange) fetchBytes(blobBytes float64, limit int) int {
+	return min(max(int(fetchMargin*blobBytes*float64(r.blobs())), minFetchBytes), limit)
 }
 
 // planReads divides blobs, given by their offsets in the order of their urgency, into ranges in the
 // same order. Each begins with its most urgent blob, which is read even if the others turn out too
-// large. blobBytes is the estimated size of a blob of the log.
+// large. blobBytes is the estimated size of a blob of the log, and limit bounds the bytes of a read.
 //
 // The segments of a text lie among those of all others that were generated at the same time. If a
 // page were read in the log's order and whole, it would take as long as everything between its first
 // and its last segment.
-func planReads(wanted []int64, blobBytes float64) []blobRange {
+func planReads(wanted []int64, blobBytes float64, limit int) []blobRange {
 	sorted := slices.Compact(slices.Sorted(slices.Values(wanted)))
 	covered := make([]bool, len(sorted))
 	var ranges []blobRange
@@ -45,7 +52,7 @@
 			continue
 		}
 		r := blobRange{first: offset, last: offset}
-		for ; i < len(sorted) && !covered[i] && r.reaches(sorted[i], blobBytes); i++ {
+		for ; i < len(sorted) && !covered[i] && r.reaches(sorted[i], blobBytes, limit); i++ {
 			covered[i], r.last = true, sorted[i]
 		}
 		ranges = append(ranges, r)
@@ -54,10 +61,24 @@
 }
 
 // reaches reports whether one call may read the range and a blob behind it.
-func (r blobRange) reaches(offset int64, blobBytes float64) bool {
+func (r blobRange) reaches(offset int64, blobBytes float64, limit int) bool {
 	if offset == r.first {
 		return true
 	}
 	gap := float64(offset-r.last-1) * blobBytes
-	return gap <= maxGapBytes && float64(offset-r.first+1)*blobBytes*fetchMargin <= maxFetchBytes
+	return gap <= maxGapBytes && float64(offset-r.first+1)*blobBytes*fetchMargin <= float64(limit)
+}
+
+// nextFetchLimit returns the limit on the bytes of the next reads after one with a limit took some time.
+// The store's rate is shared by the fleet, and what a read that is given up has asked for is sent all
+// the same. With large reads only, the fleet could ask for more than the store sends within
+// fetchTimeout, and no read would end in time.
+func nextFetchLimit(limit int, took time.Duration) int {
+	switch {
+	case took > slowFetch:
+		return max(limit/2, minFetchBytes)
+	case took < slowFetch/2:
+		return min(2*limit, maxFetchBytes)
+	}
+	return limit
 }
--- a/internal/batchrun/blob_reads_test.go
+++ b/internal/batchrun/blob_reads_test.go
@@ -25,7 +25,7 @@
 		{"a blob wanted twice", []int64{7, 8, 7}, []blobRange{{7, 8}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			NewWithT(t).Expect(planReads(c.wanted, blobBytes)).To(Equal(c.reads))
+			NewWithT(t).Expect(planReads(c.wanted, blobBytes, maxFetchBytes)).To(Equal(c.reads))
 		})
 	}
 }
@@ -39,10 +39,10 @@
 	}
 	for _, blobBytes := range []float64{1, 500, 4 << 10, 200 << 10, 1 << 30} {
 		next := int64(0)
-		for _, r := range planReads(wanted, blobBytes) {
+		for _, r := range planReads(wanted, blobBytes, maxFetchBytes) {
 			g.Expect(r.first).To(Equal(next), "no blob is left out")
 			next = r.last + 1
-			g.Expect(r.fetchBytes(blobBytes)).To(And(BeNumerically(">=", minFetchBytes), BeNumerically("<=", maxFetchBytes)))
+			g.Expect(r.fetchBytes(blobBytes, maxFetchBytes)).To(And(BeNumerically(">=", minFetchBytes), BeNumerically("<=", maxFetchBytes)))
 			if r.blobs() > 1 {
 				g.Expect(float64(r.blobs()) * blobBytes).To(BeNumerically("<=", maxFetchBytes))
 			}
@@ -50,3 +50,20 @@
 		g.Expect(next).To(BeEquivalentTo(len(wanted)))
 	}
 }
+
+// Guards against reads that stay large while the store takes long for them, and against ones that stay
+// small afterwards.
+func TestSizeOfReadsFollowsTheirTime(t *testing.T) {
+	g := NewWithT(t)
+	limit := initialFetchBytes
+	for range 10 {
+		limit = nextFetchLimit(limit, slowFetch/4)
+	}
+	g.Expect(limit).To(Equal(maxFetchBytes))
+	g.Expect(nextFetchLimit(limit, slowFetch)).To(Equal(limit))
+	g.Expect(nextFetchLimit(limit, 2*slowFetch)).To(Equal(limit / 2))
+	for range 10 {
+		limit = nextFetchLimit(limit, 2*slowFetch)
+	}
+	g.Expect(limit).To(Equal(minFetchBytes))
+}
--- a/internal/batchrun/blobs.go
+++ b/internal/batchrun/blobs.go
@@ -57,15 +57,16 @@
 	log   store.Log
 	reads chan struct{} // holds an element for each read that is under way
 
-	mu        sync.Mutex
-	byKey     map[blobKey][]byte
-	order     []blobKey // oldest first
-	size      int       // of the cached blobs in bytes
-	blobBytes []float64 // average size of a blob, by partition
+	mu         sync.Mutex
+	byKey      map[blobKey][]byte
+	order      []blobKey // oldest first
+	size       int       // of the cached blobs in bytes
+	blobBytes  []float64 // average size of a blob, by partition
+	fetchLimit int       // on the bytes of a read
 }
 
 func newBlobCache(log store.Log, parts int) *blobCache {
-	return &blobCache{log: log, byKey: map[blobKey][]byte{}, reads: make(chan struct{}, maxReads), blobBytes: slices.Repeat([]float64{initialBlobBytes}, parts)}
+	return &blobCache{log: log, byKey: map[blobKey][]byte{}, reads: make(chan struct{}, maxReads), blobBytes: slices.Repeat([]float64{initialBlobBytes}, parts), fetchLimit: initialFetchBytes}
 }
 
 // put caches a blob. The oldest ones are dropped if the cache becomes too large.
@@ -145,7 +146,7 @@
 		case len(missing) == 0 || limit.expired(time.Since(began)) && len(missingOf(offsets[:limit.first], found)) == 0:
 			return only(wanted, found), errEnoughBlobs
 		}
-		ranges := planReads(missing, b.averageBytes(part))
+		ranges := planReads(missing, b.averageBytes(part), b.currentFetchLimit())
 		before := len(found)
 		err := b.fetchAll(ctx, part, ranges[:min(len(ranges), callReads)], missing, found, stats)
 		if err != nil && !refusals.retry(ctx, err, len(found) > before) {
@@ -216,6 +217,19 @@
 	b.blobBytes[part] += blobBytesWeight * (float64(size)/float64(len(blobs)) - b.blobBytes[part])
 }
 
+func (b *blobCache) currentFetchLimit() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fetchLimit
+}
+
+// adaptFetchLimit takes the time of a read into account.
+func (b *blobCache) adaptFetchLimit(took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fetchLimit = nextFetchLimit(b.fetchLimit, took)
+}
+
 // fetchAll reads ranges concurrently and adds the missing blobs among them to found. A range may be
 // read in part.
 func (b *blobCache) fetchAll(ctx context.Context, part int, ranges []blobRange, missing []int64, found map[int64][]byte, stats *fetchStats) error {
@@ -254,10 +268,14 @@
 	if b.isCached(part, r) {
 		return nil, nil
 	}
-	page, err := b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first, MaxBytes: r.fetchBytes(b.averageBytes(part))})
+	began := time.Now()
+	page, err := b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first, MaxBytes: r.fetchBytes(b.averageBytes(part), b.currentFetchLimit())})
 	if err == nil && len(page.Records) == 0 && page.End > r.first {
 		page, err = b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first}) // the blob exceeds the limit
 	}
+	if !errors.Is(err, store.ErrNotDone) {
+		b.adaptFetchLimit(time.Since(began))
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/batchrun/scattered_texts_test.go
+++ b/internal/batchrun/scattered_texts_test.go
@@ -62,14 +62,21 @@
 // textLog is a partition of texts: blob i of text t holds its next blobEvents events.
 type textLog struct {
 	g      *WithT
+	store  *metastore.Store
 	client *metastore.Client
 	texts  map[string]*batch.Text
 }
 
 func newTextLog(g *WithT) *textLog {
-	client := metastore.NewClient(metastore.New(1), callTimeout)
+	l := &textLog{g: g, store: metastore.New(1), texts: map[string]*batch.Text{}}
+	l.client = l.newClient()
+	return l
+}
+
+func (l *textLog) newClient() *metastore.Client {
+	client := metastore.NewClient(l.store, callTimeout)
 	client.SetFaults(metastore.Faults{Latency: storeLatency})
-	return &textLog{g: g, client: client, texts: map[string]*batch.Text{}}
+	return client
 }
 
 // write appends the next segment of each text, in this order.
@@ -139,23 +146,32 @@
 	const maxCalls = 20
 	after := 0
 	for range maxCalls {
-		began := time.Now()
-		page, err := s.readPage(context.Background(), l.listing(ids, after), after, &ReadStats{})
-		if took := time.Since(began); err != nil || took > readerPatience || len(page.Results) == 0 {
-			return fmt.Errorf("position %d of %d: %d results in %s: %w", after, len(ids), len(page.Results), took, err)
+		if err := l.readNext(s, ids, &after); err != nil {
+			return err
 		}
-		for _, r := range page.Results {
-			if want := l.texts[r.ID].Events*(len(r.ID)+eventDataBytes+1) - 1; len(r.Text) != want {
-				return fmt.Errorf("%s has a text of %d bytes, %d expected", r.ID, len(r.Text), want)
-			}
-		}
-		if after = page.Next; after == len(ids) {
+		if after == len(ids) {
 			return nil
 		}
 	}
 	return fmt.Errorf("position %d of %d after %d calls", after, len(ids), maxCalls)
 }
 
+// readNext reads the results from position after on, within readerPatience, and moves after behind them.
+func (l *textLog) readNext(s *Service, ids []string, after *int) error {
+	began := time.Now()
+	page, err := s.readPage(context.Background(), l.listing(ids, *after), *after, &ReadStats{})
+	if took := time.Since(began); err != nil || took > readerPatience || len(page.Results) == 0 {
+		return fmt.Errorf("position %d of %d: %d results in %s: %w", *after, len(ids), len(page.Results), took, err)
+	}
+	for _, r := range page.Results {
+		if want := l.texts[r.ID].Events*(len(r.ID)+eventDataBytes+1) - 1; len(r.Text) != want {
+			return fmt.Errorf("%s has a text of %d bytes, %d expected", r.ID, len(r.Text), want)
+		}
+	}
+	*after = page.Next
+	return nil
+}
+
 // Guards against results that no small VM can read in time, because the segments of their texts lie
 // far apart in the log.
 func TestScatteredTextsAreReadInTime(t *testing.T) {
@@ -174,6 +190,37 @@
 	}
 }
 
+// Guards against a fleet that asks for more than the store sends before its reads are given up, when
+// many batches are read at once: what is given up is sent all the same, and no reader gets anything.
+func TestTextsAreReadInTimeByManyReaders(t *testing.T) {
+	for _, c := range []struct{ vms, readers int }{{61, 80}, {122, 160}} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			l := newTextLog(g)
+			ids := l.writeScattered()
+			l.store.SetRateLimits(metastore.RateLimits{ReadBytesPerSecond: 80e6, ReadsPerSecond: 6000})
+			var fleet []*Service
+			for range c.vms {
+				fleet = append(fleet, newReader(&textLog{client: l.newClient()}))
+			}
+			var calls atomic.Int64
+			var group errgroup.Group
+			for range c.readers {
+				group.Go(func() error {
+					for after := 0; after < len(ids); {
+						s := fleet[int(calls.Add(1))%len(fleet)]
+						if err := l.readNext(s, ids, &after); err != nil {
+							return err
+						}
+					}
+					return nil
+				})
+			}
+			g.Expect(group.Wait()).To(Succeed(), "%d readers of %d VMs", c.readers, c.vms)
+		})
+	}
+}
+
 // refusingLog refuses each read but every allowed-th one.
 type refusingLog struct {
 	store.Log
