batchrun: unanswered reads of one partition don't keep others from being read

Four reads are allowed at a time for all partitions of a daemon. If the store leaves the reads of one partition unanswered, two pages of it hold all four for 1.2 s each, and pages, bodies and an owner's requests of all other partitions time out behind them.

Change: the bound is for a partition. That many partitions' reads share the link of a small VM is met by their size, which follows their time.

Measured: TestUnansweredReadsOfAPartitionDoNotDelayOthers failed before ('position 0 of 160: 0 results in 1.2s: context deadline exceeded') and passes, 20 of 20. TestScatteredTextsAreReadInTime and TestTextsAreReadInTimeByManyReaders: ok.

--- a/internal/batchrun/blobs.go
+++ b/internal/batchrun/blobs.go
@@ -26,7 +26,7 @@
 	maxCacheBytes = 2 << 20
 	// fetchTimeout bounds the time in which missing blobs are read from the log.
 	fetchTimeout = 1200 * time.Millisecond
-	// callReads and maxReads bound the reads that are under way at a time, for one call and for all.
+	// callReads and maxReads bound the reads that are under way at a time, for one call and for a partition.
 	// With more, the blobs that each call needs first would share the link with those that it
 	// needs last.
 	callReads = 2
@@ -54,8 +54,10 @@
 // blobCache reads blobs of requests and texts from the log, and caches those that were read or
 // written last. It is safe for concurrent use.
 type blobCache struct {
-	log   store.Log
-	reads chan struct{} // holds an element for each read that is under way
+	log store.Log
+	// reads holds an element for each read that is under way, by partition: the store may leave the reads
+	// of one partition unanswered.
+	reads []chan struct{}
 
 	mu         sync.Mutex
 	byKey      map[blobKey][]byte
@@ -66,7 +68,11 @@
 }
 
 func newBlobCache(log store.Log, parts int) *blobCache {
-	return &blobCache{log: log, byKey: map[blobKey][]byte{}, reads: make(chan struct{}, maxReads), blobBytes: slices.Repeat([]float64{initialBlobBytes}, parts), fetchLimit: initialFetchBytes}
+	b := &blobCache{log: log, byKey: map[blobKey][]byte{}, blobBytes: slices.Repeat([]float64{initialBlobBytes}, parts), fetchLimit: initialFetchBytes}
+	for range parts {
+		b.reads = append(b.reads, make(chan struct{}, maxReads))
+	}
+	return b
 }
 
 // put caches a blob. The oldest ones are dropped if the cache becomes too large.
@@ -260,8 +266,8 @@
 // one is read otherwise.
 func (b *blobCache) fetch(ctx context.Context, part int, r blobRange) ([][]byte, error) {
 	select {
-	case b.reads <- struct{}{}:
-		defer func() { <-b.reads }()
+	case b.reads[part] <- struct{}{}:
+		defer func() { <-b.reads[part] }()
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
