batchrun: requests among the texts don't enlarge the reads of texts

The limit of a read went by the mean size of the blobs read before, and a batch's requests, some 150 KB a blob, lie among texts of 3 KB.

Change: the typical size is the median of a read's blobs. TestLargeBlobsAmongTextsDoNotEnlargeReads fails with the mean in its place (197,243 bytes for ten texts of 3 KB, 61,440 allowed) and passes. go test ./internal/batchrun: ok.

--- a/internal/batchrun/blob_reads.go
+++ b/internal/batchrun/blob_reads.go
@@ -20,7 +20,7 @@
 	fetchMargin = 1.5
 	// initialBlobBytes is the estimate of a blob's size before any was read.
 	initialBlobBytes = 4 << 10
-	// blobBytesWeight is the weight of a read in the average size of the blobs.
+	// blobBytesWeight is the weight of a read in the typical size of the blobs.
 	blobBytesWeight = 0.5
 )
 
@@ -82,3 +82,14 @@
 	}
 	return limit
 }
+
+// medianBytes returns the median size of blobs. Requests of batches, which are many times larger, lie
+// among the texts; with the mean, a read of one text would ask for as many bytes as these have.
+func medianBytes(blobs [][]byte) float64 {
+	sizes := make([]int, len(blobs))
+	for i, data := range blobs {
+		sizes[i] = len(data)
+	}
+	slices.Sort(sizes)
+	return float64(sizes[len(sizes)/2])
+}
--- a/internal/batchrun/blob_reads_test.go
+++ b/internal/batchrun/blob_reads_test.go
@@ -1,6 +1,7 @@
 package batchrun
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -67,3 +68,17 @@
 	}
 	g.Expect(limit).To(Equal(minFetchBytes))
 }
+
+// Guards against reads of texts that ask for many times their size, because the requests of a batch
+// were read before.
+func TestLargeBlobsAmongTextsDoNotEnlargeReads(t *testing.T) {
+	g := NewWithT(t)
+	const textBytes, requestBytes = 3 << 10, 200 << 10
+	b := newBlobCache(nil, 1)
+	blobs := slices.Repeat([][]byte{make([]byte, textBytes)}, 20)
+	blobs[9] = make([]byte, requestBytes)
+	for range 10 {
+		b.recordSizes(0, blobs)
+	}
+	g.Expect(blobRange{first: 1, last: 10}.fetchBytes(b.typicalBytes(0), maxFetchBytes)).To(BeNumerically("<", 2*10*textBytes))
+}
--- a/internal/batchrun/blobs.go
+++ b/internal/batchrun/blobs.go
@@ -63,7 +63,7 @@
 	byKey      map[blobKey][]byte
 	order      []blobKey // oldest first
 	size       int       // of the cached blobs in bytes
-	blobBytes  []float64 // average size of a blob, by partition
+	blobBytes  []float64 // typical size of a blob, by partition
 	fetchLimit int       // on the bytes of a read
 }
 
@@ -152,7 +152,7 @@
 		case len(missing) == 0 || limit.expired(time.Since(began)) && len(missingOf(offsets[:limit.first], found)) == 0:
 			return only(wanted, found), errEnoughBlobs
 		}
-		ranges := planReads(missing, b.averageBytes(part), b.currentFetchLimit())
+		ranges := planReads(missing, b.typicalBytes(part), b.currentFetchLimit())
 		before := len(found)
 		err := b.fetchAll(ctx, part, ranges[:min(len(ranges), callReads)], missing, found, stats)
 		if err != nil && !refusals.retry(ctx, err, len(found) > before) {
@@ -208,19 +208,18 @@
 // expired reports whether the time has passed within which blobs are read.
 func (l fetchLimit) expired(elapsed time.Duration) bool { return l.time > 0 && elapsed >= l.time }
 
-// averageBytes returns the average size of a partition's blobs.
-func (b *blobCache) averageBytes(part int) float64 {
+// typicalBytes returns the typical size of a partition's blobs.
+func (b *blobCache) typicalBytes(part int) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.blobBytes[part]
 }
 
-// addToAverage takes the blobs of a read into account.
-func (b *blobCache) addToAverage(part int, blobs [][]byte) {
+// recordSizes takes the blobs of a read into account.
+func (b *blobCache) recordSizes(part int, blobs [][]byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	size := store.Page{Records: blobs}.Bytes()
-	b.blobBytes[part] += blobBytesWeight * (float64(size)/float64(len(blobs)) - b.blobBytes[part])
+	b.blobBytes[part] += blobBytesWeight * (medianBytes(blobs) - b.blobBytes[part])
 }
 
 func (b *blobCache) currentFetchLimit() int {
@@ -275,7 +274,7 @@
 		return nil, nil
 	}
 	began := time.Now()
-	page, err := b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first, MaxBytes: r.fetchBytes(b.averageBytes(part), b.currentFetchLimit())})
+	page, err := b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first, MaxBytes: r.fetchBytes(b.typicalBytes(part), b.currentFetchLimit())})
 	if err == nil && len(page.Records) == 0 && page.End > r.first {
 		page, err = b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first}) // the blob exceeds the limit
 	}
@@ -290,7 +289,7 @@
 	}
 	blobReads.Add(1)
 	blobBytesRead.Add(int64(page.Bytes()))
-	b.addToAverage(part, page.Records)
+	b.recordSizes(part, page.Records)
 	for i, data := range page.Records {
 		b.put(part, r.first+int64(i), data)
 	}
