metastore: listing owners doesn't drop expired members

Partitions of a member that had timed out stayed without an owner for ever if somebody listed the owners before the next join: the listing removed the member, so that the join saw none to remove and didn't rebalance. The listing now leaves expired members to the joins.

--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -294,10 +294,10 @@
 	if g == nil {
 		return nil
 	}
-	g.removeExpired(time.Now())
+	now := time.Now()
 	var owned []store.PartitionOwner
 	for part, id := range g.owner {
-		if _, alive := g.members[id]; alive {
+		if m, known := g.members[id]; known && !now.After(m.expiresAt) {
 			owned = append(owned, store.PartitionOwner{Partition: part, Member: id})
 		}
 	}
