batchrun: test that a submission backs off while the store resets connections

A store that resets connections fails a call within a ms with an unknown outcome. appendRequests repeats such an append without a pause, so that a submission makes calls for all of its 3 s, and on a small VM takes the processor from all other calls; appends of the outbox have an interval.

--- a/internal/batchrun/submit_test.go
+++ b/internal/batchrun/submit_test.go
@@ -333,3 +333,23 @@
 		g.Expect(w.vms[0].client.Calls().Reads - before).To(BeNumerically("<", 100))
 	})
 }
+
+// Guards against a submission that repeats its append without a pause while the store resets connections.
+func TestSubmissionBacksOffWhileTheStoreResetsConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newTestCluster(t, 1, 2, 2, "m0")
+		defer w.stop()
+		time.Sleep(2 * time.Second)
+		w.submitBatch(g, "m0", "first", 1, 2, 1)
+		v := w.vms[0]
+		if v.ownsPartitionOf("m0") {
+			v = w.vms[1] // an owner has other appends
+		}
+		v.client.SetFaults(metastore.Faults{Reset: true, Latency: time.Millisecond})
+		before := v.client.Calls().Writes
+		head, items, requests := newBatch("m0", "second", 1, 2, 1)
+		g.Expect(v.daemon().Submit(context.Background(), "c", head, items, requests)).NotTo(Succeed())
+		g.Expect(v.client.Calls().Writes - before).To(BeNumerically("<=", 1+int(submitTimeout/outboxRetryInterval)))
+	})
+}
