batchrun: tests that all batches are read at once after disruptions

A fleet starts with the batches of its former processes in the store, and all of them are read at once, by several readers that ask another daemon after each failure.

Readers get no result, however often they ask, when reads of texts take longer than the time for them. A page's blobs are read in the order of the log, in reads of 1 MB; those of the first result come last or late. A read that times out is thrown away, and so is the wait for the slot of its partition, while its bytes are charged to the link and the store.

--- a/internal/batchrun/guarantees_test.go
+++ b/internal/batchrun/guarantees_test.go
@@ -320,3 +320,141 @@
 	}
 	g.Expect(countGivenUp(b.results)).To(BeZero(), "no sample failed, so none is given up")
 }
+
+// disruptKills kills daemons, single ones and all of them, until a time.
+func (w *testCluster) disruptKills(random *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+		vms := w.vms
+		switch random.IntN(4) {
+		case 0, 1:
+			vms = []*testVM{w.vms[random.IntN(len(w.vms))]}
+		case 2:
+			vms = w.vms[:1+random.IntN(len(w.vms))]
+		}
+		w.killAll(vms, time.Duration(random.IntN(2000))*time.Millisecond)
+	}
+}
+
+// disruptStore has the store fail for some VMs or all until a time.
+func (w *testCluster) disruptStore(random *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+		vms := w.vms
+		if random.IntN(2) == 0 {
+			vms = w.vms[:1+len(w.vms)/3]
+		}
+		late := func(string) time.Duration {
+			if w.engines.chance(0.35) {
+				return time.Duration(1+random.IntN(4)) * time.Second
+			}
+			return 0
+		}
+		lose := func() bool { return w.engines.chance(0.4) }
+		faults := []metastore.Faults{
+			{Unreachable: true}, {Refuse: true, Latency: storeLatency}, {Reset: true, Latency: storeLatency}, {Latency: 240 * time.Millisecond},
+			{Latency: storeLatency, LoseResponse: lose}, {Latency: storeLatency, DelayWrite: late}, {Latency: 200 * time.Millisecond, LoseResponse: lose, DelayWrite: late},
+		}
+		if random.IntN(8) == 0 {
+			w.store.ForceRebalance(ownersGroup)
+			continue
+		}
+		w.applyFaults(vms, faults[random.IntN(len(faults))], time.Duration(200+random.IntN(4000))*time.Millisecond)
+	}
+}
+
+// disruptPeers has daemons not reach others until a time.
+func (w *testCluster) disruptPeers(peers *clusterPeers, random *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+		v := w.vms[random.IntN(len(w.vms))]
+		peers.setSilent(v.name, true)
+		time.Sleep(time.Duration(200+random.IntN(4000)) * time.Millisecond)
+		peers.setSilent(v.name, false)
+	}
+}
+
+// readToTheEnd reads a batch from the start at random VMs until all its samples are listed, and again after each failure.
+func (b *trainerBatch) readToTheEnd(w *testCluster, random *rand.Rand, until time.Time) error {
+	var last error
+	read := 0
+	for wanted := b.samples; read < wanted; {
+		if time.Now().After(until) {
+			return fmt.Errorf("batch %s: %d of %d results read, %d known before: %w", b.id, read, b.samples, len(b.results), last)
+		}
+		if b.ended {
+			wanted = len(b.results)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), readerPatience+time.Second)
+		page, err := w.randomDaemon(random).Results(ctx, b.id, read, time.Second)
+		cancel()
+		if err != nil {
+			if errors.Is(err, ErrNotFound) {
+				return fmt.Errorf("batch %s: %w", b.id, err)
+			}
+			last = err
+			time.Sleep(readerPause)
+			continue
+		}
+		for i, r := range page.Results {
+			b.checkResult(w, read+i, r)
+		}
+		read = page.Next
+	}
+	return nil
+}
+
+// Guards against accepted batches that can't be read after overlapping disruptions of daemons, store and network.
+func TestAcceptedBatchesAreReadAfterOverlappingDisruptions(t *testing.T) {
+	for seed := range uint64(16) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				peers := &clusterPeers{silent: map[string]bool{}}
+				w := newTestClusterWithOptions(t, clusterOptions{seed: seed, parts: 8, vms: 9, engines: 6, models: []string{"m0", "m1", "m2"}, peers: peers})
+				defer w.stop()
+				var trainers, disruptions sync.WaitGroup
+				var mu sync.Mutex
+				var batches []*trainerBatch
+				for i, model := range w.models {
+					trainers.Go(func() {
+						ofTrainer := w.runTrainer(model, rand.New(rand.NewPCG(seed, uint64(10+i))), 4)
+						mu.Lock()
+						defer mu.Unlock()
+						batches = append(batches, ofTrainer...)
+					})
+				}
+				until := time.Now().Add(time.Duration(10+10*(seed%3)) * time.Second)
+				disruptions.Go(func() { w.disruptKills(rand.New(rand.NewPCG(seed, 2)), until) })
+				disruptions.Go(func() { w.disruptStore(rand.New(rand.NewPCG(seed, 3)), until) })
+				disruptions.Go(func() { w.disruptPeers(peers, rand.New(rand.NewPCG(seed, 4)), until) })
+				disruptions.Wait()
+				trainers.Wait()
+				for _, v := range w.vms {
+					v.client.SetFaults(metastore.Faults{Latency: storeLatency})
+				}
+				if seed%2 == 0 {
+					w.killAll(w.vms, 0)
+				}
+				var work sync.WaitGroup
+				accepted, results := 0, 0
+				bound := time.Now().Add(recoveryBound)
+				for n, b := range batches {
+					if b.accepted.IsZero() {
+						continue
+					}
+					accepted++
+					results += len(b.results)
+					work.Go(func() {
+						if err := b.readToTheEnd(w, rand.New(rand.NewPCG(seed, uint64(100+n))), bound); err != nil {
+							t.Error(err)
+						}
+					})
+				}
+				work.Wait()
+				t.Logf("%d batches accepted, %d results read before the end", accepted, results)
+				g.Expect(accepted).To(BeNumerically(">", 0))
+			})
+		})
+	}
+}
