batchrun: tests of views that never load, and of a daemon that the store refuses

While a partition's owner can't be reached, a daemon that is asked for a batch follows the partition itself. A view that isn't loaded is dropped as soon as nobody holds it. Callers hold it for 0.8 s in each 1.5 s at most, so that a partition that takes a second to read is read from the start for ever. If the part that was read has the batch but not its results, calls fail at once with "nothing read yet" and don't hold the view at all.

A daemon that the store refuses asks the owner for the results, but reads their texts from the store itself; one that hasn't read the list of owners before finds no owner.

TestViewLoadsAcrossRetriesWhileItsOwnerIsSilent, TestPartialViewWithABatchLoadsAcrossRetries and TestResultsAreReadAtADaemonThatTheStoreRefuses fail: nothing is read within 10 s.

--- a/internal/batchrun/forward_test.go
+++ b/internal/batchrun/forward_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -339,3 +341,91 @@
 		g.Expect(err).To(MatchError(ErrNotFound))
 	})
 }
+
+// fillPartition appends so many bytes of records without effect to the partition of model m0.
+func (w *testCluster) fillPartition(g *WithT, bytes int) {
+	record, err := batch.Encode(batch.Ended{Batch: strings.Repeat("x", 16<<10)})
+	g.Expect(err).NotTo(HaveOccurred())
+	part := w.vms[0].daemon().partitionForModel("m0").number
+	for range bytes / len(record) {
+		_, err := w.vms[0].client.Append(context.Background(), batchTopic, part, [][]byte{record})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// readWithRetries reads a batch from the start at one VM until it gets results, within recoveryBound.
+func readWithRetries(v *testVM, id string) (err error) {
+	until := time.Now().Add(recoveryBound)
+	for time.Now().Before(until) {
+		ctx, cancel := context.WithTimeout(context.Background(), readerPatience)
+		var page Page
+		page, err = v.daemon().Results(ctx, id, 0, 0)
+		cancel()
+		if err == nil && len(page.Results) > 0 {
+			return nil
+		}
+		time.Sleep(readerPause)
+	}
+	return fmt.Errorf("nothing read: %w", err)
+}
+
+// Guards against a view that never loads because each call that needs it starts reading its partition from nothing.
+func TestViewLoadsAcrossRetriesWhileItsOwnerIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, peers := newPeerCluster(t, 2)
+		defer w.stop()
+		joinAndSubmit(g, w, "old", 1)
+		w.fillPartition(g, 8<<20)
+		head, items, requests := newBatch("m0", "new", 1, 2, 1)
+		g.Expect(w.vms[0].daemon().Submit(context.Background(), "c", head, items, requests)).To(Succeed())
+		time.Sleep(5 * time.Second)
+		owner, other := ownerAndOther(w, "m0")
+		w.store.SetRateLimits(metastore.RateLimits{ReadBytesPerSecond: smallLinkRate})
+		peers.setSilent(owner.name, true)
+		g.Expect(readWithRetries(other, "c")).To(Succeed())
+	})
+}
+
+// Guards against a partial view in which a batch was found, but not its results, and that never loads.
+func TestPartialViewWithABatchLoadsAcrossRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, peers := newPeerCluster(t, 2)
+		defer w.stop()
+		w.engines.refuseRate = 1
+		joinAndSubmit(g, w, "late", 1)
+		w.fillPartition(g, 8<<20)
+		w.engines.mu.Lock()
+		w.engines.refuseRate = 0
+		w.engines.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		owner, other := ownerAndOther(w, "m0")
+		w.store.SetRateLimits(metastore.RateLimits{ReadBytesPerSecond: smallLinkRate})
+		peers.setSilent(owner.name, true)
+		g.Expect(readWithRetries(other, "b")).To(Succeed())
+	})
+}
+
+// Guards against results that a daemon can't return while the store refuses its calls and serves those of the owner.
+func TestResultsAreReadAtADaemonThatTheStoreRefuses(t *testing.T) {
+	for _, asked := range []bool{true, false} { // the daemon has read the list of owners before
+		t.Run(fmt.Sprint("owners known ", asked), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				w, _ := newPeerCluster(t, 3)
+				defer w.stop()
+				joinAndSubmit(g, w, "stored", 2)
+				time.Sleep(10 * time.Second)
+				w.killAll(w.vms, 0) // no text is cached any more
+				time.Sleep(4 * time.Second)
+				_, other := ownerAndOther(w, "m0")
+				if asked {
+					g.Expect(other.daemon().Has(context.Background(), "b")).To(BeTrue())
+				}
+				other.client.SetFaults(metastore.Faults{Refuse: true, Latency: storeLatency})
+				g.Expect(readWithRetries(other, "b")).To(Succeed())
+			})
+		})
+	}
+}
