batchrun: a page reads ahead no more than arrives in time

Found by a model of the whole fleet: six readers for each of 20 batches, all at once after the loss of 61 VMs.

Cause: the reads of a page cover the texts of all its results. If the time is up before the first ones are whole, what was read for the others is thrown away, and the next daemon reads it again.

Change: as many results are read at a time as the rate of the call's last reads brings in the rest of the time, at least the first unfinished one.

--- a/internal/batchrun/blob_reads.go
+++ b/internal/batchrun/blob_reads.go
@@ -93,3 +93,42 @@
 	slices.Sort(sizes)
 	return float64(sizes[len(sizes)/2])
 }
+
+// sizeOf returns how many bytes the reads of ranges request.
+func sizeOf(ranges []blobRange, blobBytes float64, limit int) (n int) {
+	for _, r := range ranges {
+		n += r.fetchBytes(blobBytes, limit)
+	}
+	return n
+}
+
+const (
+	// initialFetchRate is the estimate, in bytes per second, of what a call's reads bring before any
+	// was made.
+	initialFetchRate = 2 << 20
+	// fetchRateWeight is the weight of a call's last reads in the average rate.
+	fetchRateWeight = 0.5
+)
+
+// readAhead returns how many of the wanted blobs to read next. Those up to each of the offsets' ends
+// belong together and are of no use in part. It is as many as the reads of a budget of bytes bring, and
+// at least those up to the first end at which some are missing: what is read for a later one, and not
+// completed in time, is read in vain.
+func readAhead(wanted []int64, ends []int, found map[int64][]byte, size func(missing []int64) int, budget float64) int {
+	next, step := 0, 1
+	for i := 0; i < len(ends); i += step {
+		end := min(ends[i], len(wanted))
+		missing := missingOf(wanted[:end], found)
+		if next > 0 && float64(size(missing)) > budget {
+			return next
+		}
+		if len(missing) > 0 {
+			next = end
+			step *= 2
+		}
+	}
+	if next > 0 && float64(size(missingOf(wanted, found))) > budget {
+		return next
+	}
+	return len(wanted)
+}
--- a/internal/batchrun/blobs.go
+++ b/internal/batchrun/blobs.go
@@ -65,10 +65,11 @@
 	size       int       // of the cached blobs in bytes
 	blobBytes  []float64 // typical size of a blob, by partition
 	fetchLimit int       // on the bytes of a read
+	rate       float64   // bytes per second that the reads of a call bring
 }
 
 func newBlobCache(log store.Log, parts int) *blobCache {
-	b := &blobCache{log: log, byKey: map[blobKey][]byte{}, blobBytes: slices.Repeat([]float64{initialBlobBytes}, parts), fetchLimit: initialFetchBytes}
+	b := &blobCache{log: log, byKey: map[blobKey][]byte{}, blobBytes: slices.Repeat([]float64{initialBlobBytes}, parts), fetchLimit: initialFetchBytes, rate: initialFetchRate}
 	for range parts {
 		b.reads = append(b.reads, make(chan struct{}, maxReads))
 	}
@@ -123,6 +124,7 @@
 // is nothing to return. The zero value sets no bound.
 type fetchLimit struct {
 	first int           // number of these blobs
+	ends  []int         // numbers of blobs after each result, in order
 	bytes int           // of the blobs found
 	time  time.Duration // since the call began, from which on nothing further is read
 }
@@ -152,6 +154,7 @@
 		case len(missing) == 0 || limit.expired(time.Since(began)) && len(missingOf(offsets[:limit.first], found)) == 0:
 			return only(wanted, found), errEnoughBlobs
 		}
+		missing = missing[:len(missingOf(wanted[:b.readAhead(part, wanted, limit, found, time.Since(began))], found))]
 		ranges := planReads(missing, b.typicalBytes(part), b.currentFetchLimit())
 		before := len(found)
 		err := b.fetchAll(ctx, part, ranges[:min(len(ranges), callReads)], missing, found, stats)
@@ -177,6 +180,33 @@
 	return *r < maxReadRefusals && pause.For(ctx, readRefusalBackoff.Delay(int(*r), rand.Float64()))
 }
 
+// readAhead returns how many of the wanted blobs to read next.
+func (b *blobCache) readAhead(part int, wanted []int64, limit fetchLimit, found map[int64][]byte, elapsed time.Duration) int {
+	if limit.time == 0 {
+		return len(wanted)
+	}
+	blobBytes, fetchLimit, rate := b.typicalBytes(part), b.currentFetchLimit(), b.currentRate()
+	size := func(missing []int64) int {
+		return sizeOf(planReads(missing, blobBytes, fetchLimit), blobBytes, fetchLimit)
+	}
+	return readAhead(wanted, limit.ends, found, size, rate*(limit.time-elapsed).Seconds())
+}
+
+func (b *blobCache) currentRate() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rate
+}
+
+// recordRate takes the reads that a call made at once into account.
+func (b *blobCache) recordRate(bytes int, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if took > 0 {
+		b.rate += fetchRateWeight * (float64(bytes)/took.Seconds() - b.rate)
+	}
+}
+
 // missingOf returns the offsets whose blobs aren't in found.
 func missingOf(offsets []int64, found map[int64][]byte) []int64 {
 	return slices.DeleteFunc(slices.Clone(offsets), func(offset int64) bool { _, ok := found[offset]; return ok })
@@ -238,6 +268,8 @@
 // fetchAll reads ranges concurrently and adds the missing blobs among them to found. A range may be
 // read in part.
 func (b *blobCache) fetchAll(ctx context.Context, part int, ranges []blobRange, missing []int64, found map[int64][]byte, stats *fetchStats) error {
+	began, before := time.Now(), stats.readBytes
+	defer func() { b.recordRate(stats.readBytes-before, time.Since(began)) }()
 	var group errgroup.Group
 	pages := make([][][]byte, len(ranges))
 	for i, r := range ranges {
--- a/internal/batchrun/results.go
+++ b/internal/batchrun/results.go
@@ -232,8 +232,16 @@
 // pageBlobs returns the blobs of a listing's texts, as many as a page may need. With an error some
 // are missing, but not those of the first sample unless they can't be read.
 func (s *Service) pageBlobs(ctx context.Context, l Listing, stats *fetchStats) (map[int64][]byte, error) {
-	limit := fetchLimit{first: len(textOffsets(l.Samples[:min(1, len(l.Samples))])), bytes: maxPageBlobBytes, time: pageReadTime}
-	return s.blobs.getUpTo(ctx, l.Partition, textOffsets(l.Samples), l.Blobs, limit, stats)
+	var offsets []int64
+	limit := fetchLimit{bytes: maxPageBlobBytes, time: pageReadTime}
+	for i := range l.Samples {
+		offsets = append(offsets, textOffsets(l.Samples[i:i+1])...)
+		limit.ends = append(limit.ends, len(offsets))
+	}
+	if len(limit.ends) > 0 {
+		limit.first = limit.ends[0]
+	}
+	return s.blobs.getUpTo(ctx, l.Partition, offsets, l.Blobs, limit, stats)
 }
 
 // textOffsets returns the offsets of the blobs that hold the texts of completed samples.
--- a/internal/batchrun/scattered_texts_test.go
+++ b/internal/batchrun/scattered_texts_test.go
@@ -21,8 +21,6 @@
 
 const (
 	smallLinkBytes = 7_500_000 // per second, 60 Mbit/s
-	// readerPatience is for how long a reader that asks for no wait stays.
-	readerPatience = 1500 * time.Millisecond
 	blobEvents     = 8
 	eventDataBytes = 360
 )
