batchrun: gaps between texts are read only if a call costs more

What callers saw: accepted batches that a single small VM can't hand out in time after all others are lost (model only): 20 batches read at once there, 19 or 20 unfinished after 10 s on, 20 with the planned reads.

Cause: gaps of up to 64 KB between wanted blobs were read whatever the rate; with 20 callers on one link they take 170 ms each.

Change: a gap is read if it takes less time, at the rate of the call's last reads, than another call. A call's cost doubles while the store refuses reads, so that a fleet makes fewer and larger ones at its limit on calls. Four refusals in a row end a call.

--- a/internal/batchrun/blob_reads.go
+++ b/internal/batchrun/blob_reads.go
@@ -6,11 +6,19 @@
 )
 
 const (
-	// maxGapBytes bounds the unwanted bytes between two blobs that are read in one call: on the link
-	// of the smallest VM they take about as long as another call.
+	// minGapBytes to maxGapBytes bound the unwanted bytes between two blobs that are read in one call.
+	// Of what the store lets a fleet read, by its limits on calls and on bytes, a call takes about as
+	// large a part as minGapBytes.
+	minGapBytes = 8 << 10
 	maxGapBytes = 64 << 10
+	// A call costs as much as the bytes that arrive in minCallCost to maxCallCost: the time of one that
+	// returns nothing, and more while the store refuses calls because there are too many.
+	minCallCost = 8 * time.Millisecond
+	maxCallCost = 128 * time.Millisecond
+	// callCostDecay is the part of what exceeds minCallCost that each answered call takes off.
+	callCostDecay = 16
 	// A read asks for minFetchBytes to maxFetchBytes. What a read that fails has transferred is lost.
-	minFetchBytes     = 16 << 10
+	minFetchBytes     = 8 << 10
 	maxFetchBytes     = 256 << 10
 	initialFetchBytes = 64 << 10
 	// slowFetch is the time of a read from which the next ones are smaller. Several reads, one after
@@ -30,19 +38,27 @@
 // blobs returns the number of blobs in the range.
 func (r blobRange) blobs() int64 { return r.last - r.first + 1 }
 
-// fetchBytes returns how many bytes to request for the range, at most limit.
-func (r blobRange) fetchBytes(blobBytes float64, limit int) int {
-	return min(max(int(fetchMargin*blobBytes*float64(r.blobs())), minFetchBytes), limit)
+// fetchEstimate is what reads are planned by.
+type fetchEstimate struct {
+	blobBytes float64 // typical size of a blob
+	limit     int     // on the bytes of a read
+	rate      float64 // bytes per second that the reads of a call bring
+	callCost  time.Duration
+}
+
+// fetchBytes returns how many bytes to request for the range.
+func (r blobRange) fetchBytes(e fetchEstimate) int {
+	return min(max(int(fetchMargin*e.blobBytes*float64(r.blobs())), minFetchBytes), e.limit)
 }
 
 // planReads divides blobs, given by their offsets in the order of their urgency, into ranges in the
 // same order. Each begins with its most urgent blob, which is read even if the others turn out too
-// large. blobBytes is the estimated size of a blob of the log, and limit bounds the bytes of a read.
+// large.
 //
 // The segments of a text lie among those of all others that were generated at the same time. If a
 // page were read in the log's order and whole, it would take as long as everything between its first
 // and its last segment.
-func planReads(wanted []int64, blobBytes float64, limit int) []blobRange {
+func planReads(wanted []int64, e fetchEstimate) []blobRange {
 	sorted := slices.Compact(slices.Sorted(slices.Values(wanted)))
 	covered := make([]bool, len(sorted))
 	var ranges []blobRange
@@ -52,7 +68,7 @@
 			continue
 		}
 		r := blobRange{first: offset, last: offset}
-		for ; i < len(sorted) && !covered[i] && r.reaches(sorted[i], blobBytes, limit); i++ {
+		for ; i < len(sorted) && !covered[i] && r.reaches(sorted[i], e); i++ {
 			covered[i], r.last = true, sorted[i]
 		}
 		ranges = append(ranges, r)
@@ -61,12 +77,12 @@
 }
 
 // reaches reports whether one call may read the range and a blob behind it.
-func (r blobRange) reaches(offset int64, blobBytes float64, limit int) bool {
+func (r blobRange) reaches(offset int64, e fetchEstimate) bool {
 	if offset == r.first {
 		return true
 	}
-	gap := float64(offset-r.last-1) * blobBytes
-	return gap <= maxGapBytes && float64(offset-r.first+1)*blobBytes*fetchMargin <= float64(limit)
+	gap := float64(offset-r.last-1) * e.blobBytes
+	return gap <= min(max(e.rate*e.callCost.Seconds(), minGapBytes), maxGapBytes) && float64(offset-r.first+1)*e.blobBytes*fetchMargin <= float64(e.limit)
 }
 
 // nextFetchLimit returns the limit on the bytes of the next reads after one with a limit took some time.
@@ -95,9 +111,9 @@
 }
 
 // sizeOf returns how many bytes the reads of ranges request.
-func sizeOf(ranges []blobRange, blobBytes float64, limit int) (n int) {
+func sizeOf(ranges []blobRange, e fetchEstimate) (n int) {
 	for _, r := range ranges {
-		n += r.fetchBytes(blobBytes, limit)
+		n += r.fetchBytes(e)
 	}
 	return n
 }
@@ -132,3 +148,11 @@
 	}
 	return len(wanted)
 }
+
+// nextCallCost returns the cost of a call after one that the store has refused or answered.
+func nextCallCost(cost time.Duration, refused bool) time.Duration {
+	if refused {
+		return min(2*cost, maxCallCost)
+	}
+	return cost - (cost-minCallCost)/callCostDecay
+}
--- a/internal/batchrun/blob_reads_test.go
+++ b/internal/batchrun/blob_reads_test.go
@@ -26,7 +26,7 @@
 		{"a blob wanted twice", []int64{7, 8, 7}, []blobRange{{7, 8}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			NewWithT(t).Expect(planReads(c.wanted, blobBytes, maxFetchBytes)).To(Equal(c.reads))
+			NewWithT(t).Expect(planReads(c.wanted, fetchEstimate{blobBytes: blobBytes, limit: maxFetchBytes, rate: 1 << 30, callCost: minCallCost})).To(Equal(c.reads))
 		})
 	}
 }
@@ -39,11 +39,12 @@
 		wanted = append(wanted, offset)
 	}
 	for _, blobBytes := range []float64{1, 500, 4 << 10, 200 << 10, 1 << 30} {
+		e := fetchEstimate{blobBytes: blobBytes, limit: maxFetchBytes, rate: 1 << 30, callCost: minCallCost}
 		next := int64(0)
-		for _, r := range planReads(wanted, blobBytes, maxFetchBytes) {
+		for _, r := range planReads(wanted, e) {
 			g.Expect(r.first).To(Equal(next), "no blob is left out")
 			next = r.last + 1
-			g.Expect(r.fetchBytes(blobBytes, maxFetchBytes)).To(And(BeNumerically(">=", minFetchBytes), BeNumerically("<=", maxFetchBytes)))
+			g.Expect(r.fetchBytes(e)).To(And(BeNumerically(">=", minFetchBytes), BeNumerically("<=", maxFetchBytes)))
 			if r.blobs() > 1 {
 				g.Expect(float64(r.blobs()) * blobBytes).To(BeNumerically("<=", maxFetchBytes))
 			}
@@ -80,5 +81,5 @@
 	for range 10 {
 		b.recordSizes(0, blobs)
 	}
-	g.Expect(blobRange{first: 1, last: 10}.fetchBytes(b.typicalBytes(0), maxFetchBytes)).To(BeNumerically("<", 2*10*textBytes))
+	g.Expect(blobRange{first: 1, last: 10}.fetchBytes(b.estimate(0))).To(BeNumerically("<", 2*10*textBytes))
 }
--- a/internal/batchrun/blobs.go
+++ b/internal/batchrun/blobs.go
@@ -33,12 +33,12 @@
 	maxReads  = 4
 	// maxReadRefusals is the number of refusals in a row after which a call fails. If the store refuses
 	// all reads of this VM, the caller had better ask another one.
-	maxReadRefusals = 3
+	maxReadRefusals = 4
 )
 
 // readRefusalBackoff is the wait after reads that the store refused, which it does when the fleet
 // makes too many of them in a second.
-var readRefusalBackoff = retry.Backoff{Initial: 60 * time.Millisecond, Max: 120 * time.Millisecond}
+var readRefusalBackoff = retry.Backoff{Initial: 100 * time.Millisecond, Max: 200 * time.Millisecond}
 
 var (
 	blobReads     = metrics.Counter("blob_reads")
@@ -66,10 +66,11 @@
 	blobBytes  []float64 // typical size of a blob, by partition
 	fetchLimit int       // on the bytes of a read
 	rate       float64   // bytes per second that the reads of a call bring
+	callCost   time.Duration
 }
 
 func newBlobCache(log store.Log, parts int) *blobCache {
-	b := &blobCache{log: log, byKey: map[blobKey][]byte{}, blobBytes: slices.Repeat([]float64{initialBlobBytes}, parts), fetchLimit: initialFetchBytes, rate: initialFetchRate}
+	b := &blobCache{log: log, byKey: map[blobKey][]byte{}, blobBytes: slices.Repeat([]float64{initialBlobBytes}, parts), fetchLimit: initialFetchBytes, rate: initialFetchRate, callCost: minCallCost}
 	for range parts {
 		b.reads = append(b.reads, make(chan struct{}, maxReads))
 	}
@@ -155,7 +156,7 @@
 			return only(wanted, found), errEnoughBlobs
 		}
 		missing = missing[:len(missingOf(wanted[:b.readAhead(part, wanted, limit, found, time.Since(began))], found))]
-		ranges := planReads(missing, b.typicalBytes(part), b.currentFetchLimit())
+		ranges := planReads(missing, b.estimate(part))
 		before := len(found)
 		err := b.fetchAll(ctx, part, ranges[:min(len(ranges), callReads)], missing, found, stats)
 		if err != nil && !refusals.retry(ctx, err, len(found) > before) {
@@ -185,17 +186,9 @@
 	if limit.time == 0 {
 		return len(wanted)
 	}
-	blobBytes, fetchLimit, rate := b.typicalBytes(part), b.currentFetchLimit(), b.currentRate()
-	size := func(missing []int64) int {
-		return sizeOf(planReads(missing, blobBytes, fetchLimit), blobBytes, fetchLimit)
-	}
-	return readAhead(wanted, limit.ends, found, size, rate*(limit.time-elapsed).Seconds())
-}
-
-func (b *blobCache) currentRate() float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.rate
+	e := b.estimate(part)
+	size := func(missing []int64) int { return sizeOf(planReads(missing, e), e) }
+	return readAhead(wanted, limit.ends, found, size, e.rate*(limit.time-elapsed).Seconds())
 }
 
 // recordRate takes the reads that a call made at once into account.
@@ -238,11 +231,11 @@
 // expired reports whether the time has passed within which blobs are read.
 func (l fetchLimit) expired(elapsed time.Duration) bool { return l.time > 0 && elapsed >= l.time }
 
-// typicalBytes returns the typical size of a partition's blobs.
-func (b *blobCache) typicalBytes(part int) float64 {
+// estimate returns what the reads of a partition are planned by.
+func (b *blobCache) estimate(part int) fetchEstimate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.blobBytes[part]
+	return fetchEstimate{blobBytes: b.blobBytes[part], limit: b.fetchLimit, rate: b.rate, callCost: b.callCost}
 }
 
 // recordSizes takes the blobs of a read into account.
@@ -252,17 +245,14 @@
 	b.blobBytes[part] += blobBytesWeight * (medianBytes(blobs) - b.blobBytes[part])
 }
 
-func (b *blobCache) currentFetchLimit() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.fetchLimit
-}
-
-// adaptFetchLimit takes the time of a read into account.
-func (b *blobCache) adaptFetchLimit(took time.Duration) {
+// adapt takes the outcome and the time of a read into account.
+func (b *blobCache) adapt(refused bool, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.fetchLimit = nextFetchLimit(b.fetchLimit, took)
+	b.callCost = nextCallCost(b.callCost, refused)
+	if !refused { // a refusal takes no transfer
+		b.fetchLimit = nextFetchLimit(b.fetchLimit, took)
+	}
 }
 
 // fetchAll reads ranges concurrently and adds the missing blobs among them to found. A range may be
@@ -306,13 +296,11 @@
 		return nil, nil
 	}
 	began := time.Now()
-	page, err := b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first, MaxBytes: r.fetchBytes(b.typicalBytes(part), b.currentFetchLimit())})
+	page, err := b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first, MaxBytes: r.fetchBytes(b.estimate(part))})
 	if err == nil && len(page.Records) == 0 && page.End > r.first {
 		page, err = b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first}) // the blob exceeds the limit
 	}
-	if !errors.Is(err, store.ErrNotDone) {
-		b.adaptFetchLimit(time.Since(began))
-	}
+	b.adapt(errors.Is(err, store.ErrNotDone), time.Since(began))
 	if err != nil {
 		return nil, err
 	}
