follow: a view that loads is kept for the next holder

A daemon whose partition's owner is silent reads the partition itself. With 8 MB there, at 60 Mbit/s, each call on the batch is refused for as long as the owner is silent (tried for 10 s; 4 and 12 MB too).

Cause: the class is that of batches unreadable at the end, a retry that starts from nothing. A call holds the view for 0.8 s of each 1.5 s; a view that isn't loaded was dropped as soon as nobody held it.

Change: it lingers like a loaded one while the store answers its reads. On a daemon that can't reach the store it is dropped at once, as before (TestPartialViewsAreDropped).

TestViewLoadsAcrossRetriesWhileItsOwnerIsSilent failed before ('nothing read: view not up to date') and passes. go test ./internal/follow: ok.

--- a/internal/follow/ondemand.go
+++ b/internal/follow/ondemand.go
@@ -14,7 +14,8 @@
 // OnDemandOptions adds the options of following on demand.
 type OnDemandOptions struct {
 	Options
-	// Linger is how long a loaded view is still followed after the last hold has ended.
+	// Linger is how long a view is still followed after the last hold has ended, if it is loaded or the
+	// store answers its reads.
 	Linger time.Duration
 	// OnDiscard is called when the view isn't followed any more, so that what the sink was given
 	// is out of date from now on. Nobody holds the view then.
@@ -82,13 +83,14 @@
 
 // stopIfUnused reports whether nobody has held the view for Linger, and if so, marks it as not
 // followed: the next holder waits for another run of followWhileHeld. A view that isn't loaded
-// is stopped without Linger. It is of no use to the next holder, it occurs on daemons that
-// can't reach the store, and when an outage ends all of them would continue to read it.
+// lingers only while the store answers its reads: holders that come again and again, each for less
+// time than loading takes, would never have it loaded. Otherwise it is stopped at once. That occurs
+// on daemons that can't reach the store, and when an outage ends all of them would continue to read it.
 func (h *OnDemand) stopIfUnused() bool {
-	loaded := h.Follower.Loaded()
+	useful := h.Follower.Loaded() || h.Follower.InContact()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.holders > 0 || loaded && h.options.Now()-h.releasedAt < h.options.Linger {
+	if h.holders > 0 || useful && h.options.Now()-h.releasedAt < h.options.Linger {
 		return false
 	}
 	h.following = false
