batchrun: an empty page waits until the view is loaded

Cause: to confirm that there is no result yet, the view was brought up to date, which fails at once for a view that isn't loaded.

Change: the call waits until it is loaded, within the same timeout.

--- a/internal/batchrun/results.go
+++ b/internal/batchrun/results.go
@@ -147,7 +147,7 @@
 	if p.follower.Age() > maxUnconfirmedAge || after > p.resultCount(id) {
 		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
-		if err := p.follower.CatchUp(ctx); err != nil {
+		if err := errors.Join(p.follower.WaitLoaded(ctx), p.follower.CatchUp(ctx)); err != nil {
 			return Listing{}, errors.Join(ErrUnsure, err)
 		}
 	}
