batchrun: a submission backs off while connections to the store are reset

While the store resets connections, a submission made 3,001 appends of its requests in 3 s, which on a small VM takes the processor from all else.

Cause: only a refusal was followed by a pause; a reset connection fails at once with an unknown outcome.

Change: the interval of the owner's appends between two tries.

--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -118,6 +118,7 @@
 		return 0, nil, ErrTooLarge
 	}
 	for attempt, refusals := 1, 0; ; attempt++ {
+		next := time.NewTimer(outboxRetryInterval)
 		offset, err = store.AppendIdempotent(ctx, s.options.Log, textTopic, p.number, blobs, attempt)
 		if err == nil {
 			break
@@ -129,6 +130,13 @@
 		if refusals == maxRefusals || ctx.Err() != nil || errors.Is(err, store.ErrRejected) {
 			return 0, nil, errors.Join(ErrNotRun, err)
 		}
+		if errors.Is(err, store.ErrNotDone) {
+			continue // has waited
+		}
+		select { // a connection that is reset fails at once
+		case <-next.C:
+		case <-ctx.Done():
+		}
 	}
 	if p.follower.InUse() { // only the partition's owner needs the requests
 		for i, data := range blobs {
