--- a/internal/batchrun/forward.go
+++ b/internal/batchrun/forward.go
@@ -59,14 +59,13 @@
 	callsFollowedLocally = metrics.Counter("batch_calls_followed_here")
 )
 
-// Has reports whether a batch is known here or at its owner. It is false also if that isn't sure.
-func (s *Service) Has(ctx context.Context, id string) bool {
+// Find looks for a batch here and at the owners. Errors: ErrNotFound, ErrUnsure.
+func (s *Service) Find(ctx context.Context, id string) error {
 	_, release, err := s.locate(ctx, id)
-	if err != nil {
-		return false
+	if err == nil {
+		release()
 	}
-	release()
-	return true
+	return err
 }
 
 // Results returns a batch's results from position after on. If there are none it waits for the
--- a/internal/batchrun/forward_test.go
+++ b/internal/batchrun/forward_test.go
@@ -421,7 +421,7 @@
 				time.Sleep(4 * time.Second)
 				_, other := ownerAndOther(w, "m0")
 				if asked {
-					g.Expect(other.daemon().Has(context.Background(), "b")).To(BeTrue())
+					g.Expect(other.daemon().Find(context.Background(), "b")).To(Succeed())
 				}
 				other.client.SetFaults(metastore.Faults{Refuse: true, Latency: storeLatency})
 				g.Expect(readWithRetries(other, "b")).To(Succeed())
