exchange: a response that has begun isn't a closed idle connection

What callers saw: nothing false. An upstream that stopped within its response on a reused connection wasn't suspected for it, and a sample whose engine stopped there was retried as after a closed idle connection: on the same engine, without a look whether the engine had crashed.

Cause: a failure on a reused connection counted as the close of an idle connection (StaleConn) whatever had been received, unless net/http's error was io.ErrUnexpectedEOF. Which error it returns depends on the byte: after "HTTP/1.1 20" the status line is malformed, after "HTTP/1.1 200" the header ends unexpectedly. A reset within the body counted as well.

Change: a failure states whether a byte of the response was received (GotFirstResponseByte); only without one may a connection be stale, or a new connection's reset mean that the server is overloaded. An incomplete header is always Reset, as package upstream documents it.

--- a/internal/upstream/exchange/exchange.go
+++ b/internal/upstream/exchange/exchange.go
@@ -20,7 +20,7 @@
 const (
 	Dial      Kind = iota // no connection could be established
 	Reset                 // the connection broke before or during the response
-	Truncated             // the response ended before it was complete
+	Truncated             // the body of the response ended before it was complete
 	Silent                // no progress within the timeout
 	Malformed             // the response isn't valid HTTP or exceeds a size limit
 	Cancelled             // the caller's context ended
@@ -42,12 +42,14 @@
 	// such a connection says little about the server, which may have closed the idle
 	// connection while the request was in transit.
 	Reused bool
-	Err    error // cause
+	// ResponseBegan reports whether a byte of the response was received.
+	ResponseBegan bool
+	Err           error // cause
 }
 
 // StaleConn reports whether a connection that had been idle broke. The server may have
 // closed it in the meantime, which isn't a sign of a problem with the server.
-func (f *Failure) StaleConn() bool { return f.Kind == Reset && f.Reused }
+func (f *Failure) StaleConn() bool { return f.Kind == Reset && f.Reused && !f.ResponseBegan }
 
 // Error returns the text of the cause.
 func (f *Failure) Error() string { return f.Err.Error() }
--- a/internal/upstream/exchange/send.go
+++ b/internal/upstream/exchange/send.go
@@ -48,7 +48,10 @@
 	if err != nil {
 		f := x.classify(ctx, err)
 		cancel(nil)
-		if f.Kind == Reset && !f.Reused {
+		if f.Kind == Truncated { // net/http's error depends on the byte at which the header ends
+			f.Kind = Reset
+		}
+		if f.Kind == Reset && !f.Reused && !f.ResponseBegan {
 			s.idleLimits.recordReset(x.address, s.elapsed())
 		}
 		return nil, f
@@ -105,10 +108,17 @@
 	initialWriteCalls int64        // conn.writeCalls before this request
 	sentEarlier       bool         // the request may have been written to a connection before conn
 	reused            bool         // conn had served a request before
+	responseBegan     bool         // a byte of the response was received
 }
 
 func (x *attempt) clientTrace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: x.onGotConn, PutIdleConn: x.onPutIdleConn}
+	return &httptrace.ClientTrace{GotConn: x.onGotConn, GotFirstResponseByte: x.onGotFirstResponseByte, PutIdleConn: x.onPutIdleConn}
+}
+
+func (x *attempt) onGotFirstResponseByte() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.responseBegan = true
 }
 
 // onPutIdleConn is called when the connection was returned to the pool of idle connections.
@@ -155,7 +165,7 @@
 // classify converts an error of net/http to a Failure. Most of these errors have no type of
 // their own, so it derives the kind from the states of the context and the connection.
 func (x *attempt) classify(ctx context.Context, err error) *Failure {
-	f := &Failure{Err: err, Sent: x.mayHaveSent(), Reused: x.isReused()}
+	f := &Failure{Err: err, Sent: x.mayHaveSent(), Reused: x.isReused(), ResponseBegan: x.hasResponseBegun()}
 	var dial *dialError
 	switch {
 	case errors.Is(context.Cause(ctx), errNoProgress):
@@ -182,6 +192,12 @@
 	return x.reused
 }
 
+func (x *attempt) hasResponseBegun() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.responseBegan
+}
+
 // closeConn closes the connection of the request, even if it is idle again.
 func (x *attempt) closeConn() {
 	x.mu.Lock()
