abort: a stream that breaks off doesn't look complete to HTTP/1.0 clients

What callers saw: a stream whose upstream stopped behind its header came to an HTTP/1.0 client as a 200 with an empty or short body that looked complete.

Cause: the response was ended by http.ErrAbortHandler, which closes the connection without the last chunk. HTTP/1.0 has no chunks; there the close of the connection is the end of the body.

Change: such a response is ended by a TCP reset, below TLS too, since a TLS connection that is closed properly says that nothing is missing. HTTP/1.1 and HTTP/2 are as before.

--- a/internal/httpapi/completions.go
+++ b/internal/httpapi/completions.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/abort"
 	"github.com/dogwoodflow/dogwoodflow/internal/command"
 	"github.com/dogwoodflow/dogwoodflow/internal/dispatch"
 	"github.com/dogwoodflow/dogwoodflow/internal/ident"
@@ -97,7 +98,7 @@
 	// client that reads to the end of the body, without looking for the end
 	// mark, would take the part for the whole. Aborting cuts the connection (or
 	// resets the HTTP/2 stream), which every client sees as a failed read.
-	panic(http.ErrAbortHandler)
+	abort.Response(out.w, r)
 }
 
 // completionWriter writes one completion in the form of the endpoint asked.
