--- a/internal/sharespeer/sharespeer_test.go
+++ b/internal/sharespeer/sharespeer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math"
 	"net"
 	"sync/atomic"
@@ -170,3 +171,38 @@
 	}
 	return out
 }
+
+// truncatedConn delivers the first bytes of its peer and then ends.
+type truncatedConn struct {
+	net.Conn
+	left int
+}
+
+func (c *truncatedConn) Read(p []byte) (int, error) {
+	if c.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
+// Guards against a table that breaks off at any byte and is taken for the fleet's demand.
+func TestTruncatedTableIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	h := &fakeHandler{table: shares.Table{Demands: []shares.Demand{{Level: 3, Rate: 0.125, Customers: 17}, {Customer: "c", Rate: 1e6}}, Admitted: 0.3, Known: true, Daemons: 985}}
+	mux := drpcmux.New()
+	g.Expect(Register(h)(mux)).To(Succeed())
+	for cut, complete := 0, false; !complete; cut++ {
+		near, far := net.Pipe()
+		done := make(chan error, 1)
+		go func() { done <- drpcserver.New(mux).ServeOne(context.Background(), far) }()
+		conn := newConn(&truncatedConn{near, cut})
+		table, err := exchange(context.Background(), conn, shares.Report{VM: "a", Service: "s"})
+		if complete = err == nil; complete {
+			g.Expect(table).To(Equal(h.table), "after %d bytes", cut)
+		}
+		_ = conn.Close()
+		<-done
+	}
+}
