exchange: a request given a connection that was just closed isn't sent

What callers saw: seldom, the request after another request's answer failed as one that may have run, though nothing was sent: a caller's call ended with a 502, a sample waited for its retry.

Cause: CloseConn closed a connection that was back in the pool. Until the transport notices, the next request can get it; its write was counted before it failed, so the failure said "sent" and wasn't repeated on another connection.

Change: CloseConn disables writes first, as the close of an idle connection does, and the request is sent again, over the pool once and then over a new connection. The first repetition keeps its connection.

Evidence: TestNoRequestIsSentOnAClosedIdleConnection failed before with "sent", "reused".

--- a/internal/upstream/exchange/conn.go
+++ b/internal/upstream/exchange/conn.go
@@ -42,6 +42,15 @@
 	_ = c.Conn.Close() // no request is using the connection, so the error doesn't matter
 }
 
+// abandon closes the connection. It disables writes first, so that a request that net/http assigns
+// to it before it notices the close is certainly not sent.
+func (c *trackedConn) abandon() {
+	c.mu.Lock()
+	c.writesDisabled = true
+	c.mu.Unlock()
+	_ = c.Close() // nothing more is expected on it
+}
+
 // stopIdleTimer marks the connection as in use, unless the timer has already closed it.
 func (c *trackedConn) stopIdleTimer() {
 	c.mu.Lock()
--- a/internal/upstream/exchange/send.go
+++ b/internal/upstream/exchange/send.go
@@ -22,16 +22,23 @@
 // *Failure. The caller must close the response.
 func (s *Sender) Send(ctx context.Context, r Request, opts SendOptions) (*Response, error) {
 	resp, err := s.send(ctx, r, opts)
-	var f *Failure
-	if errors.As(err, &f) && f.Reused && !f.Sent && f.Kind != Cancelled && f.Kind != Silent {
-		// The idle connection was closed just as it was chosen. Nothing was sent, so the
-		// request may be sent over a new connection.
+	if closedBeforeSend(err) {
+		resp, err = s.send(ctx, r, opts)
+	}
+	if closedBeforeSend(err) {
 		opts.NewConn = true
 		return s.send(ctx, r, opts)
 	}
 	return resp, err
 }
 
+// closedBeforeSend reports whether the idle connection was closed just as it was chosen. Nothing
+// was sent, so the request may be sent over another connection.
+func closedBeforeSend(err error) bool {
+	var f *Failure
+	return errors.As(err, &f) && f.Reused && !f.Sent && f.Kind != Cancelled && f.Kind != Silent
+}
+
 func (s *Sender) send(ctx context.Context, r Request, opts SendOptions) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	watch := newWatchdog(func() { cancel(errNoProgress) })
@@ -203,7 +210,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.conn != nil {
-		_ = x.conn.Close() // nothing more is expected on it
+		x.conn.abandon()
 	}
 }
 
