relay: a malformed upstream of a shard isn't used by its former value

Found by reading, no caller saw it: a daemon that gets its upstreams from a relay shard skipped a malformed value, so that calls went on to the upstream's former address. The values of a well-formed record weren't looked at: slots of 2^62, a port of 65536 or no address were registered.

The subscriber now checks an upstream as the reader of the platform's topics does (Registry's Check, which has the check of the address too), and drops it if its newest value is malformed.

TestMalformedUpstreamOfAShardIsNotUsed failed without the change in all eight cases. The upstreams of relay_test.go had no ip:port as address and no data centre, so that they would be rejected; they have both now, and what these tests expect is unchanged.

--- a/internal/relay/record_test.go
+++ b/internal/relay/record_test.go
@@ -6,8 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/fleet"
+	"github.com/dogwoodflow/dogwoodflow/internal/store"
 )
 
 // Guards against a configuration that is assembled from chunks of two different ones.
@@ -54,6 +58,61 @@
 	g.Expect(err).To(MatchError(errMalformed))
 }
 
+// notDirect is a DirectReader of a daemon that doesn't read the platform's topics.
+type notDirect struct{ DirectReader }
+
+func (notDirect) Loaded() bool { return false }
+
+// Guards against an upstream that stays in use by its former value after a malformed one was published,
+// and against one malformed value that hides the other upstreams.
+func TestMalformedUpstreamOfAShardIsNotUsed(t *testing.T) {
+	encoded := func(e endpoint) []byte {
+		data, err := cbor.Marshal(e)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		return data
+	}
+	good := endpoint{Service: "calls", Address: "10.0.0.9:80", DataCentre: "z", Slots: 8}
+	changed := func(change func(*endpoint)) []byte { e := good; change(&e); return encoded(e) }
+	for name, value := range map[string][]byte{
+		"no CBOR":           {0xff},
+		"another type":      []byte("\x67strange"),
+		"nested":            append(bytes.Repeat([]byte{0x81}, 10_000), 0x01),
+		"slots below zero":  changed(func(e *endpoint) { e.Slots = -1 }),
+		"slots above all":   changed(func(e *endpoint) { e.Slots = 1 << 62 }),
+		"slots of 64 bits":  {0xa1, 0x04, 0x1b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"no address at all": changed(func(e *endpoint) { e.Address = "" }),
+		"a port above all":  changed(func(e *endpoint) { e.Address = "10.0.0.9:65536" }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := func() time.Duration { return time.Second }
+			o := Options{View: fleet.New(now), DirectReader: notDirect{}, Now: now, Logger: zerolog.Nop()}
+			s := newShard(o, 0)
+			s.subscribe(&subscriber{options: o, shard: s})
+			entry := func(id string, value []byte) store.Entry { return store.Entry{Key: upstreamPrefix + id, Value: value} }
+			put := func(e store.Entry) {
+				record, err := store.EncodeEntry(e.Key, e.Value)
+				g.Expect(err).NotTo(HaveOccurred())
+				s.Record(1, record)
+			}
+			ids := func() (ids []string) {
+				for _, u := range o.View.ByService("calls") {
+					ids = append(ids, u.ID)
+				}
+				return ids
+			}
+			watermark, err := cbor.Marshal(Watermark{ServersOffset: 1})
+			g.Expect(err).NotTo(HaveOccurred())
+			s.Reset([]store.Entry{{Key: watermarkKey, Value: watermark}, entry("odd", value), entry("other", encoded(good))})
+			g.Expect(ids()).To(Equal([]string{"other"}))
+			put(entry("odd", encoded(good)))
+			g.Expect(ids()).To(Equal([]string{"odd", "other"}))
+			put(entry("odd", value))
+			g.Expect(ids()).To(Equal([]string{"other"}))
+		})
+	}
+}
+
 // Guards against a malformed record that makes a daemon panic.
 func FuzzShardRecord(f *testing.F) {
 	f.Add("cover", []byte{0xa0})
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -128,7 +128,7 @@
 // parseUpstream returns the upstream in a test record. Those whose key begins with "e" are
 // engines.
 func parseUpstream(key string, value []byte) registry.Upstream {
-	u := registry.Upstream{ID: key, Service: "calls", Address: key, Slots: 6, Models: map[string]int64{}}
+	u := registry.Upstream{ID: key, Service: "calls", Address: "10.0.0.9:80", DataCentre: "z", Slots: 6, Models: map[string]int64{}}
 	if strings.HasPrefix(key, "e") {
 		u.Service = "engines"
 	}
--- a/internal/relay/subscriber.go
+++ b/internal/relay/subscriber.go
@@ -36,19 +36,23 @@
 	s.mu.Lock()
 	s.chunks = map[int]chunk{}
 	s.mu.Unlock()
-	var upstreams []registry.Upstream
 	for key, value := range values {
-		if id, ok := idFromKey(key, upstreamPrefix); ok {
-			if u, ok := s.decodeUpstream(id, value); ok {
-				upstreams = append(upstreams, u)
-			}
-		}
 		s.applyChunk(key, value)
 	}
 	if !s.active() {
 		return
 	}
-	s.options.View.UpdateUpstreams(func(r *registry.Registry, now time.Duration) { r.Replace(upstreams, now) })
+	s.options.View.UpdateUpstreams(func(r *registry.Registry, now time.Duration) {
+		var upstreams []registry.Upstream
+		for key, value := range values {
+			if id, ok := idFromKey(key, upstreamPrefix); ok {
+				if u, ok := s.decodeUpstream(r, id, value, now); ok {
+					upstreams = append(upstreams, u)
+				}
+			}
+		}
+		r.Replace(upstreams, now)
+	})
 }
 
 // active reports whether the fleet's view comes from the shard. A shard without a watermark
@@ -68,20 +72,26 @@
 			r.Remove(id, now)
 			return
 		}
-		if u, ok := s.decodeUpstream(id, value); ok {
+		if u, ok := s.decodeUpstream(r, id, value, now); ok {
 			r.Put(u)
 		}
 	})
 }
 
-// decodeUpstream decodes an upstream's value, and logs an error and returns false if it is malformed.
-func (s *subscriber) decodeUpstream(id string, value []byte) (registry.Upstream, bool) {
+// decodeUpstream decodes an upstream's value. If it is malformed, decodeUpstream logs an error, drops
+// the upstream and returns false.
+func (s *subscriber) decodeUpstream(r *registry.Registry, id string, value []byte, now time.Duration) (registry.Upstream, bool) {
 	e, err := decode[endpoint](value)
+	u := e.upstream(id)
+	if err == nil {
+		err = u.Check()
+	}
 	if err != nil {
-		s.options.Logger.Error().Err(err).Str("upstream", id).Msg("malformed upstream of a relay shard skipped")
+		s.options.Logger.Error().Err(err).Str("upstream", id).Msg("malformed upstream of a relay shard isn't used")
+		r.Reject(id, now)
 		return registry.Upstream{}, false
 	}
-	return e.upstream(id), true
+	return u, true
 }
 
 // applyChunk stores a chunk of the configuration, and applies the configuration once all of its
