registry: an upstream with more slots than connections isn't used

An entry of another writer with, say, 60,000 slots passed as a server's where the service's servers accept 170 connections: it takes the samples and calls that its service's other servers have no slot for, without ever being full.

An upstream runs one request per connection, so that it can't run more than it accepts connections (the configuration's max_conns, of all daemons together). The registry knows this number by service: a new entry with more slots is rejected, and a new configuration drops those that are there already (counter upstreams_slots_above_connections). Without the number the bound of a port holds.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dogwoodflow/dogwoodflow/internal/metrics"
 	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 	"github.com/dogwoodflow/dogwoodflow/internal/routes"
 )
@@ -81,12 +82,24 @@
 		if v.config == nil || c.Version > v.config.Version {
 			v.config = c
 			v.configSetAt = v.now()
+			impossibleUpstreams.Add(int64(len(v.upstreams.SetMaxConnections(maxConnections(c), v.now()))))
 			accepted = true
 		}
 	})
 	return accepted
 }
 
+// impossibleUpstreams counts upstreams that had more slots than a new configuration allows connections.
+var impossibleUpstreams = metrics.Counter("upstreams_slots_above_connections")
+
+func maxConnections(c *routes.Config) map[string]int {
+	out := make(map[string]int, len(c.Services))
+	for name, s := range c.Services {
+		out[name] = s.MaxConnections
+	}
+	return out
+}
+
 // SetPublished sets the newest weights version of a model and returns true, unless the version isn't
 // newer than the one before.
 func (v *View) SetPublished(model string, version int64) bool {
--- a/internal/registry/check.go
+++ b/internal/registry/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"time"
 )
 
 // MaxSlots is the largest number of requests that an upstream can run at a time. It runs one request
@@ -25,3 +26,34 @@
 	}
 	return nil
 }
+
+// Check is like Upstream.Check. In addition the upstream must not have more slots than its service's
+// upstreams accept connections: each request takes one.
+func (r *Registry) Check(u Upstream) error {
+	if err := u.Check(); err != nil {
+		return err
+	}
+	if r.exceedsConnections(u) {
+		return fmt.Errorf("%d slots, upstreams of %s accept %d connections", u.Slots, u.Service, r.maxConnections[u.Service])
+	}
+	return nil
+}
+
+func (r *Registry) exceedsConnections(u Upstream) bool {
+	limit := r.maxConnections[u.Service]
+	return limit > 0 && u.Slots > limit
+}
+
+// SetMaxConnections sets how many connections an upstream of each service accepts; it is unknown if 0
+// or missing. It drops the upstreams that have more slots, and returns them.
+func (r *Registry) SetMaxConnections(byService map[string]int, now time.Duration) []Upstream {
+	r.maxConnections = byService
+	var dropped []Upstream
+	for _, u := range r.upstreams {
+		if r.exceedsConnections(u) {
+			dropped = append(dropped, u)
+			r.Reject(u.ID, now)
+		}
+	}
+	return sortByID(dropped)
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -93,6 +93,8 @@
 
 	changes  uint64 // number of changes of upstreams
 	services map[string]*members
+	// maxConnections is how many connections an upstream accepts, by service, as far as it is known.
+	maxConnections map[string]int
 }
 
 // New returns an empty Registry.
--- a/internal/relay/subscriber.go
+++ b/internal/relay/subscriber.go
@@ -84,7 +84,7 @@
 	e, err := decode[endpoint](value)
 	u := e.upstream(id)
 	if err == nil {
-		err = u.Check()
+		err = r.Check(u)
 	}
 	if err != nil {
 		s.options.Logger.Error().Err(err).Str("upstream", id).Msg("malformed upstream of a relay shard isn't used")
