registry: a start time after the year 9999 is no upstream's

Not seen by a caller. An entry of another writer with born 2^63-1 was taken for a newer start of its server. In a trial on the code before the server's own next two entries changed nothing, so that its work went to the address of the odd entry for two of its heartbeats; under a key of its own the odd entry replaced the server at the same address in the engines' sample for as long as it stood.

A start time is bounded by the last date with a four-digit year, in entries, relayed upstreams and reports. It still isn't compared with this VM's clock.

--- a/internal/registry/check.go
+++ b/internal/registry/check.go
@@ -12,6 +12,9 @@
 // per connection, and one address can have at most this many connections to another.
 const MaxSlots = math.MaxUint16
 
+// MaxStarted is the end of the year 9999 in Unix ms, the last one that a date has four digits for.
+const MaxStarted = 253_402_300_799_999
+
 // Check returns an error if an upstream has a value that no upstream can have. It must not be
 // registered then: sums of such numbers overflow, and an upstream with too many slots is never full.
 func (u Upstream) Check() error {
@@ -24,6 +27,9 @@
 	if u.Slots < 0 || u.Slots > MaxSlots {
 		return fmt.Errorf("%d slots, possible are 0 to %d", u.Slots, MaxSlots)
 	}
+	if u.Started < 0 || u.Started > MaxStarted {
+		return fmt.Errorf("started at %d ms, possible are 0 to %d", u.Started, MaxStarted)
+	}
 	return nil
 }
 
--- a/internal/relay/record_test.go
+++ b/internal/relay/record_test.go
@@ -80,6 +80,7 @@
 		"slots below zero":  changed(func(e *endpoint) { e.Slots = -1 }),
 		"slots above all":   changed(func(e *endpoint) { e.Slots = 1 << 62 }),
 		"slots of 64 bits":  {0xa1, 0x04, 0x1b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"a start after all": changed(func(e *endpoint) { e.Started = 1 << 62 }),
 		"no address at all": changed(func(e *endpoint) { e.Address = "" }),
 		"a port above all":  changed(func(e *endpoint) { e.Address = "10.0.0.9:65536" }),
 	} {
