--- a/internal/registry/check.go
+++ b/internal/registry/check.go
@@ -15,6 +15,9 @@
 // MaxStarted is the end of the year 9999 in Unix ms, the last one that a date has four digits for.
 const MaxStarted = 253_402_300_799_999
 
+// MaxVersion is the largest weight version. Versions are counted from 1, one for each training step.
+const MaxVersion = math.MaxInt32
+
 // Check returns an error if an upstream has a value that no upstream can have. It must not be
 // registered then: sums of such numbers overflow, and an upstream with too many slots is never full.
 func (u Upstream) Check() error {
@@ -30,6 +33,11 @@
 	if u.Started < 0 || u.Started > MaxStarted {
 		return fmt.Errorf("started at %d ms, possible are 0 to %d", u.Started, MaxStarted)
 	}
+	for model, v := range u.Models {
+		if model == "" || v < 0 || v > MaxVersion {
+			return fmt.Errorf("version %d of model %.64q, possible are 0 to %d of a named model", v, model, MaxVersion)
+		}
+	}
 	return nil
 }
 
