gateway: a load report with more slots than connections is dropped

Not seen by a caller. X-Dogwoodflow-Instance-Load was believed up to 2^31-1 slots.

A count above what one address can have connections is no report (as for a broken header). A report of more slots than the service's upstreams accept connections is dropped by the gateway, on calls and streams (counter upstream_load_reports_impossible).

Without the change TestParse failed for 65,536 in each place and 2^31-1 slots, and TestReportOfMoreSlotsThanConnectionsIsDropped for 171 slots at 170 connections.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,6 +58,16 @@
 	return v.config
 }
 
+// MaxConnections returns how many connections an upstream of a service accepts, 0 if that is unknown.
+func (v *View) MaxConnections(service string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.config == nil {
+		return 0
+	}
+	return v.config.Services[service].MaxConnections
+}
+
 // ConfigAge returns the time since the configuration came into force in this daemon.
 func (v *View) ConfigAge() time.Duration {
 	v.mu.Lock()
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -115,3 +115,28 @@
 	})
 	g.Expect(s.upstreamIncarnations(gate.view)).To(Equal([]string{"u0@5", "u1"}))
 }
+
+// Guards against an upstream that is never full because its load report states more slots than it accepts
+// connections, on calls and on streams.
+func TestReportOfMoreSlotsThanConnectionsIsDropped(t *testing.T) {
+	for _, c := range []struct{ slots, load int }{{170, 3}, {171, -1}, {registry.MaxSlots, -1}} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			report := loadreport.Report{Running: 3, Slots: c.slots, Slowdown: 1}
+			answer := report
+			gate, _ := setup(func(context.Context) (*Response, error) { return &Response{Status: http.StatusOK, Load: &answer}, nil })
+			streaming, f := streamSetup(streamBehaviour{load: &report})
+			for _, x := range []*Gateway{gate, streaming} {
+				x.view.SetConfig(routes.New(1, nil, []routes.Service{{Name: "s", MaxConnections: 170}}, routes.Limits{}, nil))
+			}
+			time.Sleep(time.Second)
+			_, refusal := gate.Do(context.Background(), route(routes.Safe, 1), call())
+			g.Expect(refusal).To(BeNil())
+			load, _ := gate.balancer.lastLoad("u0", gate.now())
+			g.Expect(load).To(Equal(c.load))
+			g.Expect(streaming.Stream(context.Background(), route(routes.Safe, 1), call(), 0, f).Err).NotTo(HaveOccurred())
+			load, _ = streaming.balancer.lastLoad("u0", streaming.now())
+			g.Expect(load).To(Equal(c.load))
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -259,6 +259,7 @@
 	transmission := a.g.beginTransmission(u)
 	go func() {
 		response, err := a.g.upstreams.Call(ctx, u, a.call, a.call.NewConn || a.route.Kind != routes.Safe)
+		a.g.checkLoad(u, response)
 		a.g.countRun(a.call, transmission, response, err)
 		a.g.recordSend(ctx, u, a.call, response, err, time.Since(startedAt))
 		a.results <- sendResult{u, response, err, time.Since(startedAt)}
@@ -266,6 +267,20 @@
 	return true
 }
 
+var impossibleLoadReports = metrics.Counter("upstream_load_reports_impossible")
+
+// checkLoad drops the load report of a response, which may be nil, if it states more slots than the
+// upstream accepts connections: an upstream with such a report is never full.
+func (g *Gateway) checkLoad(u registry.Upstream, response *Response) {
+	if response == nil || response.Load == nil {
+		return
+	}
+	if limit := g.view.MaxConnections(u.Service); limit > 0 && response.Load.Slots > limit {
+		impossibleLoadReports.Add(1)
+		response.Load = nil
+	}
+}
+
 // mayHaveRun reports false only if the upstream certainly did not run the request of a send
 // with this outcome.
 func mayHaveRun(response *Response, err error) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -159,6 +159,7 @@
 		s.g.recordSend(ctx, u, s.call, nil, err, 0)
 		return nil, s.handleFailure(u, err)
 	}
+	s.g.checkLoad(u, &stream.Response)
 	if stream.Events == nil {
 		s.g.countRun(s.call, transmission, &stream.Response, nil)
 		s.g.recordSend(ctx, u, s.call, &stream.Response, nil, time.Since(startedAt))
--- a/internal/upstream/loadreport/loadreport.go
+++ b/internal/upstream/loadreport/loadreport.go
@@ -4,6 +4,8 @@
 import (
 	"strconv"
 	"strings"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/registry"
 )
 
 // Bounds of a plausible slowdown. Run times are divided and multiplied by it; far outside of the
@@ -13,6 +15,10 @@
 	maxSlowdown = 10_000
 )
 
+// maxCount bounds each count: an upstream runs one request per connection. Sums of counts cannot
+// overflow.
+const maxCount = registry.MaxSlots
+
 // Report is the load of an upstream as it reported it.
 type Report struct {
 	Running  int     // requests that it runs
@@ -34,9 +40,8 @@
 	}
 	var counts [3]int
 	for i := range counts {
-		// 31 bits, so that sums of counts cannot overflow and become negative.
-		n, err := strconv.ParseUint(strings.TrimSpace(fields[i]), 10, 31)
-		if err != nil {
+		n, err := strconv.ParseUint(strings.TrimSpace(fields[i]), 10, 64)
+		if err != nil || n > maxCount {
 			return Report{}, false
 		}
 		counts[i] = int(n)
--- a/internal/upstream/loadreport/loadreport_test.go
+++ b/internal/upstream/loadreport/loadreport_test.go
@@ -24,6 +24,9 @@
 		{header: "-1,0,6"}, {header: "1,-1,6"}, {header: "1,1,0"}, {header: "1,1,-6"}, {header: "1.5,1,6"},
 		{header: "1,1,6,0"}, {header: "1,1,6,-100"}, {header: "1,1,6,NaN"}, {header: "1,1,6,Inf"}, {header: "1,1,6,1e999"}, {header: "1,1,6,1e300"}, {header: "1,1,6,1e-300"},
 		{header: "9223372036854775807,1,6"},
+		{"65535,65535,65535", Report{65535, 65535, 65535, 1}, true},
+		{header: "65536,0,6"}, {header: "0,65536,6"}, {header: "0,0,65536"}, {header: "0,0,2147483647"}, {header: "0,0,4611686018427387904"},
+		{header: "0,0,1e400"}, {header: "0,0,18446744073709551616"}, {header: "0,0,[[6]]"},
 	} {
 		t.Run(c.header, func(t *testing.T) {
 			g := NewWithT(t)
