registry: an upstream with a name too long for the store's records isn't used

Not seen by a caller; found by following an entry to the relay. A server's entry under a key of 247 bytes or more, or with a zone or service whose replaced invalid UTF-8 grows beyond a record, was registered like any other. In a large fleet the publisher then couldn't encode it (key of 264 bytes) or asked the store to append a record above its limit (300,036 bytes of 262,144), and tried the same again for ever: the daemons that read the shards with that upstream would learn of no other entry, removal or configuration.

Names have 1 to 200 bytes, as keys are made of them, and an ID is printable, since it is sent in a header. The texts in the log lines about entries are cut.

TestUpstreamWithALongNameDoesNotBlockItsShards failed without the change with the errors above.

--- a/internal/registry/check.go
+++ b/internal/registry/check.go
@@ -1,10 +1,10 @@
 package registry
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"net/netip"
+	"strings"
 	"time"
 )
 
@@ -18,14 +18,21 @@
 // MaxVersion is the largest weight version. Versions are counted from 1, one for each training step.
 const MaxVersion = math.MaxInt32
 
+// maxNameBytes bounds names. A key of the store has at most 255 bytes, and keys are made of names with a
+// prefix.
+const maxNameBytes = 200
+
 // Check returns an error if an upstream has a value that no upstream can have. It must not be
 // registered then: sums of such numbers overflow, and an upstream with too many slots is never full.
 func (u Upstream) Check() error {
-	if u.Service == "" || u.DataCentre == "" {
-		return errors.New("no service or data centre")
+	if !isName(u.Service) || !isName(u.DataCentre) {
+		return fmt.Errorf("names of service and data centre have %d and %d bytes, possible are 1 to %d", len(u.Service), len(u.DataCentre), maxNameBytes)
+	}
+	if !isName(u.ID) || strings.ContainsFunc(u.ID, func(c rune) bool { return c <= ' ' || c > '~' }) {
+		return fmt.Errorf("ID %.64q, possible are 1 to %d printable characters", u.ID, maxNameBytes)
 	}
 	if at, err := netip.ParseAddrPort(u.Address); err != nil || at.Port() == 0 {
-		return fmt.Errorf("address %q is no ip:port", u.Address)
+		return fmt.Errorf("address %.64q is no ip:port", u.Address)
 	}
 	if u.Slots < 0 || u.Slots > MaxSlots {
 		return fmt.Errorf("%d slots, possible are 0 to %d", u.Slots, MaxSlots)
@@ -41,6 +48,8 @@
 	return nil
 }
 
+func isName(name string) bool { return name != "" && len(name) <= maxNameBytes }
+
 // Check is like Upstream.Check. In addition the upstream must not have more slots than its service's
 // upstreams accept connections: each request takes one.
 func (r *Registry) Check(u Upstream) error {
--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,6 +47,47 @@
 	}
 }
 
+// Guards against an upstream with a name too long for a record: the append with it would fail again and
+// again, and the daemons that read its shards would learn of no other upstream.
+func TestUpstreamWithALongNameDoesNotBlockItsShards(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*registry.Upstream)
+		ok     bool
+	}{
+		{"an ID of 200 bytes", func(u *registry.Upstream) { u.ID = strings.Repeat("i", 200) }, true},
+		{"an ID of 255 bytes", func(u *registry.Upstream) { u.ID = strings.Repeat("i", 255) }, false},
+		{"an ID of two lines", func(u *registry.Upstream) { u.ID = "i\n1" }, false},
+		{"an ID that isn't UTF-8", func(u *registry.Upstream) { u.ID = "i\xff" }, false},
+		{"a data centre of 200 bytes", func(u *registry.Upstream) { u.DataCentre = strings.Repeat("z", 200) }, true},
+		{"a data centre of 300,000 bytes", func(u *registry.Upstream) { u.DataCentre = strings.Repeat("\ufffd", 100_000) }, false},
+		{"a service of 300,000 bytes", func(u *registry.Upstream) { u.Service = strings.Repeat("\ufffd", 100_000) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := newPublisher(Options{Partitions: 1, RecordBytes: 256 << 10, CallBytes: 2 << 20}, make([]*shard, 1), nil)
+			r := registry.New()
+			odd := registry.Upstream{ID: "odd", Service: "s", Address: "10.0.0.9:80", DataCentre: "z"}
+			c.change(&odd)
+			for _, u := range []registry.Upstream{{ID: "other", Service: "s", Address: "10.0.0.8:80", DataCentre: "z"}, odd} {
+				if r.Check(u) == nil {
+					r.Put(u)
+				}
+			}
+			desired, err := p.assigner.assign(map[string][]registry.Upstream{"s": r.All()})
+			g.Expect(err).NotTo(HaveOccurred())
+			records, err := p.encodeRecords(Watermark{ServersOffset: 1}, diff(nil, desired[0]))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(len(records)).To(BeNumerically(">=", 2), "the other upstream and the watermark")
+			for _, record := range records {
+				g.Expect(len(record)).To(BeNumerically("<=", p.options.RecordBytes))
+			}
+			_, known := r.Get(odd.ID)
+			g.Expect(known).To(Equal(c.ok))
+		})
+	}
+}
+
 // Guards against a change of a few upstreams that moves others between shards.
 func TestChangeOfUpstreamsMovesFewOthers(t *testing.T) {
 	g := NewWithT(t)
