exchange: an advertised idle timeout too long for its type is the longest one

Not seen by a caller. Keep-Alive: timeout= of an upstream overflowed to a limit below zero, so that each connection to it was closed once it was idle, and each request made a new one.

--- a/internal/upstream/exchange/idle.go
+++ b/internal/upstream/exchange/idle.go
@@ -70,13 +70,16 @@
 	return advertised
 }
 
+// maxAdvertisedSeconds bounds advertised timeouts. Those above 292 years don't fit in a time.Duration.
+const maxAdvertisedSeconds = 24 * 60 * 60
+
 // keepAliveTimeout returns the idle timeout in a Keep-Alive header, 0 for none.
 func keepAliveTimeout(header http.Header) time.Duration {
 	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		seconds, err := strconv.Atoi(value)
 		if strings.EqualFold(name, "timeout") && err == nil && seconds > 0 {
-			return time.Duration(seconds) * time.Second
+			return time.Duration(min(seconds, maxAdvertisedSeconds)) * time.Second
 		}
 	}
 	return 0
--- a/internal/upstream/exchange/idle_test.go
+++ b/internal/upstream/exchange/idle_test.go
@@ -27,6 +27,9 @@
 		Entry("ten seconds", keepAlive("timeout=10"), 8*time.Second),
 		Entry("with a maximum number of requests", keepAlive("max=5, Timeout=5"), 4*time.Second),
 		Entry("longer than the maximum", keepAlive("timeout=60"), 20*time.Second),
+		Entry("longer than a duration", keepAlive("timeout=9300000000"), 20*time.Second),
+		Entry("the longest", keepAlive("timeout=9223372036854775807"), 20*time.Second),
+		Entry("above all", keepAlive("timeout=1e400"), 800*time.Millisecond),
 		Entry("not a number", keepAlive("timeout=soon"), 800*time.Millisecond),
 		Entry("zero", keepAlive("timeout=0"), 800*time.Millisecond),
 	)
