batchrun: what failed reads tell of the store's rate

Found in review: a read that fails fast, as on a connection that is reset, let the next ones grow; one whose blobs another call had read, or that the store refused, counted as a rate of nothing; failed reads were missing among the reads of the line 'results not given'.

--- a/internal/batchrun/blobs.go
+++ b/internal/batchrun/blobs.go
@@ -246,11 +246,12 @@
 }
 
 // adapt takes the outcome and the time of a read into account.
-func (b *blobCache) adapt(refused bool, took time.Duration) {
+func (b *blobCache) adapt(err error, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	refused := errors.Is(err, store.ErrNotDone)
 	b.callCost = nextCallCost(b.callCost, refused)
-	if !refused { // a refusal takes no transfer
+	if err == nil || took > slowFetch && !refused { // the others have transferred nothing
 		b.fetchLimit = nextFetchLimit(b.fetchLimit, took)
 	}
 }
@@ -259,7 +260,6 @@
 // read in part.
 func (b *blobCache) fetchAll(ctx context.Context, part int, ranges []blobRange, missing []int64, found map[int64][]byte, stats *fetchStats) error {
 	began, before := time.Now(), stats.readBytes
-	defer func() { b.recordRate(stats.readBytes-before, time.Since(began)) }()
 	var group errgroup.Group
 	pages := make([][][]byte, len(ranges))
 	for i, r := range ranges {
@@ -269,8 +269,9 @@
 		})
 	}
 	err := group.Wait()
+	took := time.Since(began)
 	for i, page := range pages {
-		if len(page) > 0 {
+		if len(page) > 0 || err != nil {
 			stats.reads++
 		}
 		for n, data := range page {
@@ -280,6 +281,9 @@
 			}
 		}
 	}
+	if bytes := stats.readBytes - before; bytes > 0 || err != nil && !errors.Is(err, store.ErrNotDone) {
+		b.recordRate(bytes, took)
+	}
 	return err
 }
 
@@ -300,7 +304,7 @@
 	if err == nil && len(page.Records) == 0 && page.End > r.first {
 		page, err = b.log.Read(ctx, textTopic, part, store.ReadOptions{Offset: r.first}) // the blob exceeds the limit
 	}
-	b.adapt(errors.Is(err, store.ErrNotDone), time.Since(began))
+	b.adapt(err, time.Since(began))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/batchrun/recovery_test.go
+++ b/internal/batchrun/recovery_test.go
@@ -50,12 +50,17 @@
 
 // link is a VM's network link, on which transfers share the rate in the order they begin.
 type link struct {
-	rate int // bytes per second
-
 	mu   sync.Mutex
+	rate int       // bytes per second
 	ends time.Time // of the last transfer
 }
 
+func (l *link) setRate(rate int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate = rate
+}
+
 // transfer waits until bytes are transferred. It reports false if the context ends before.
 func (l *link) transfer(ctx context.Context, bytes int) bool {
 	l.mu.Lock()
@@ -464,7 +469,7 @@
 		defer f.stop()
 		time.Sleep(5 * time.Second)
 		for _, v := range f.vms {
-			v.link.rate = smallLinkRate / 15
+			v.link.setRate(smallLinkRate / 15)
 		}
 		err := f.readBatch(f.batches[0], f.random, time.Now().Add(time.Minute))
 		f.report(t)
--- a/internal/batchrun/scale_test.go
+++ b/internal/batchrun/scale_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,8 @@
 	"github.com/dogwoodflow/dogwoodflow/internal/policy"
 	"github.com/dogwoodflow/dogwoodflow/internal/standin/metastore"
 	"github.com/dogwoodflow/dogwoodflow/internal/store"
+
+	"github.com/dogwoodflow/dogwoodflow/internal/pause"
 )
 
 const (
@@ -201,3 +204,44 @@
 		c.SetFaults(faults)
 	}
 }
+
+// Guards against a batch that nobody can read while its owner is unreachable: daemons that discard
+// their view whenever a reader leaves before it is loaded read the same records again and again, and
+// together use up the rate that they share.
+func TestBatchIsReadByManyWhileOwnersAreUnreachable(t *testing.T) {
+	for _, c := range []struct{ daemons, readers int }{{61, 40}, {122, 160}} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newLargeFleet(g, c.daemons, unwrappedLog) // its daemons can't reach each other
+			defer f.stop()
+			g.Expect(f.waitUntilCurrent(scaleRecovery)).To(BeTrue())
+			head, items, requests := newBatch("m0", "x", 2, 2, 1)
+			g.Expect(f.services[0].Submit(context.Background(), "b", head, items, requests)).To(Succeed())
+			ctx, cancel := context.WithTimeout(context.Background(), scaleRecovery)
+			defer cancel()
+			var calls, answered atomic.Int64
+			var readers sync.WaitGroup
+			for range c.readers {
+				readers.Go(func() {
+					for ctx.Err() == nil {
+						if f.read(ctx, int(calls.Add(1)), "b") == nil {
+							answered.Add(1)
+							return
+						}
+						pause.For(ctx, 100*time.Millisecond)
+					}
+				})
+			}
+			readers.Wait()
+			g.Expect(answered.Load()).To(BeEquivalentTo(c.readers), "readers of %d daemons, %d MB read", c.daemons, f.store.BytesRead(batchTopic)>>20)
+		})
+	}
+}
+
+// read asks one of the daemons in turn for the results of a batch, within a reader's patience.
+func (f *largeFleet) read(ctx context.Context, call int, batch string) error {
+	ctx, cancel := context.WithTimeout(ctx, readerPatience)
+	defer cancel()
+	_, err := f.services[call%len(f.services)].Results(ctx, batch, 0, 0)
+	return err
+}
