exchange: a connection in use isn't closed as idle

What callers saw: a request that took longer than the idle time of its reused connection (0.8 s on the platform for servers that state none) could fail as one that may have run: its own side closed the connection under it.

Cause: net/http calls PutIdleConn after the connection is back in the pool. If the next request got it before, the timer started with the connection in use, and nothing stopped it.

Change: a connection numbers its uses; the timer starts only if the use that ended is the last one.

Evidence: TestConnectionInUseIsNotClosedAsIdle failed before.

--- a/internal/upstream/exchange/conn.go
+++ b/internal/upstream/exchange/conn.go
@@ -19,13 +19,17 @@
 	writesDisabled bool        // Write fails with errWritesDisabled
 	ioFailed       bool        // a Read or Write returned an error
 	idleTimer      *time.Timer // closes the connection, nil: in use
+	uses           int64       // requests that got the connection
 }
 
-// startIdleTimer closes the connection after limit unless stopIdleTimer is called before.
-func (c *trackedConn) startIdleTimer(limit time.Duration) {
+// startIdleTimer closes the connection after limit unless beginUse is called before. use is the
+// one that ended: if a later one has begun already, the connection isn't idle.
+func (c *trackedConn) startIdleTimer(limit time.Duration, use int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleTimer = time.AfterFunc(limit, c.closeIfIdle)
+	if c.uses == use {
+		c.idleTimer = time.AfterFunc(limit, c.closeIfIdle)
+	}
 }
 
 // closeIfIdle closes the connection unless it is in use again. It disables writes first, so
@@ -51,14 +55,17 @@
 	_ = c.Close() // nothing more is expected on it
 }
 
-// stopIdleTimer marks the connection as in use, unless the timer has already closed it.
-func (c *trackedConn) stopIdleTimer() {
+// beginUse marks the connection as in use, unless the timer has already closed it, and returns the
+// number of the use.
+func (c *trackedConn) beginUse() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.uses++
 	if c.idleTimer != nil && !c.writesDisabled {
 		c.idleTimer.Stop()
 		c.idleTimer = nil
 	}
+	return c.uses
 }
 
 // Write counts the call, then writes.
--- a/internal/upstream/exchange/send.go
+++ b/internal/upstream/exchange/send.go
@@ -112,6 +112,7 @@
 
 	mu                sync.Mutex
 	conn              *trackedConn // last connection used, nil: none yet
+	use               int64        // number of conn's use by this request
 	initialWriteCalls int64        // conn.writeCalls before this request
 	sentEarlier       bool         // the request may have been written to a connection before conn
 	reused            bool         // conn had served a request before
@@ -133,7 +134,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if err == nil && x.conn != nil {
-		x.conn.startIdleTimer(x.sender.idleLimits.limit(x.address, x.sender.elapsed()))
+		x.conn.startIdleTimer(x.sender.idleLimits.limit(x.address, x.sender.elapsed()), x.use)
 	}
 }
 
@@ -144,7 +145,7 @@
 	x.conn, _ = info.Conn.(*trackedConn)
 	x.reused = info.Reused
 	if x.conn != nil {
-		x.conn.stopIdleTimer()
+		x.use = x.conn.beginUse()
 		x.initialWriteCalls = x.conn.writeCallCount()
 	}
 	limit := x.options.HeaderTimeout
